--- /dev/null
+++ b/src/lavendermast/logs.py
@@ -0,0 +1,114 @@
+"""Structured logs: one line of key=value pairs an event."""
+
+import collections
+import json
+import pathlib
+import sys
+
+import eliot
+import eventlet
+
+#: Lines held while the writer is behind; older ones are dropped and counted.
+MAX_PENDING_EVENTS = 100_000
+FLUSH_INTERVAL_S = 0.05
+_PLAIN = frozenset(
+    "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789-_.:/,*@+"
+)
+_ELIOT_FIELDS = frozenset(
+    {"task_uuid", "task_level", "timestamp", "message_type", "action_type"}
+)
+
+
+def format_value(value):
+    """
+    Return a value as it stands behind the equals sign.
+
+    >>> format_value("two words"), format_value(0.25), format_value("plain")
+    ('"two words"', '0.25', 'plain')
+    """
+    if value is None:
+        return "-"
+    if isinstance(value, bool):
+        return "true" if value else "false"
+    if isinstance(value, float):
+        return f"{value:.6g}" if abs(value) < 1e6 else f"{value:.3f}"
+    text = str(value)
+    if text and _PLAIN.issuperset(text):
+        return text
+    return json.dumps(text)
+
+
+def format_event(fields):
+    """
+    Return one event as a line of key=value pairs.
+
+    >>> format_event({"event": "stop", "vm": "a", "cut": 0})
+    'event=stop vm=a cut=0'
+    """
+    return " ".join(f"{key}={format_value(value)}" for key, value in fields.items())
+
+
+class EventLog:
+    """
+    Queues events on the request's path and writes them from its own task.
+
+    :param stream: text stream that receives the lines.
+    :param context: fields put into every line, such as the VM's name.
+    """
+
+    def __init__(self, stream, context, clock):
+        self._stream = stream
+        self._context = context
+        self._clock = clock
+        self._pending = collections.deque()
+        self.dropped = 0
+        self._logger = eliot.Logger()
+        eliot.add_destinations(self._write_message)
+
+    @classmethod
+    def from_settings(cls, settings, clock):
+        """Return the log that the process settings name."""
+        stream = sys.stdout
+        if settings.log_path != "-":
+            stream = pathlib.Path(settings.log_path).open("a")
+        context = {"vm": settings.vm, "zone": settings.zone}
+        return cls(stream, context, clock)
+
+    def record(self, event, **fields):
+        """
+        Queue one event.
+
+        :param event: name of the event, such as ``attempt``.
+        :param fields: its values, written in the order given.
+        """
+        if len(self._pending) >= MAX_PENDING_EVENTS:
+            self._pending.popleft()
+            self.dropped += 1
+        self._pending.append((self._clock.time(), event, fields))
+
+    def flush(self):
+        """Write all queued events."""
+        while self._pending:
+            moment, event, fields = self._pending.popleft()
+            message = {"ts": f"{moment:.6f}", "event": event, **self._context, **fields}
+            eliot.log_message(message_type=event, line=message)
+        self._stream.flush()
+
+    def run(self):
+        """Write queued events until the task is killed."""
+        while True:
+            eventlet.sleep(FLUSH_INTERVAL_S)
+            if self._pending:
+                self.flush()
+
+    def close(self):
+        """Write what is queued and detach from eliot."""
+        self.flush()
+        eliot.remove_destination(self._write_message)
+
+    def _write_message(self, message):
+        line = message.get("line")
+        if line is None:
+            line = {"event": message.get("message_type", "action")}
+            line.update((k, v) for k, v in message.items() if k not in _ELIOT_FIELDS)
+        self._stream.write(format_event(line) + "\n")
--- /dev/null
+++ b/src/lavendermast/schema/messages.capnp
@@ -0,0 +1,145 @@
+# Messages between the VMs of a fleet.
+@0xd8a4a6d5cf2b91e7;
+
+enum MemberState {
+  alive @0;
+  suspect @1;
+  leaving @2;
+  dead @3;
+  starting @4;
+}
+
+enum ServerHealth {
+  healthy @0;
+  sick @1;
+  cold @2;
+  draining @3;
+  recovering @4;
+}
+
+# One VM as seen by the sender. Ordered by bootTime, then incarnation, then state.
+struct MemberUpdate {
+  vm @0 :Text;
+  bootId @1 :UInt64;
+  bootTime @2 :UInt64;
+  incarnation @3 :UInt32;
+  state @4 :MemberState;
+  region @5 :Text;
+  zone @6 :Text;
+  callerAddress @7 :Text;
+  peerAddress @8 :Text;
+  continuedBy @9 :UInt64;
+}
+
+struct DocumentVersion {
+  name @0 :Text;
+  version @1 :UInt64;
+  digest @2 :Data;
+}
+
+# A judge's finding about one backend server; deadlines are Unix milliseconds.
+struct Verdict {
+  service @0 :Text;
+  server @1 :Text;
+  health @2 :ServerHealth;
+  score @3 :Float32;
+  judge @4 :Text;
+  issuedAt @5 :UInt64;
+  validUntil @6 :UInt64;
+}
+
+# One VM's counts for one backend server since its last report.
+struct EvidenceEntry {
+  service @0 :Text;
+  server @1 :Text;
+  ok @2 :UInt32;
+  errors @3 :UInt32;
+  timeouts @4 :UInt32;
+  cut @5 :UInt32;
+  slow @6 :UInt32;
+  latencyRatio @7 :Float32;
+}
+
+struct Piggyback {
+  versions @0 :List(DocumentVersion);
+  updates @1 :List(MemberUpdate);
+  verdicts @2 :List(Verdict);
+  membersDigest @3 :Data;
+}
+
+struct Ping {
+  sequence @0 :UInt64;
+  piggyback @1 :Piggyback;
+}
+
+struct PingRequest {
+  sequence @0 :UInt64;
+  target @1 :Text;
+}
+
+struct Ack {
+  sequence @0 :UInt64;
+  target @1 :Text;
+  piggyback @2 :Piggyback;
+}
+
+struct Evidence {
+  entries @0 :List(EvidenceEntry);
+  windowEnd @1 :UInt64;
+}
+
+struct FetchDocument {
+  name @0 :Text;
+  haveVersion @1 :UInt64;
+  haveDigest @2 :Data;
+}
+
+# An empty baseDigest marks a whole value; otherwise content is a delta on that value.
+struct Document {
+  name @0 :Text;
+  version @1 :UInt64;
+  digest @2 :Data;
+  baseDigest @3 :Data;
+  content @4 :Data;
+}
+
+struct SyncMembers {
+  updates @0 :List(MemberUpdate);
+}
+
+struct LedgerEntry {
+  key @0 :Text;
+  state @1 :Text;
+  status @2 :UInt16;
+  headers @3 :Text;
+  body @4 :Data;
+  rememberUntil @5 :UInt64;
+  requestDigest @6 :Data;
+}
+
+struct Handover {
+  bootId @0 :UInt64;
+  entries @1 :List(LedgerEntry);
+}
+
+struct HandoverReply {
+  accepted @0 :Bool;
+}
+
+struct Message {
+  sender @0 :Text;
+  bootId @1 :UInt64;
+  sentAt @2 :UInt64;
+  union {
+    ping @3 :Ping;
+    pingRequest @4 :PingRequest;
+    ack @5 :Ack;
+    updates @6 :Piggyback;
+    evidence @7 :Evidence;
+    fetchDocument @8 :FetchDocument;
+    document @9 :Document;
+    syncMembers @10 :SyncMembers;
+    handover @11 :Handover;
+    handoverReply @12 :HandoverReply;
+  }
+}
