--- a/src/lavendermast/exceptions.py
+++ b/src/lavendermast/exceptions.py
@@ -1,5 +1,7 @@
 """Exceptions raised by lavendermast."""
 
+from lavendermast.models import Outcome
+
 
 class LavendermastError(Exception):
     """Root of all errors raised by this package."""
@@ -38,10 +40,18 @@
 
 
 class RequestError(LavendermastError):
-    """A caller's request is refused before any attempt; it was not run."""
+    """
+    A caller's request is refused.
+
+    :param outcome: what the caller may conclude; ``not-run`` unless given.
+    :param retry_after: seconds after which a repeat makes sense, 0 for none.
+    """
 
-    def __init__(self, status, reason, detail=""):
+    def __init__(self, status, reason, detail="", **options):
         self.status = status
         self.reason = reason
         self.detail = detail
+        self.outcome = options.get("outcome", Outcome.NOT_RUN)
+        self.retry_after = options.get("retry_after", 0)
+        self.headers = options.get("headers", ())
         super().__init__(f"{status} {reason} {detail}".strip())
--- /dev/null
+++ b/src/lavendermast/gateway.py
@@ -0,0 +1,200 @@
+"""The WSGI application that callers connect to."""
+
+import hashlib
+import http.client
+import json
+import urllib.parse
+
+from lavendermast.dispatch import Reply
+from lavendermast.exceptions import LavendermastError, RequestError
+from lavendermast.models import Outcome
+from lavendermast.requests import KEY_HEADER, REQUEST_HEADER, RequestReader
+
+OUTCOME_HEADER = "Lavendermast-Outcome"
+REASON_HEADER = "Lavendermast-Reason"
+VM_HEADER = "Lavendermast-Vm"
+ADDRESSES_PATH = "/.well-known/lavendermast/addresses"
+_KEY_DIGEST_CHARACTERS = 16
+
+
+def get_status_line(status):
+    """
+    Return a status code with its phrase.
+
+    >>> get_status_line(421)
+    '421 Misdirected Request'
+    """
+    return f"{status} {http.client.responses.get(status, 'Unknown')}"
+
+
+def digest_text(data):
+    """Return the first characters of the SHA-256 of bytes, for the decision log."""
+    return hashlib.sha256(data).hexdigest()[:_KEY_DIGEST_CHARACTERS]
+
+
+class Gateway:
+    """
+    Answers callers.
+
+    :param policy: object with the current ``config``, ``router`` and ``ready`` flag.
+    :param run_request: callable ``(request, route_name, route, cancelled) -> Reply``.
+    :param address_book: makes address answers.
+    """
+
+    def __init__(self, policy, run_request, address_book, identity, clock, record_event):
+        self._policy = policy
+        self._run_request = run_request
+        self._addresses = address_book
+        self._vm = identity.vm
+        self._reader = RequestReader(identity.vm, identity.boot_id, clock)
+        self._clock = clock
+        self._record_event = record_event
+        self.in_flight = {}
+        self.outcomes = {}
+        self.close_connections = False
+
+    def __call__(self, environ, start_response):
+        started = self._clock.monotonic()
+        request_id = self._reader.make_id(environ)
+        self.in_flight[request_id] = started
+        request, route_name, route = None, None, None
+        try:
+            if environ["PATH_INFO"] == ADDRESSES_PATH:
+                return self._answer_addresses(environ, start_response, request_id)
+            route_name, route = self._find_route(environ)
+            request = self._reader.read(
+                environ, request_id, route, self._policy.config.limits
+            )
+            reply = self._run_request(request, route_name, route, environ)
+        except RequestError as error:
+            reply = self._refuse(error)
+        finally:
+            self.in_flight.pop(request_id, None)
+        head = (environ, request_id, request, route_name, route, started)
+        return self._send(reply, head, start_response)
+
+    def _find_route(self, environ):
+        if not self._policy.ready:
+            raise RequestError(503, "not-ready", "this VM has no configuration yet")
+        found = self._policy.router.find_route(
+            environ["REQUEST_METHOD"], environ["PATH_INFO"]
+        )
+        if found is None:
+            raise RequestError(404, "no-route", "no route matches")
+        return found
+
+    def _refuse(self, error):
+        body = json.dumps({"reason": error.reason, "detail": error.detail}).encode()
+        headers = [("Content-Type", "application/json"), *error.headers]
+        return Reply(
+            error.status,
+            error.outcome,
+            error.reason,
+            headers,
+            body,
+            retry_after=error.retry_after,
+        )
+
+    def _send(self, reply, head, start_response):
+        environ, request_id = head[0], head[1]
+        if reply.stream is not None and environ["SERVER_PROTOCOL"] == "HTTP/1.0":
+            reply = self._replace_unframed(reply)
+        headers = [item for item in reply.headers if item[0] != "Content-Length"]
+        headers += [
+            (REQUEST_HEADER, request_id),
+            (OUTCOME_HEADER, reply.outcome.value),
+            (REASON_HEADER, reply.reason),
+            (VM_HEADER, self._vm),
+        ]
+        if reply.retry_after:
+            headers.append(("Retry-After", str(reply.retry_after)))
+        if self.close_connections:
+            headers.append(("Connection", "close"))
+        if reply.stream is not None:
+            return self._stream(reply, head, headers, start_response)
+        headers.append(("Content-Length", str(len(reply.body))))
+        start_response(get_status_line(reply.status), headers)
+        self._log_request(reply, head, len(reply.body), digest_text(reply.body))
+        return [reply.body]
+
+    def _replace_unframed(self, reply):
+        """Refuse a body of unknown length to a caller that could not see it cut."""
+        if any(name == "Content-Length" for name, _ in reply.headers):
+            return reply
+        reply.stream.close()
+        detail = b'{"reason": "http-1.0", "detail": "use HTTP/1.1 for this answer"}'
+        return Reply(
+            502,
+            Outcome.UNKNOWN,
+            "unframed-answer",
+            [("Content-Type", "application/json")],
+            detail,
+            server=reply.server,
+            attempts=reply.attempts,
+        )
+
+    def _stream(self, reply, head, headers, start_response):
+        headers += [item for item in reply.headers if item[0] == "Content-Length"]
+        start_response(get_status_line(reply.status), headers)
+        digest = hashlib.sha256()
+        size = 0
+        complete = False
+        try:
+            for part in reply.stream:
+                digest.update(part)
+                size += len(part)
+                yield part
+            complete = True
+        except LavendermastError as error:
+            # Raising closes the caller's connection before the body's end, so the
+            # piece cannot look whole.
+            raise ConnectionAbortedError(str(error)) from error
+        finally:
+            reply.stream.close()
+            if not complete:
+                reply.outcome, reply.reason = Outcome.UNKNOWN, "answer-cut"
+            text = digest.hexdigest()[:_KEY_DIGEST_CHARACTERS]
+            self._log_request(reply, head, size, text)
+
+    def _answer_addresses(self, environ, start_response, request_id):
+        query = dict(urllib.parse.parse_qsl(environ.get("QUERY_STRING", "")))
+        caller = query.get("caller") or environ.get("REMOTE_ADDR", "")
+        answer = self._addresses.answer(
+            query.get("service", ""), query.get("zone", ""), caller
+        )
+        body = json.dumps(answer).encode()
+        headers = [
+            ("Content-Type", "application/json"),
+            ("Content-Length", str(len(body))),
+            ("Cache-Control", "no-store"),
+            (REQUEST_HEADER, request_id),
+        ]
+        if self.close_connections:
+            headers.append(("Connection", "close"))
+        start_response("200 OK", headers)
+        return [body]
+
+    def _log_request(self, reply, head, size, body_digest):
+        environ, request_id, request, route_name, route, started = head
+        key = environ.get("HTTP_" + KEY_HEADER.upper().replace("-", "_"))
+        label = (reply.outcome.value, reply.reason)
+        self.outcomes[label] = self.outcomes.get(label, 0) + 1
+        self._record_event(
+            "request",
+            request=request_id,
+            method=environ["REQUEST_METHOD"],
+            path=environ["PATH_INFO"],
+            route=route_name,
+            service=route.service if route else None,
+            customer=request.customer if request else None,
+            key=digest_text(key.encode()) if key else None,
+            outcome=reply.outcome.value,
+            reason=reply.reason,
+            status=reply.status,
+            attempts=reply.attempts,
+            server=reply.server or None,
+            latency_ms=round((self._clock.monotonic() - started) * 1000, 3),
+            bytes=size,
+            body_digest=body_digest,
+            deadline=request.deadline_unix_ms if request else None,
+        )
--- /dev/null
+++ b/src/lavendermast/listeners.py
@@ -0,0 +1,65 @@
+"""HTTP listeners that stop gracefully."""
+
+import eventlet
+import eventlet.wsgi
+
+SOCKET_TIMEOUT_S = 75
+MAX_CALLER_CONNECTIONS = 10_000
+LISTEN_BACKLOG = 1024
+
+
+class _NullLog:
+    """Discards the WSGI server's own log lines."""
+
+    def write(self, text):
+        """Discard text."""
+
+    def info(self, text, *args):
+        """Discard a message."""
+
+    debug = info
+    error = info
+
+
+def split_address(address):
+    """
+    Return host and port of an ``ip:port`` address.
+
+    >>> split_address("127.0.0.1:8080")
+    ('127.0.0.1', 8080)
+    """
+    host, port = address.rsplit(":", 1)
+    return host, int(port)
+
+
+class HttpListener:
+    """
+    Serves a WSGI application on one address.
+
+    :param address: ``ip:port``; port 0 takes a free one.
+    """
+
+    def __init__(self, address, application):
+        self._application = application
+        self._socket = eventlet.listen(split_address(address), backlog=LISTEN_BACKLOG)
+        self._pool = eventlet.GreenPool(MAX_CALLER_CONNECTIONS)
+        self._task = None
+        self.port = self._socket.getsockname()[1]
+
+    def start(self):
+        """Start to accept connections."""
+        self._task = eventlet.spawn(
+            eventlet.wsgi.server,
+            self._socket,
+            self._application,
+            log=_NullLog(),
+            log_output=False,
+            custom_pool=self._pool,
+            socket_timeout=SOCKET_TIMEOUT_S,
+            debug=False,
+        )
+
+    def stop(self):
+        """Stop accepting, close idle connections and wait for the busy ones."""
+        self._task.kill()
+        self._pool.waitall()
--- /dev/null
+++ b/src/lavendermast/requests.py
@@ -0,0 +1,144 @@
+"""Reads a caller's request from the WSGI environment."""
+
+import http.client
+import itertools
+import re
+import urllib.parse
+
+from lavendermast.exceptions import RequestError
+from lavendermast.models import CallerRequest
+
+KEY_HEADER = "Lavendermast-Key"
+CUSTOMER_HEADER = "Lavendermast-Customer"
+DEADLINE_HEADER = "Lavendermast-Deadline"
+REQUEST_HEADER = "Lavendermast-Request"
+FORWARDED_HEADER = "Lavendermast-Forwarded"
+MAX_KEY_CHARACTERS = 512
+MAX_CUSTOMER_CHARACTERS = 128
+_REQUEST_ID = re.compile(r"[A-Za-z0-9._-]{8,64}")
+
+
+class RequestReader:
+    """
+    Turns WSGI environments into checked requests.
+
+    :param vm: name of this VM, the first part of generated request identifiers.
+    :param boot_id: identity of this process, the second part.
+    """
+
+    def __init__(self, vm, boot_id, clock):
+        self._prefix = f"{vm}-{boot_id & 0xFFFFFFFF:08x}"
+        self._numbers = itertools.count(1)
+        self._clock = clock
+
+    def make_id(self, environ):
+        """Return the caller's request identifier if it is valid, else a new one."""
+        proposed = environ.get("HTTP_LAVENDERMAST_REQUEST", "")
+        if _REQUEST_ID.fullmatch(proposed):
+            return proposed
+        return f"{self._prefix}-{next(self._numbers):x}"
+
+    def read(self, environ, request_id, route, limits):
+        """
+        Return the request with its whole body.
+
+        :raises RequestError: when it is malformed, too large or already late.
+        """
+        arrived = self._clock.monotonic()
+        _check_header_size(environ, limits.max_header_bytes)
+        deadline_unix_ms = self._read_deadline(environ, route)
+        return CallerRequest(
+            id=request_id,
+            method=environ["REQUEST_METHOD"],
+            path=environ.get("RAW_PATH_INFO") or environ["PATH_INFO"],
+            query=environ.get("QUERY_STRING", ""),
+            headers=_read_headers(environ),
+            body=_read_body(environ, route.max_body_bytes),
+            customer=environ.get("HTTP_LAVENDERMAST_CUSTOMER", "")[
+                :MAX_CUSTOMER_CHARACTERS
+            ],
+            deadline=self._clock.convert_unix_ms(deadline_unix_ms),
+            deadline_unix_ms=deadline_unix_ms,
+            arrived=arrived,
+            key=_read_key(environ),
+        )
+
+    def _read_deadline(self, environ, route):
+        now = self._clock.get_unix_ms()
+        latest = now + route.timeout_ms
+        text = environ.get("HTTP_LAVENDERMAST_DEADLINE")
+        if text is None:
+            return latest
+        if not text.isdigit():
+            raise RequestError(400, "bad-deadline", f"{DEADLINE_HEADER} is not Unix ms")
+        if int(text) <= now:
+            raise RequestError(504, "deadline-passed", "the deadline is in the past")
+        return min(int(text), latest)
+
+
+def _read_key(environ):
+    key = environ.get("HTTP_LAVENDERMAST_KEY", "")
+    if len(key) > MAX_KEY_CHARACTERS:
+        raise RequestError(400, "bad-key", f"{KEY_HEADER} is too long")
+    return key
+
+
+def _check_header_size(environ, limit):
+    size = sum(
+        len(name) + len(value)
+        for name, value in environ.items()
+        if name.startswith("HTTP_")
+    )
+    if size > limit:
+        raise RequestError(431, "headers-too-large", f"{size} bytes of {limit}")
+
+
+def _read_headers(environ):
+    headers = [
+        (name[5:].replace("_", "-").title(), value)
+        for name, value in environ.items()
+        if name.startswith("HTTP_")
+    ]
+    if environ.get("CONTENT_TYPE"):
+        headers.append(("Content-Type", environ["CONTENT_TYPE"]))
+    return headers
+
+
+def _read_body(environ, limit):
+    length = environ.get("CONTENT_LENGTH") or None
+    chunked = "HTTP_TRANSFER_ENCODING" in environ
+    if length is not None and (chunked or not length.isdigit()):
+        raise RequestError(400, "bad-length", "conflicting or invalid body length")
+    if length is None and not chunked:
+        return b""
+    if length is not None and int(length) > limit:
+        raise RequestError(413, "body-too-large", f"{length} bytes of {limit}")
+    wanted = limit + 1 if length is None else int(length)
+    body = _read_exactly(environ["wsgi.input"], wanted)
+    if len(body) > limit:
+        raise RequestError(413, "body-too-large", f"more than {limit} bytes")
+    if length is not None and len(body) < wanted:
+        raise RequestError(400, "body-cut", f"{len(body)} bytes of {length}")
+    return body
+
+
+def _read_exactly(stream, wanted):
+    parts = []
+    try:
+        while wanted > 0 and (part := stream.read(wanted)):
+            parts.append(part)
+            wanted -= len(part)
+    except (OSError, ValueError, http.client.HTTPException) as error:
+        raise RequestError(400, "body-cut", str(error)) from error
+    return b"".join(parts)
+
+
+def get_raw_path(environ):
+    """
+    Return the path as it goes to the server, percent-encoded.
+
+    >>> get_raw_path({"PATH_INFO": "/stock/a b"})
+    '/stock/a%20b'
+    """
+    path = environ.get("RAW_PATH_INFO")
+    return path or urllib.parse.quote(environ["PATH_INFO"].encode("latin-1"))
--- /dev/null
+++ b/src/lavendermast/services.py
@@ -0,0 +1,117 @@
+"""The state of one service in this VM."""
+
+import random
+
+import attrs
+
+from lavendermast.balancer import TwoChoiceBalancer
+from lavendermast.health import HealthTracker
+from lavendermast.models import Server, ServerState
+
+
+@attrs.define
+class ServicePool:
+    """
+    Servers of one service with their health and load.
+
+    :param listed: servers of the VM list by name.
+    """
+
+    name: str
+    service: object
+    tracker: object
+    balancer: object
+    listed: dict = attrs.Factory(dict)
+
+    @classmethod
+    def from_config(cls, name, service, settings, clock, record_event):
+        """Return the pool of one service without servers."""
+        tracker = HealthTracker.from_config(name, service, clock, record_event)
+        balancer = TwoChoiceBalancer.from_config(
+            name,
+            service,
+            clock,
+            random.Random(f"{settings.vm}/{name}"),
+            tracker.get_weight,
+            settings.zone,
+            settings.region,
+        )
+        return cls(name, service, tracker, balancer)
+
+    def replace_servers(self, servers):
+        """
+        Take over the servers of the VM list.
+
+        :param servers: list of Server, the leaving ones included.
+        """
+        if self.listed == {server.name: server for server in servers}:
+            return
+        self.listed = {server.name: server for server in servers}
+        self.tracker.replace_servers(servers)
+        self.balancer.replace_servers(servers)
+        for server in servers:
+            if server.state is ServerState.LEAVING:
+                self.tracker.mark_leaving(server.name, "list")
+
+
+def read_servers(vms):
+    """
+    Return the backend servers of a VM list by service.
+
+    :param vms: the ``vms`` array of the list.
+    """
+    servers = {}
+    for item in vms:
+        if item["kind"] != "server":
+            continue
+        server = Server(
+            name=item["name"],
+            service=item["service"],
+            region=item["region"],
+            zone=item["zone"],
+            address=item["address"],
+            state=ServerState(item["state"]),
+        )
+        servers.setdefault(server.service, []).append(server)
+    return servers
+
+
+class ServicePools:
+    """
+    All service pools of this VM, kept over configuration changes.
+
+    :param settings: the process settings.
+    """
+
+    def __init__(self, settings, clock, record_event):
+        self._settings = settings
+        self._clock = clock
+        self._record_event = record_event
+        self._pools = {}
+        self._servers = {}
+
+    def __iter__(self):
+        return iter(self._pools.values())
+
+    def get(self, name):
+        """Return the pool of a service, or ``None``."""
+        return self._pools.get(name)
+
+    def apply_config(self, config):
+        """Add, drop and rebuild pools; a pool whose settings stay keeps its state."""
+        pools = {}
+        for name, service in config.services.items():
+            pool = self._pools.get(name)
+            if pool is None or pool.service != service:
+                pool = ServicePool.from_config(
+                    name, service, self._settings, self._clock, self._record_event
+                )
+                pool.replace_servers(self._servers.get(name, []))
+            pools[name] = pool
+        self._pools = pools
+
+    def apply_list(self, vms):
+        """Take over the backend servers of a VM list."""
+        self._servers = read_servers(vms)
+        for name, pool in self._pools.items():
+            pool.replace_servers(self._servers.get(name, []))
