--- /dev/null
+++ b/tests/test_balancer.py
@@ -0,0 +1,92 @@
+"""Balancer: groups of work, limits, busy marks and locality."""
+
+import random
+
+from lavendermast.balancer import TwoChoiceBalancer
+from lavendermast.clock import ManualClock
+from lavendermast.models import AttemptResult, AttemptStatus, Server
+from lavendermast.settings_model import Route, Service
+
+
+def make_route(work="short"):
+    return Route("GET", "/", "stock", True, work, 2000, 0, "optional")
+
+
+SHORT, LONG = make_route(), make_route("long")
+
+
+def make_balancer(zones="aabbcc", weights=None, **changes):
+    data = {"expected_servers": len(zones), "floor": 0.5} | changes
+    clock = ManualClock()
+    balancer = TwoChoiceBalancer.from_config(
+        "stock",
+        Service.from_config(data),
+        clock,
+        random.Random(7),
+        lambda name: (weights or {}).get(name, 1.0),
+        "a",
+        "r1",
+    )
+    balancer.replace_servers(
+        [
+            Server(f"s{index}", "stock", "r2" if zone == "c" else "r1", zone, "")
+            for index, zone in enumerate(zones)
+        ]
+    )
+    return balancer, clock
+
+
+def fill(balancer, route):
+    """Start requests until none fits; return the servers used in order."""
+    used = []
+    while choice := balancer.choose(route):
+        balancer.start(choice.server.name, route.work)
+        used.append(choice.server.name)
+    return used
+
+
+def test_one_vm_alone_uses_every_slot_and_near_servers_first():
+    """Guards against fixed shares that leave slots unused."""
+    balancer, _ = make_balancer(long_share=0)
+    used = fill(balancer, SHORT)
+    assert sorted(used) == sorted([f"s{index}" for index in range(6)] * 6)
+    assert set(used[:12]) == {"s0", "s1"} and set(used[24:]) == {"s4", "s5"}
+
+
+def test_long_work_stays_in_its_group_and_short_overflows_last():
+    """Guards short requests against waiting behind long ones."""
+    balancer, _ = make_balancer("a" * 12)
+    group = balancer.long_group
+    assert len(group) == 3
+    used = fill(balancer, SHORT)
+    assert not group & set(used[:54]) and set(used[54:]) == group
+    balancer, _ = make_balancer("a" * 12)
+    assert set(fill(balancer, LONG)) == group
+
+
+def test_weight_zero_is_never_chosen():
+    """Guards against work on an ejected server."""
+    balancer, _ = make_balancer("aaa", {"s0": 0.0, "s1": 0.0}, long_share=0)
+    assert set(fill(balancer, SHORT)) == {"s2"}
+
+
+def test_shed_server_is_left_until_its_stored_deadline():
+    """Guards against hammering a full server, and against never returning to it."""
+    balancer, clock = make_balancer("a", long_share=0)
+    balancer.start("s0", "short")
+    balancer.finish("s0", "short", AttemptResult("s0", AttemptStatus.SHED))
+    assert balancer.choose(SHORT) is None and balancer.get_capacity("short") == 0
+    clock.advance(0.2)
+    assert balancer.choose(SHORT).server.name == "s0"
+
+
+def test_result_of_a_removed_server_is_counted_out():
+    """Guards against counts that leak or turn negative when the list changes."""
+    balancer, _ = make_balancer("a", long_share=0)
+    balancer.start("s0", "short")
+    balancer.replace_servers([])
+    assert balancer.choose(SHORT) is None
+    assert balancer.get_in_flight("s0", "short") == 1
+    for _ in range(2):
+        balancer.finish("s0", "short", AttemptResult("s0", AttemptStatus.OK))
+    assert balancer.get_in_flight("s0", "short") == 0
