--- /dev/null
+++ b/src/lavendermast/admission.py
@@ -0,0 +1,355 @@
+"""Queue before the servers of one service for one class of work."""
+
+import collections
+import enum
+import heapq
+import itertools
+import math
+
+import attrs
+import eventlet
+from eventlet.event import Event
+
+from .exceptions import RequestError
+
+#: Time between looks at expired waiters and at servers whose pause ended, in seconds.
+TICK = 0.005
+#: Time for which waiters are present without a break that marks an overload, in
+#: seconds; a burst that the servers absorb is shorter.
+STANDING = 0.1
+#: Longest wait in an overload, in seconds. Refusals are due within 50 ms of arrival;
+#: the rest is for one tick and the answer.
+OVERLOAD_WAIT = 0.04
+#: Time for which the overload rule holds after the last sign of it, in seconds.
+OVERLOAD_HOLD = 1.0
+#: Part of the remaining time that the expected wait may take outside an overload; the
+#: other part is for the attempt and for a wrong estimate.
+WAIT_SHARE = 0.5
+#: Shortest window of the completion rate, in seconds; slow work uses four holds.
+RATE_WINDOW = 0.5
+#: Weight of the newest hold time in the moving average.
+HOLD_GAIN = 0.1
+#: Bounds of the retry-after told to callers, in seconds.
+MIN_RETRY_AFTER, MAX_RETRY_AFTER = 1, 30
+
+
+class TicketState(enum.Enum):
+    """Where a request stands in its queue."""
+
+    WAITING = "waiting"
+    GRANTED = "granted"
+    REFUSED = "refused"
+    RELEASED = "released"
+
+
+@attrs.define(eq=False)
+class Ticket:
+    """
+    The place of one request; a context manager that releases it.
+
+    :param give_up_at: monotonic time after which a waiting request is refused.
+    :param error: why it was refused.
+    """
+
+    queue: object
+    customer: str
+    weight: int
+    deadline: float
+    give_up_at: float
+    notify: object = None
+    state: TicketState = TicketState.WAITING
+    granted_at: float = 0.0
+    error: RequestError | None = None
+
+    def __enter__(self):
+        return self
+
+    def __exit__(self, *exc_info):
+        self.queue.release(self)
+
+
+class CompletionRate:
+    """
+    Completions a second while the queue's capacity is in use.
+
+    Before enough completions are seen, the rate that the mean hold time promises
+    stands in; it loses weight as time passes, so a stall shows as a falling rate.
+    """
+
+    def __init__(self):
+        self._times = collections.deque()
+        self._hold = 0.0
+        self._busy_since = None
+
+    def note_busy(self, now, busy):
+        """Record whether all capacity is in use."""
+        if not busy:
+            self._busy_since = None
+        elif self._busy_since is None:
+            self._busy_since = now
+
+    def record(self, now, hold):
+        """Count one completion."""
+        self._times.append(now)
+        self._hold += (HOLD_GAIN if self._hold else 1.0) * (hold - self._hold)
+
+    def estimate(self, now, permits):
+        """Return completions a second to expect with ``permits`` in flight."""
+        window = max(RATE_WINDOW, 4 * self._hold)
+        while self._times and self._times[0] < now - window:
+            self._times.popleft()
+        since = now if self._busy_since is None else self._busy_since
+        since = max(since, now - window)
+        seen = len(self._times)
+        if self._times and self._times[0] <= since:
+            seen = sum(1 for moment in self._times if moment > since)
+        hold = max(self._hold or now - since, 0.001)
+        return (seen + max(permits, 1)) / (now - since + hold)
+
+
+class AdmissionQueue:
+    """
+    Admits requests as capacity allows, customers in weighted round robin.
+
+    A request that does not fit into its deadline by the current completion rate is
+    refused on arrival. While waiters are always present, that is in an overload, no
+    request waits longer than ``OVERLOAD_WAIT``: a longer queue answers no more requests
+    and only makes refusals late.
+
+    :param get_capacity: function that returns how many requests may be in flight.
+    :param clock: source of time.
+    :param queue_length: most waiters.
+
+    >>> from lavendermast.clock import ManualClock
+    >>> queue = AdmissionQueue(lambda: 1, ManualClock(), 10)
+    >>> ticket = queue.enter(2.0, "c1", 1)
+    >>> ticket.state
+    <TicketState.GRANTED: 'granted'>
+    """
+
+    def __init__(self, get_capacity, clock, queue_length):
+        self._get_capacity = get_capacity
+        self._clock = clock
+        self._queue_length = queue_length
+        self._rate = CompletionRate()
+        self._order = itertools.count()
+        self._queues = {}
+        self._turns = collections.deque()
+        self._credit = 0
+        self._expiry = []
+        self._waiting = 0
+        self._permits = 0
+        self._nonempty_since = None
+        self._overload_until = float("-inf")
+        self._timer_runs = False
+
+    @classmethod
+    def from_config(cls, limits, balancer, work, clock):
+        """
+        Return the queue of one class of work before a service's balancer.
+
+        :param limits: ``Limits`` of the configuration.
+        :param balancer: balancer of the service.
+        :param work: ``short`` or ``long``.
+        :param clock: source of time.
+        :return: an empty queue.
+        """
+        return cls(lambda: balancer.get_capacity(work), clock, limits.queue_length)
+
+    @property
+    def waiting(self):
+        """Number of waiters."""
+        return self._waiting
+
+    @property
+    def permits(self):
+        """Number of requests that are admitted and not released."""
+        return self._permits
+
+    def acquire(self, request, customer, weight):
+        """
+        Wait until the request may be sent to a server.
+
+        :param request: the ``CallerRequest``.
+        :param customer: customer in whose turn it waits.
+        :param weight: the customer's share.
+        :return: a ``Ticket`` to release when the request has ended.
+        :raises RequestError: when it is not admitted; ``retry_after`` is set.
+        """
+        event = Event()
+        ticket = self.enter(request.deadline, customer, weight, event.send)
+        if ticket.state is TicketState.WAITING:
+            self._start_timer()
+            try:
+                event.wait()
+            except BaseException:
+                self.release(ticket, served=False)
+                raise
+        if ticket.state is TicketState.REFUSED:
+            raise ticket.error
+        return ticket
+
+    def enter(self, deadline, customer, weight, notify=None):
+        """
+        Admit, queue or refuse a request without waiting.
+
+        :param deadline: monotonic deadline of the request.
+        :param customer: customer in whose turn it waits.
+        :param weight: the customer's share.
+        :param notify: called without arguments when a waiter is granted or refused.
+        :return: a ``Ticket``, granted or waiting.
+        :raises RequestError: when it is refused at once.
+        """
+        now = self._clock.monotonic()
+        self.advance()
+        if deadline <= now:
+            raise RequestError(503, "deadline", retry_after=MIN_RETRY_AFTER)
+        ticket = Ticket(self, customer, weight, deadline, deadline, notify)
+        if not self._waiting and self._permits < self._get_capacity():
+            self._grant(ticket, now)
+            self._rate.note_busy(now, self._permits >= self._get_capacity())
+            return ticket
+        self._rate.note_busy(now, True)
+        wait = self._estimate_wait(customer, weight, now)
+        if self._waiting >= self._queue_length:
+            raise self._make_error("queue-full", wait)
+        allowed = (deadline - now) * WAIT_SHARE
+        if now < self._overload_until:
+            allowed = min(allowed, OVERLOAD_WAIT)
+            ticket.give_up_at = min(deadline, now + OVERLOAD_WAIT)
+        if wait > allowed:
+            raise self._make_error("overload", wait)
+        self._append(ticket, now)
+        return ticket
+
+    def release(self, ticket, served=True):
+        """
+        Give up a place, whether granted or still waiting; once is enough.
+
+        :param ticket: the place.
+        :param served: whether a server worked on the request; refused attempts do not
+            count as completions.
+        """
+        now = self._clock.monotonic()
+        if ticket.state is TicketState.WAITING:
+            self._remove(ticket, TicketState.RELEASED, now)
+        elif ticket.state is TicketState.GRANTED:
+            ticket.state = TicketState.RELEASED
+            self._permits -= 1
+            if served:
+                self._rate.record(now, now - ticket.granted_at)
+            self.advance()
+
+    def advance(self):
+        """Refuse waiters whose time has passed and admit as capacity allows."""
+        now = self._clock.monotonic()
+        self._note_overload(now)
+        while self._expiry and self._expiry[0][0] <= now:
+            ticket = heapq.heappop(self._expiry)[2]
+            if ticket.state is TicketState.WAITING:
+                wait = self._estimate_wait(ticket.customer, ticket.weight, now)
+                ticket.error = self._make_error("overload", wait)
+                self._remove(ticket, TicketState.REFUSED, now)
+                self._tell(ticket)
+        capacity = self._get_capacity()
+        while self._waiting and self._permits < capacity:
+            ticket = self._pop()
+            self._leave(now)
+            self._grant(ticket, now)
+            self._tell(ticket)
+        self._rate.note_busy(now, self._permits >= capacity)
+
+    def _note_overload(self, now):
+        since = self._nonempty_since
+        if since is not None and now - since >= STANDING:
+            self._overload_until = now + OVERLOAD_HOLD
+
+    def _grant(self, ticket, now):
+        ticket.state = TicketState.GRANTED
+        ticket.granted_at = now
+        self._permits += 1
+
+    def _tell(self, ticket):
+        if ticket.notify is not None:
+            ticket.notify()
+
+    def _append(self, ticket, now):
+        queue = self._queues.get(ticket.customer)
+        if queue is None:
+            queue = self._queues[ticket.customer] = collections.OrderedDict()
+            self._turns.append(ticket.customer)
+            if len(self._turns) == 1:
+                self._credit = ticket.weight
+        queue[id(ticket)] = ticket
+        heapq.heappush(self._expiry, (ticket.give_up_at, next(self._order), ticket))
+        self._waiting += 1
+        if self._nonempty_since is None:
+            self._nonempty_since = now
+
+    def _pop(self):
+        """Take the next waiter in weighted round robin."""
+        customer = self._turns[0]
+        queue = self._queues[customer]
+        ticket = queue.popitem(last=False)[1]
+        self._credit -= 1
+        if not queue:
+            self._drop_customer(customer)
+        elif self._credit <= 0:
+            self._turns.rotate(-1)
+            self._refill()
+        return ticket
+
+    def _refill(self):
+        if self._turns:
+            head = next(iter(self._queues[self._turns[0]].values()))
+            self._credit = head.weight
+
+    def _drop_customer(self, customer):
+        del self._queues[customer]
+        if self._turns[0] == customer:
+            self._turns.popleft()
+            self._refill()
+        else:
+            self._turns.remove(customer)
+
+    def _remove(self, ticket, state, now):
+        ticket.state = state
+        queue = self._queues[ticket.customer]
+        del queue[id(ticket)]
+        if not queue:
+            self._drop_customer(ticket.customer)
+        self._leave(now)
+
+    def _leave(self, now):
+        self._waiting -= 1
+        if not self._waiting:
+            self._nonempty_since = None
+            self._expiry.clear()
+
+    def _estimate_wait(self, customer, weight, now):
+        """Return the seconds until a new request of a customer would be admitted."""
+        own = len(self._queues.get(customer, ())) + 1
+        ahead = own
+        rounds = math.ceil(own / max(weight, 1))
+        for other, queue in self._queues.items():
+            if other != customer:
+                head = next(iter(queue.values()))
+                ahead += min(len(queue), rounds * head.weight)
+        return ahead / self._rate.estimate(now, self._permits)
+
+    def _make_error(self, reason, wait):
+        seconds = min(MAX_RETRY_AFTER, max(MIN_RETRY_AFTER, math.ceil(wait)))
+        return RequestError(503, reason, f"wait={wait:.3f}", retry_after=seconds)
+
+    def _start_timer(self):
+        if not self._timer_runs:
+            self._timer_runs = True
+            eventlet.spawn_n(self._run_timer)
+
+    def _run_timer(self):
+        try:
+            while self._waiting:
+                self._clock.sleep(TICK)
+                self.advance()
+        finally:
+            self._timer_runs = False
--- a/src/lavendermast/balancer.py
+++ b/src/lavendermast/balancer.py
@@ -210,6 +210,9 @@
             return
         now = self._clock.monotonic()
         state.limit.record(result, state.in_flight)
+        if state.limit.busy_until > now:
+            # What is in flight at a busy server is all of its room.
+            self._capacity.clear()
         if work == "long":
             state.long = max(0, state.long - 1)
         else:
--- a/src/lavendermast/exceptions.py
+++ b/src/lavendermast/exceptions.py
@@ -38,10 +38,15 @@
 
 
 class RequestError(LavendermastError):
-    """A caller's request is refused before any attempt; it was not run."""
+    """
+    A caller's request is refused before any attempt; it was not run.
+
+    :param retry_after: seconds after which a new try may succeed, or ``None``.
+    """
 
-    def __init__(self, status, reason, detail=""):
+    def __init__(self, status, reason, detail="", retry_after=None):
         self.status = status
         self.reason = reason
         self.detail = detail
+        self.retry_after = retry_after
         super().__init__(f"{status} {reason} {detail}".strip())
--- /dev/null
+++ b/src/lavendermast/retries.py
@@ -0,0 +1,168 @@
+"""Retry budget, and what to tell a caller when an attempt failed."""
+
+import attrs
+
+from .models import AttemptStatus, Outcome
+
+#: Retries available before any request is counted and the most that are saved up, so
+#: that a VM with little traffic can retry too.
+RESERVE = 10
+
+_UNIT = 1_000_000  # budget of one retry; integers keep the bound exact
+
+#: HTTP status told to the caller for attempts without a usable answer.
+_HTTP_STATUSES = {
+    AttemptStatus.ERROR: 502,
+    AttemptStatus.SHED: 503,
+    AttemptStatus.DRAINING: 503,
+    AttemptStatus.CONNECT_FAILED: 503,
+    AttemptStatus.TIMEOUT: 504,
+    AttemptStatus.CUT: 502,
+    AttemptStatus.EXPIRED: 503,
+    AttemptStatus.CANCELLED: 499,
+}
+
+
+class RetryBudget:
+    """
+    Retries as a share of the requests of this VM.
+
+    Over any number of requests the retries are at most ``share`` of them plus
+    ``RESERVE``.
+
+    >>> budget = RetryBudget(0.1)
+    >>> sum(budget.spend() for _ in range(20))
+    10
+    >>> for _ in range(20):
+    ...     budget.add_request()
+    >>> sum(budget.spend() for _ in range(20))
+    2
+    """
+
+    def __init__(self, share):
+        self._share = int(share * _UNIT + 0.5)
+        self._left = RESERVE * _UNIT
+
+    @classmethod
+    def from_config(cls, retries):
+        """
+        Return a full budget.
+
+        :param retries: ``Retries`` of the configuration.
+        :return: the budget; one for each VM.
+        """
+        return cls(retries.share)
+
+    def add_request(self):
+        """Count a request of a caller; retries are not counted."""
+        self._left = min(RESERVE * _UNIT, self._left + self._share)
+
+    def spend(self):
+        """Take one retry; return whether there was one."""
+        if self._left < _UNIT:
+            return False
+        self._left -= _UNIT
+        return True
+
+
+@attrs.frozen
+class RequestFacts:
+    """
+    What decides about retries of a request.
+
+    :param idempotent: whether running it twice is harmless.
+    :param keyed: whether it carries an idempotency key that this VM owns.
+    :param deadline: monotonic time after which nothing is started.
+    :param may_have_run: whether an earlier attempt or submission may have run.
+    """
+
+    idempotent: bool
+    keyed: bool
+    deadline: float
+    may_have_run: bool = False
+
+
+@attrs.frozen
+class Decision:
+    """
+    What follows an attempt.
+
+    :param retry: whether to try another server; then the other fields are not for
+        the caller.
+    :param may_have_run: for the facts of the next attempt.
+    :param outcome: what the caller may conclude.
+    :param status: HTTP status for the caller; 0 when its answer has begun and its
+        connection is to be closed instead.
+    :param reason: text of ``Lavendermast-Reason``.
+    :param detail: why there is no retry, for the log.
+    """
+
+    retry: bool
+    may_have_run: bool
+    outcome: Outcome
+    status: int
+    reason: str
+    detail: str = ""
+
+
+class RetryPolicy:
+    """
+    Decides between a retry and an outcome.
+
+    :param budget: the VM's retry budget.
+    :param max_attempts: attempts for one request, the first included.
+    :param clock: source of time.
+    """
+
+    def __init__(self, budget, max_attempts, clock):
+        self._budget = budget
+        self._max_attempts = max_attempts
+        self._clock = clock
+
+    @classmethod
+    def from_config(cls, retries, budget, clock):
+        """
+        Return a policy with the configured number of attempts.
+
+        :param retries: ``Retries`` of the configuration.
+        :param budget: the VM's budget, which outlives configurations.
+        :param clock: source of time.
+        :return: the policy.
+        """
+        return cls(budget, retries.max_attempts, clock)
+
+    def decide(self, facts, result, attempts, bytes_sent=0):
+        """
+        Decide what follows an attempt.
+
+        :param facts: ``RequestFacts`` before this attempt.
+        :param result: the attempt's ``AttemptResult``.
+        :param attempts: attempts so far, this one included.
+        :param bytes_sent: bytes of the answer that went to the caller.
+        :return: a ``Decision``.
+        """
+        if result.status is AttemptStatus.OK:
+            return Decision(False, True, Outcome.ANSWERED, result.http_status, "ok")
+        # Once bytes went to the caller a server has worked on the request.
+        ran = facts.may_have_run or result.ran or bytes_sent > 0
+        obstacle = self._find_obstacle(facts, result, ran, attempts, bytes_sent)
+        reason = result.status.value.replace("_", "-")
+        status = 0 if bytes_sent else _HTTP_STATUSES[result.status]
+        outcome = Outcome.UNKNOWN if ran else Outcome.NOT_RUN
+        return Decision(not obstacle, ran, outcome, status, reason, obstacle)
+
+    def _find_obstacle(self, facts, result, ran, attempts, bytes_sent):
+        """Return why there is no retry, or an empty string after paying for one."""
+        if bytes_sent:
+            return "answer-begun"
+        if result.status in (AttemptStatus.CANCELLED, AttemptStatus.EXPIRED):
+            return result.status.value
+        if not facts.idempotent and ran:
+            return "may-have-run"
+        if not facts.idempotent and not facts.keyed:
+            return "no-key"
+        if attempts >= self._max_attempts:
+            return "attempts"
+        if self._clock.monotonic() >= facts.deadline:
+            return "deadline"
+        return "" if self._budget.spend() else "budget"
--- /dev/null
+++ b/tests/test_retries.py
@@ -0,0 +1,71 @@
+"""Retries: the outcome table and the budget."""
+
+import itertools
+
+import pytest
+from hypothesis import given, strategies as st
+
+from lavendermast.clock import ManualClock
+from lavendermast.models import AttemptResult, AttemptStatus
+from lavendermast.retries import RESERVE, RequestFacts, RetryBudget, RetryPolicy
+
+# kind of request -> may the first attempt be retried, and the outcome if not, for a
+# fresh request with nothing sent to the caller.
+TABLE = """
+status          idempotent    keyed         unkeyed       outcome   http
+error           retry         stop          stop          unknown   502
+shed            retry         retry         stop          not-run   503
+draining        retry         retry         stop          not-run   503
+connect_failed  retry         retry         stop          not-run   503
+timeout         retry         stop          stop          unknown   504
+cut             retry         stop          stop          unknown   502
+expired         stop          stop          stop          not-run   503
+cancelled       stop          stop          stop          unknown   499
+"""
+ROWS = [line.split() for line in TABLE.split("\n")[2:-1]]
+KINDS = {"idempotent": (True, False), "keyed": (False, True), "unkeyed": (False, False)}
+
+
+def decide(status, kind, attempts=1, bytes_sent=0, ran=False, deadline=5.0):
+    policy = RetryPolicy(RetryBudget(0.1), 3, ManualClock())
+    facts = RequestFacts(*KINDS[kind], deadline, ran)
+    result = AttemptResult("s", AttemptStatus(status), http_status=200)
+    return policy.decide(facts, result, attempts, bytes_sent)
+
+
+@pytest.mark.parametrize("row", ROWS, ids=lambda row: row[0])
+def test_outcome_table(row):
+    """Guards R3 and R4: a false not-run, or a second run of a booking."""
+    status, *moves, outcome, http = row
+    for kind, move in zip(KINDS, moves, strict=True):
+        decision = decide(status, kind)
+        assert decision.retry == (move == "retry")
+        assert (decision.outcome.value, decision.status) == (outcome, int(http))
+        late = decide(status, kind, ran=True)
+        assert late.outcome.value == "unknown"
+        assert late.retry == (kind == "idempotent" and move == "retry")
+        begun = decide(status, kind, bytes_sent=1)
+        assert (begun.retry, begun.outcome.value, begun.status) == (False, "unknown", 0)
+        assert not decide(status, kind, attempts=3).retry
+        assert not decide(status, kind, deadline=0.0).retry
+
+
+def test_table_covers_every_failure():
+    """Guards against a new status without a decided outcome."""
+    assert {row[0] for row in ROWS} | {"ok"} == {item.value for item in AttemptStatus}
+    assert decide("ok", "unkeyed").outcome.value == "answered"
+
+
+@given(st.lists(st.booleans()), st.floats(0, 1))
+def test_retries_stay_within_share_and_reserve(steps, share):
+    """Guards the servers against a storm of retries."""
+    budget = RetryBudget(share)
+    for start in (0, len(steps) // 2):  # the bound holds from any moment on
+        spent = requests = 0
+        for retry in itertools.islice(steps, start, None):
+            if retry:
+                spent += budget.spend()
+            else:
+                budget.add_request()
+                requests += 1
+            assert spent <= share * requests + RESERVE + 1e-6 * requests
