Add upstream: one attempt at one backend server

Cause: the main path needs an attempt whose result says for certain whether the request may have run, over connections that are never out of step.

Change: urllib3 connections with green sockets serialise the request; the response is read by a strict reader, because http.client drops bytes after a body, the line end after a chunk and a missing trailer. One timer bounds connect, send and every read. A connection is kept only after an exactly framed response.

--- a/src/lavendermast/exceptions.py
+++ b/src/lavendermast/exceptions.py
@@ -45,3 +45,15 @@
         self.reason = reason
         self.detail = detail
         super().__init__(f"{status} {reason} {detail}".strip())
+
+
+class UpstreamError(LavendermastError):
+    """A backend server's response could not be used."""
+
+
+class TruncatedResponseError(UpstreamError):
+    """A response ended, timed out or was cancelled before its end."""
+
+
+class FramingError(UpstreamError):
+    """A response is malformed or contradicts its own length."""
--- /dev/null
+++ b/src/lavendermast/framing.py
@@ -0,0 +1,209 @@
+"""Reads one HTTP/1.1 response and accepts only exact framing."""
+
+import re
+
+from lavendermast.exceptions import FramingError, TruncatedResponseError
+
+READ_BYTES = 65536
+#: Bound on a response's header section, so that a server cannot exhaust memory.
+MAX_HEAD_BYTES = 65536
+MAX_CHUNK_LINE_BYTES = 4096
+_STATUS_LINE = re.compile(rb"HTTP/1\.([01]) ([1-9][0-9]{2})(?: [^\r\n]*)?")
+_FIELD_NAME = re.compile(rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+")
+_CHUNK_LINE = re.compile(rb"([0-9A-Fa-f]{1,16})[ \t]*(?:;[^\r\n]*)?")
+_HOP_BY_HOP = frozenset(
+    {
+        "connection",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    }
+)
+
+
+def remove_hop_headers(headers):
+    """
+    Return the headers that a proxy passes on.
+
+    :param headers: pairs of name and value.
+
+    >>> remove_hop_headers([("Connection", "x-a"), ("X-A", "1"), ("X-B", "2")])
+    [('X-B', '2')]
+    """
+    dropped = _HOP_BY_HOP
+    for name, value in headers:
+        if name.lower() == "connection":
+            dropped = dropped.union(part.strip().lower() for part in value.split(","))
+    return [pair for pair in headers if pair[0].lower() not in dropped]
+
+
+class ServerResponse:
+    """
+    A response that :mod:`http.client` constructs as its ``response_class``.
+
+    The standard class ignores bytes after the body, the line end after a chunk and a
+    missing trailer, so a connection could be reused while it is out of step.
+    """
+
+    will_close = False
+
+    def __init__(self, sock, method=None):
+        self._sock = sock
+        self._method = method
+        self._buffer = b""
+        self._chunked = False
+        self._left = 0
+        self.length = None
+        self.status = 0
+        self.headers = []
+        self.persistent = False
+        self.finished = False
+
+    def begin(self):
+        """
+        Read the status line and headers.
+
+        :raises FramingError: when they are malformed or contradict each other.
+        :raises TruncatedResponseError: when the connection ends before they do.
+        """
+        self._read_head()
+        while self.status < 200:
+            if self.status == 101:
+                raise FramingError("unrequested protocol switch")
+            self._read_head()
+        values = {}
+        for name, value in self.headers:
+            values.setdefault(name.lower(), []).append(value)
+        connection = ",".join(values.get("connection", ())).lower()
+        options = {part.strip() for part in connection.split(",")}
+        self.persistent = "close" not in options and (
+            self._minor or "keep-alive" in options
+        )
+        self._set_framing(values)
+
+    def isclosed(self):
+        """Return whether the whole body was read."""
+        return self.finished
+
+    def close(self):
+        """Do nothing; the connection owns the socket."""
+
+    @property
+    def reusable(self):
+        """Whether the connection is exactly at the end of this response."""
+        return self.finished and self.persistent and not self._buffer
+
+    def read_piece(self):
+        """
+        Return the next bytes of the body, empty at its end.
+
+        :raises TruncatedResponseError: when the connection ends before the body.
+        :raises FramingError: when a chunk is malformed or bytes follow the body.
+        """
+        if self.finished:
+            return b""
+        if self._left == 0 and self._chunked:
+            self._start_chunk()
+        if self._left == 0:
+            self._finish()
+            return b""
+        if not self._buffer:
+            self._receive()
+        piece, self._buffer = self._buffer[: self._left], self._buffer[self._left :]
+        self._left -= len(piece)
+        if self._left == 0 and self._chunked:
+            self._expect_line_end()
+        return piece
+
+    def _finish(self):
+        self.finished = True
+        if self._buffer:
+            raise FramingError("bytes after the body")
+
+    def _receive(self):
+        data = self._sock.recv(READ_BYTES)
+        if not data:
+            raise TruncatedResponseError("connection ended")
+        self._buffer = self._buffer + data if self._buffer else data
+
+    def _read_head(self):
+        end = self._buffer.find(b"\r\n\r\n")
+        while end < 0:
+            if len(self._buffer) > MAX_HEAD_BYTES:
+                raise FramingError("header section too long")
+            self._receive()
+            end = self._buffer.find(b"\r\n\r\n")
+        lines = self._buffer[:end].split(b"\r\n")
+        self._buffer = self._buffer[end + 4 :]
+        match = _STATUS_LINE.fullmatch(lines[0])
+        if match is None:
+            raise FramingError("malformed status line")
+        self._minor = match[1] == b"1"
+        self.status = int(match[2])
+        self.headers = [_parse_field(line) for line in lines[1:]]
+
+    def _set_framing(self, values):
+        lengths = values.get("content-length", [])
+        encodings = values.get("transfer-encoding", [])
+        if self._method == "HEAD" or self.status in (204, 304):
+            self.length = 0
+            return
+        if lengths and encodings:
+            raise FramingError("both Content-Length and Transfer-Encoding")
+        if encodings:
+            if [value.lower() for value in encodings] != ["chunked"]:
+                raise FramingError("unsupported Transfer-Encoding")
+            self._chunked = True
+            return
+        sizes = {part.strip() for value in lengths for part in value.split(",")}
+        if len(sizes) != 1:
+            raise FramingError("conflicting lengths" if sizes else "no length")
+        size = sizes.pop()
+        if not (size.isascii() and size.isdigit()):
+            raise FramingError("malformed Content-Length")
+        self.length = self._left = int(size)
+
+    def _start_chunk(self):
+        match = _CHUNK_LINE.fullmatch(self._read_line())
+        if match is None:
+            raise FramingError("malformed chunk size")
+        self._left = int(match[1], 16)
+        if self._left:
+            return
+        budget = MAX_HEAD_BYTES
+        while line := self._read_line():
+            budget -= len(line)
+            if budget < 0:
+                raise FramingError("trailer too long")
+
+    def _expect_line_end(self):
+        while len(self._buffer) < 2:
+            self._receive()
+        if self._buffer[:2] != b"\r\n":
+            raise FramingError("chunk longer than its size")
+        self._buffer = self._buffer[2:]
+
+    def _read_line(self):
+        end = self._buffer.find(b"\r\n")
+        while end < 0:
+            if len(self._buffer) > MAX_CHUNK_LINE_BYTES:
+                raise FramingError("chunk line too long")
+            self._receive()
+            end = self._buffer.find(b"\r\n")
+        line, self._buffer = self._buffer[:end], self._buffer[end + 2 :]
+        return line
+
+
+def _parse_field(line):
+    name, separator, value = line.partition(b":")
+    if not separator or _FIELD_NAME.fullmatch(name) is None:
+        raise FramingError("malformed header")
+    value = value.strip(b" \t")
+    if b"\n" in value or b"\r" in value or b"\0" in value:
+        raise FramingError("control character in a header")
+    return name.decode("ascii"), value.decode("latin-1")
--- /dev/null
+++ b/src/lavendermast/upstream.py
@@ -0,0 +1,408 @@
+"""One attempt at one backend server over pooled connections."""
+
+import collections
+import select
+import socket as std_socket
+
+import attrs
+import eventlet
+from eventlet import hubs
+from eventlet.green import socket
+from urllib3.connection import HTTPConnection
+
+from lavendermast.exceptions import (
+    FramingError,
+    LavendermastError,
+    RequestError,
+    TruncatedResponseError,
+)
+from lavendermast.framing import ServerResponse, remove_hop_headers
+from lavendermast.models import AttemptResult, AttemptStatus
+
+#: A server may close an idle connection at any moment and the close takes a network
+#: delay to arrive. Requests that must not run twice only reuse younger connections.
+FRESH_IDLE_S = 1.0
+MAX_IDLE_S = 30.0
+_REPEATABLE_METHODS = frozenset({"GET", "HEAD", "OPTIONS"})
+_REPLACED_HEADERS = frozenset(
+    {"host", "content-length", "expect", "x-deadline", "x-request-id"}
+)
+_REFUSALS = {
+    "shedding": AttemptStatus.SHED,
+    "draining": AttemptStatus.DRAINING,
+}
+
+
+class Cancellation:
+    """Lets another task abandon an attempt; the connection to the server is closed."""
+
+    def __init__(self):
+        self.requested = False
+        self._task = None
+
+    def cancel(self):
+        """Abandon the attempt bound to this object, now or when it starts."""
+        self.requested = True
+        if self._task is not None:
+            hubs.get_hub().schedule_call_global(0, self._interrupt, self._task)
+
+    def _interrupt(self, task):
+        # The attempt may have ended since the call was scheduled.
+        if self._task is task:
+            task.throw(_CancelledError())
+
+    def bind(self):
+        """Name the calling task as the one to interrupt."""
+        self._task = eventlet.getcurrent()
+
+    def unbind(self):
+        """Interrupt nothing from now on."""
+        self._task = None
+
+
+class _CancelledError(LavendermastError):
+    """The attempt was abandoned by its caller."""
+
+
+class _NotSentError(LavendermastError):
+    """The connection failed before it took a byte of the request."""
+
+
+class ServerConnection(HTTPConnection):
+    """A urllib3 connection with green sockets and strict responses."""
+
+    response_class = ServerResponse
+
+    def __init__(self, host, port):
+        super().__init__(host, port)
+        self.idle_since = 0.0
+        self.sent = False
+        self._pieces = []
+
+    def connect(self):
+        """Open the socket; the attempt's timer bounds the wait."""
+        self.sock = socket.create_connection((self.host, self.port))
+        self.sock.setsockopt(std_socket.IPPROTO_TCP, std_socket.TCP_NODELAY, 1)
+
+    def send(self, data):
+        """Collect a piece of the request, so that it leaves in one packet."""
+        self._pieces.append(data)
+
+    def prepare(self, method, target, headers, body):
+        """Serialise a request without sending it."""
+        self.sent = False
+        self._pieces.clear()
+        self.putrequest(method, target, skip_host=True, skip_accept_encoding=True)
+        for name, value in headers:
+            self.putheader(name, value)
+        self.endheaders(body or None)
+
+    def exchange(self):
+        """Send the prepared request and return the response's head."""
+        data = b"".join(self._pieces)
+        self._pieces.clear()
+        try:
+            count = self.sock.send(data)
+        except OSError as error:
+            # A failed first call took no byte, so the server has none.
+            raise _NotSentError(str(error)) from error
+        self.sent = True
+        if count < len(data):
+            self.sock.sendall(data[count:])
+        # urllib3's own getresponse wraps the standard response class.
+        return super(HTTPConnection, self).getresponse()
+
+    def is_quiet(self):
+        """Return whether the peer has neither closed nor sent anything."""
+        poller = select.poll()
+        poller.register(self.sock.fileno(), select.POLLIN)
+        return not poller.poll(0)
+
+
+class BodyStream:
+    """
+    Iterates over a long body, bounded by the attempt's deadline.
+
+    Ends with :class:`TruncatedResponseError` or :class:`FramingError` when the body is
+    not whole. ``status`` is ``None`` until the body ended.
+    """
+
+    def __init__(self, upstream, attempt, response, pieces):
+        self._upstream = upstream
+        self._attempt = attempt
+        self._response = response
+        self._pieces = pieces
+        self.length = response.length
+        self.status = None
+
+    def __iter__(self):
+        return self
+
+    def __next__(self):
+        if self._pieces:
+            return self._pieces.popleft()
+        if self.status is not None:
+            raise StopIteration
+        piece = self._read()
+        if piece:
+            return piece
+        self.status = AttemptStatus.OK
+        self._upstream.release(self._attempt, self._response)
+        raise StopIteration
+
+    def close(self):
+        """Close the connection unless the body has ended."""
+        if self.status is None:
+            self._fail(AttemptStatus.CANCELLED)
+
+    def _read(self):
+        try:
+            with self._attempt:
+                return self._response.read_piece()
+        except FramingError:
+            self._fail(AttemptStatus.CUT)
+            raise
+        except _InterruptedError as error:
+            self._fail(error.status)
+            raise TruncatedResponseError(error.status.value) from error
+        except BaseException as error:
+            self._fail(AttemptStatus.CUT)
+            if isinstance(error, OSError):
+                raise TruncatedResponseError(str(error)) from error
+            raise
+
+    def _fail(self, status):
+        self.status = status
+        self._pieces.clear()
+        self._attempt.connection.close()
+
+
+class _InterruptedError(LavendermastError):
+    """The deadline passed or the caller cancelled."""
+
+    def __init__(self, status):
+        self.status = status
+        super().__init__(status.value)
+
+
+@attrs.define(eq=False)
+class _Attempt:
+    server: object
+    clock: object
+    deadline: float
+    cancelled: Cancellation | None
+    connection: ServerConnection | None = None
+    _timer: object = None
+
+    def __enter__(self):
+        if self.cancelled is not None:
+            if self.cancelled.requested:
+                raise _InterruptedError(AttemptStatus.CANCELLED)
+            self.cancelled.bind()
+        remaining = self.deadline - self.clock.monotonic()
+        self._timer = eventlet.Timeout(max(remaining, 0))
+        return self
+
+    def __exit__(self, kind, error, trace):
+        self._timer.cancel()
+        if self.cancelled is not None:
+            self.cancelled.unbind()
+        if error is self._timer:
+            raise _InterruptedError(AttemptStatus.TIMEOUT) from error
+        if kind is _CancelledError:
+            raise _InterruptedError(AttemptStatus.CANCELLED) from error
+
+
+class Upstream:
+    """
+    Sends requests to backend servers and reuses their connections.
+
+    :param buffer_bytes: longest body that is read whole.
+    :param idle_limits: mapping of service to idle connections kept for one server.
+
+    >>> from lavendermast.clock import SystemClock
+    >>> Upstream(SystemClock(), 262144, {"stock": 7}).close_server("stock-1")
+    """
+
+    def __init__(self, clock, buffer_bytes, idle_limits):
+        self._clock = clock
+        self._buffer_bytes = buffer_bytes
+        self._idle_limits = dict(idle_limits)
+        self._idle = collections.defaultdict(collections.deque)
+
+    @classmethod
+    def from_config(cls, config, clock):
+        """Return an upstream with the limits of an accepted configuration."""
+        upstream = cls(clock, 0, {})
+        upstream.apply_config(config)
+        return upstream
+
+    def apply_config(self, config):
+        """Use the limits of another configuration from now on."""
+        self._buffer_bytes = config.limits.buffer_bytes
+        self._idle_limits = {
+            name: max(1, service.connections // service.vms_per_service)
+            for name, service in config.services.items()
+        }
+
+    def send(self, request, server, deadline, cancelled=None):
+        """
+        Make one attempt.
+
+        :param deadline: monotonic time that bounds the attempt as a whole.
+        :param cancelled: a :class:`Cancellation`, or ``None``.
+        :return: an :class:`AttemptResult`; a long body is in its ``stream``.
+        :raises RequestError: when the request cannot be put on the wire.
+        """
+        attempt = _Attempt(server, self._clock, deadline, cancelled)
+        started = self._clock.monotonic()
+        if started >= deadline:
+            return AttemptResult(server.name, AttemptStatus.EXPIRED)
+        try:
+            with attempt:
+                result = self._exchange(attempt, request)
+        except RequestError:
+            raise
+        except (LavendermastError, OSError) as error:
+            result = self._describe_failure(attempt, error)
+        except BaseException:
+            _close(attempt)
+            raise
+        result.latency = self._clock.monotonic() - started
+        return result
+
+    def close_server(self, name):
+        """Close the idle connections to a server."""
+        for connection in self._idle.pop(name, ()):
+            connection.close()
+
+    def release(self, attempt, response):
+        """Keep the connection for reuse, or close it when it is out of step."""
+        connection = attempt.connection
+        idle = self._idle[attempt.server.name]
+        limit = self._idle_limits.get(attempt.server.service, 1)
+        if not response.reusable or len(idle) >= limit:
+            connection.close()
+            return
+        connection.idle_since = self._clock.monotonic()
+        idle.append(connection)
+
+    def _exchange(self, attempt, request):
+        target = f"{request.path}?{request.query}" if request.query else request.path
+        headers = _build_headers(request, attempt.server)
+        repeatable = request.method in _REPEATABLE_METHODS and not request.key
+        while True:
+            reused = self._take_connection(attempt, repeatable)
+            try:
+                attempt.connection.prepare(
+                    request.method, target, headers, request.body
+                )
+            except (ValueError, UnicodeError) as error:
+                _close(attempt)
+                raise RequestError(400, "malformed-request", str(error)) from error
+            if self._clock.monotonic() >= attempt.deadline:
+                _close(attempt)
+                return AttemptResult(attempt.server.name, AttemptStatus.EXPIRED)
+            try:
+                response = attempt.connection.exchange()
+            except _NotSentError:
+                _close(attempt)
+                if not reused:
+                    raise
+                continue
+            return self._read_response(attempt, response)
+
+    def _take_connection(self, attempt, repeatable):
+        now = self._clock.monotonic()
+        bound = MAX_IDLE_S if repeatable else FRESH_IDLE_S
+        idle = self._idle.get(attempt.server.name)
+        while idle:
+            connection = idle.pop()
+            if now - connection.idle_since <= bound and connection.is_quiet():
+                attempt.connection = connection
+                return True
+            connection.close()
+        host, _, port = attempt.server.address.rpartition(":")
+        attempt.connection = ServerConnection(host.strip("[]"), int(port))
+        attempt.connection.connect()
+        return False
+
+    def _read_response(self, attempt, response):
+        pieces = collections.deque()
+        size = 0
+        result = AttemptResult(attempt.server.name, AttemptStatus.OK)
+        if response.length is not None and response.length > self._buffer_bytes:
+            result.stream = BodyStream(self, attempt, response, pieces)
+        else:
+            while piece := response.read_piece():
+                pieces.append(piece)
+                size += len(piece)
+                if size > self._buffer_bytes:
+                    result.stream = BodyStream(self, attempt, response, pieces)
+                    break
+        if result.stream is None:
+            result.body = pieces[0] if len(pieces) == 1 else b"".join(pieces)
+            self.release(attempt, response)
+        _interpret(result, response)
+        if result.stream is not None and not result.ran:
+            result.stream.close()
+            result.stream = None
+        return result
+
+    def _describe_failure(self, attempt, error):
+        connection = attempt.connection
+        sent = connection is not None and connection.sent
+        _close(attempt)
+        result = AttemptResult(attempt.server.name, AttemptStatus.CUT)
+        result.detail = str(error) or type(error).__name__
+        if isinstance(error, _InterruptedError):
+            result.status = error.status
+        if not sent and result.status is not AttemptStatus.CANCELLED:
+            result.status = AttemptStatus.CONNECT_FAILED
+        return result
+
+
+def _close(attempt):
+    if attempt.connection is not None:
+        attempt.connection.close()
+
+
+def _build_headers(request, server):
+    headers = [("Host", server.address)]
+    for name, value in remove_hop_headers(request.headers):
+        lowered = name.lower()
+        if lowered in _REPLACED_HEADERS or lowered.startswith("lavendermast-"):
+            continue
+        if lowered == "idempotency-key" and request.key:
+            continue
+        headers.append((name, value))
+    headers.append(("X-Deadline", str(request.deadline_unix_ms)))
+    headers.append(("X-Request-Id", request.id))
+    if request.key:
+        headers.append(("Idempotency-Key", request.key))
+    if request.body or request.method not in _REPEATABLE_METHODS:
+        headers.append(("Content-Length", str(len(request.body))))
+    return headers
+
+
+def _interpret(result, response):
+    result.http_status = response.status
+    result.headers = remove_hop_headers(response.headers)
+    state = None
+    for name, value in result.headers:
+        lowered = name.lower()
+        if lowered == "x-server-state":
+            state = value.strip().lower()
+        elif lowered == "x-server-load":
+            result.load = _parse_load(value)
+    if response.status == 503 and state in _REFUSALS:
+        result.status = _REFUSALS[state]
+    elif response.status >= 500:
+        result.status = AttemptStatus.ERROR
+
+
+def _parse_load(value):
+    busy, _, slots = value.partition("/")
+    if not (busy.strip().isdigit() and slots.strip().isdigit()) or int(slots) == 0:
+        return None
+    return int(busy) / int(slots)
--- /dev/null
+++ b/tests/test_upstream.py
@@ -0,0 +1,302 @@
+"""Upstream: damaged, late and missing responses, and reuse of connections."""
+
+import eventlet
+import pytest
+from eventlet.green import socket
+
+from lavendermast.clock import SystemClock
+from lavendermast.exceptions import FramingError, TruncatedResponseError
+from lavendermast.models import AttemptStatus, CallerRequest, Server
+from lavendermast.upstream import Cancellation, Upstream
+
+OK_RESPONSE = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+CHUNKED = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+
+class ScriptedServer:
+    """Answers the n-th request of all connections with the n-th step of a script."""
+
+    def __init__(self, *steps):
+        self.steps = list(steps)
+        self.received = []
+        self.connections = []
+        self._listener = eventlet.listen(("127.0.0.1", 0))
+        address = f"127.0.0.1:{self._listener.getsockname()[1]}"
+        self.server = Server("s1", "stock", "r", "z", address)
+        self._task = eventlet.spawn(self._accept)
+
+    def _accept(self):
+        while True:
+            sock, _ = self._listener.accept()
+            self.connections.append(sock)
+            eventlet.spawn(self._serve, sock)
+
+    def _serve(self, sock):
+        while self.steps:
+            try:
+                head = sock.recv(65536)
+            except OSError:
+                return
+            if not head:
+                return
+            self.received.append(head)
+            step = self.steps.pop(0)
+            if callable(step):
+                step(sock)
+            else:
+                sock.sendall(step)
+
+    def stop(self):
+        self._task.kill()
+        self._listener.close()
+
+
+@pytest.fixture
+def start():
+    servers = []
+
+    def start_server(*steps):
+        servers.append(ScriptedServer(*steps))
+        return servers[-1]
+
+    yield start_server
+    for server in servers:
+        server.stop()
+
+
+def make_upstream(buffer_bytes=1000):
+    return Upstream(SystemClock(), buffer_bytes, {"stock": 4})
+
+
+def make_request(method="GET", key="", headers=(), body=b""):
+    return CallerRequest(
+        "r1", method, "/a", "x=1", list(headers), body, "c1", 0.0, 99, 0.0, key
+    )
+
+
+def send(upstream, server, seconds=5.0, cancelled=None, **fields):
+    deadline = SystemClock().monotonic() + seconds
+    return upstream.send(make_request(**fields), server.server, deadline, cancelled)
+
+
+def answer_and_close(data):
+    def step(sock):
+        sock.sendall(data)
+        sock.shutdown(socket.SHUT_RDWR)
+        sock.close()
+
+    return step
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"",
+        b"HTTP/1.1 200 OK\r\nContent-Le",
+        b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nfour",
+        OK_RESPONSE + b"x",
+        OK_RESPONSE * 2,
+        b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Length: 3\r\n\r\nabc",
+        b"HTTP/1.1 200 OK\r\nContent-Length: 2, 3\r\n\r\nabc",
+        b"HTTP/1.1 200 OK\r\nContent-Length: +2\r\n\r\nab",
+        CHUNKED.replace(b"\r\n\r\n", b"\r\nContent-Length: 2\r\n\r\n") + b"0\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\n\r\nno length",
+        b"HTTP/1.1 200 OK\r\n folded: 1\r\nContent-Length: 0\r\n\r\n",
+        CHUNKED + b"4\r\nfour\r\n",
+        CHUNKED + b"4\r\nfo",
+        CHUNKED + b"4\r\nfour\r\n0\r\n",
+        CHUNKED + b"4\r\nfourXX0\r\n\r\n",
+        CHUNKED + b"-4\r\nfour\r\n0\r\n\r\n",
+        CHUNKED + b"0\r\n\r\nextra",
+        b"ICY 200 OK\r\n\r\n",
+    ],
+)
+def test_damaged_response_is_cut_and_its_connection_is_not_reused(start, data):
+    """Guards R2: a response whose framing is not exact is never passed on."""
+    server = start(answer_and_close(data), OK_RESPONSE)
+    upstream = make_upstream()
+    result = send(upstream, server)
+    assert (result.status, result.body, result.ran) == (AttemptStatus.CUT, b"", True)
+    assert send(upstream, server).body == b"ok"
+    assert len(server.connections) == 2
+
+
+def test_whole_chunked_response_is_joined_and_the_connection_reused(start):
+    body = b"3;a=b\r\nabc\r\n2\r\nde\r\n0\r\nX-Trailer: 1\r\n\r\n"
+    server = start(b"HTTP/1.1 100 Continue\r\n\r\n" + CHUNKED + body, OK_RESPONSE)
+    upstream = make_upstream()
+    assert send(upstream, server).body == b"abcde"
+    assert send(upstream, server, method="POST", key="k").body == b"ok"
+    assert len(server.connections) == 1
+
+
+def test_late_answer_after_a_timeout_never_reaches_the_next_request(start):
+    """Guards R2: the timed-out connection must not be returned to the pool."""
+
+    def answer_late(sock):
+        eventlet.sleep(0.2)
+        sock.sendall(OK_RESPONSE.replace(b"ok", b"no"))
+
+    server = start(OK_RESPONSE, answer_late, OK_RESPONSE)
+    upstream = make_upstream()
+    assert send(upstream, server).status is AttemptStatus.OK
+    late = send(upstream, server, seconds=0.05)
+    assert (late.status, late.ran) == (AttemptStatus.TIMEOUT, True)
+    eventlet.sleep(0.3)
+    assert send(upstream, server).body == b"ok"
+    assert len(server.connections) == 2
+
+
+def test_bytes_after_a_complete_answer_close_the_connection(start):
+    """Guards R2: a second answer sent unasked must not meet the next request."""
+
+    def answer_twice(sock):
+        sock.sendall(OK_RESPONSE)
+        eventlet.sleep(0.05)
+        sock.sendall(OK_RESPONSE.replace(b"ok", b"no"))
+
+    server = start(answer_twice, OK_RESPONSE)
+    upstream = make_upstream()
+    assert send(upstream, server).body == b"ok"
+    eventlet.sleep(0.1)
+    assert send(upstream, server).body == b"ok"
+    assert len(server.connections) == 2
+
+
+def test_slow_trickle_ends_at_the_total_deadline(start):
+    """Guards the deadline: each byte restarts a per-read timeout, not this one."""
+
+    def trickle(sock):
+        sock.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 500\r\n\r\n")
+        for _ in range(500):
+            sock.sendall(b"x")
+            eventlet.sleep(0.01)
+
+    result = send(make_upstream(), start(trickle), seconds=0.1)
+    assert result.status is AttemptStatus.TIMEOUT
+
+
+def test_idle_connection_closed_by_the_server_is_not_used(start):
+    """Guards R4: a close of an idle connection must not make an order unknown."""
+    server = start(answer_and_close(OK_RESPONSE), OK_RESPONSE)
+    upstream = make_upstream()
+    assert send(upstream, server).status is AttemptStatus.OK
+    eventlet.sleep(0.02)
+    assert send(upstream, server, method="POST", key="k").body == b"ok"
+    assert len(server.connections) == 2
+
+
+def test_long_idle_connection_is_kept_for_repeatable_requests_only(start):
+    class LaterClock(SystemClock):
+        offset = 0.0
+
+        def monotonic(self):
+            return SystemClock.monotonic() + self.offset
+
+    server = start(OK_RESPONSE, OK_RESPONSE, OK_RESPONSE)
+    clock = LaterClock()
+    upstream = Upstream(clock, 1000, {"stock": 4})
+    connections = []
+    for offset, method in ((0, "GET"), (5, "GET"), (10, "POST")):
+        clock.offset = offset
+        deadline = clock.monotonic() + 5
+        upstream.send(make_request(method), server.server, deadline)
+        connections.append(len(server.connections))
+    assert connections == [1, 1, 2]
+
+
+def test_expired_deadline_and_refused_connection_did_not_run(start):
+    server = start(OK_RESPONSE)
+    expired = send(make_upstream(), server, seconds=-1)
+    assert (expired.status, expired.ran) == (AttemptStatus.EXPIRED, False)
+    server.stop()
+    refused = send(make_upstream(), server)
+    assert (refused.status, refused.ran) == (AttemptStatus.CONNECT_FAILED, False)
+    assert server.received == []
+
+
+@pytest.mark.parametrize("state", ["shedding", "draining", "ok"])
+def test_only_a_stated_refusal_counts_as_not_run(start, state):
+    data = b"HTTP/1.1 503 No\r\nX-Server-State: %s\r\nX-Server-Load: 3/6\r\n" % (
+        state.encode()
+    )
+    result = send(make_upstream(), start(data + b"Content-Length: 0\r\n\r\n"))
+    assert result.ran == (state == "ok")
+    assert result.load == 0.5
+
+
+def test_cancel_closes_the_connection_to_the_server(start):
+    """Guards against work that continues for a caller who left."""
+    closed = []
+
+    def wait_for_close(sock):
+        closed.append(sock.recv(1))
+
+    cancelled = Cancellation()
+    eventlet.spawn_after(0.05, cancelled.cancel)
+    result = send(make_upstream(), start(wait_for_close), cancelled=cancelled)
+    eventlet.sleep(0.05)
+    assert (result.status, closed) == (AttemptStatus.CANCELLED, [b""])
+
+
+def test_headers_are_replaced_and_hop_headers_removed(start):
+    data = b"HTTP/1.1 200 OK\r\nConnection: x-b\r\nX-B: 1\r\nX-C: 2\r\n"
+    server = start(data + b"Content-Length: 0\r\n\r\n")
+    headers = [("Connection", "X-A"), ("X-A", "1"), ("X-Deadline", "7"), ("Te", "a")]
+    headers += [("Lavendermast-Key", "k"), ("Accept", "b"), ("Idempotency-Key", "o")]
+    result = send(
+        make_upstream(), server, method="POST", key="k", headers=headers, body=b"12"
+    )
+    assert result.headers == [("X-C", "2"), ("Content-Length", "0")]
+    lines = server.received[0].split(b"\r\n")
+    assert lines[0] == b"POST /a?x=1 HTTP/1.1"
+    assert sorted(lines[2:]) == sorted(
+        b"Accept: b|X-Deadline: 99|X-Request-Id: r1|Idempotency-Key: k|"
+        b"Content-Length: 2||12".split(b"|")
+    )
+
+
+@pytest.mark.parametrize("chunked", [False, True])
+def test_long_body_is_streamed_whole_and_its_connection_reused(start, chunked):
+    body = b"y" * 5000
+    data = b"HTTP/1.1 200 OK\r\nContent-Length: 5000\r\n\r\n" + body
+    if chunked:
+        data = CHUNKED + b"1388\r\n" + body + b"\r\n0\r\n\r\n"
+    server = start(data, OK_RESPONSE)
+    upstream = make_upstream()
+    result = send(upstream, server)
+    assert b"".join(result.stream) == body
+    assert send(upstream, server).body == b"ok"
+    assert len(server.connections) == 1
+
+
+@pytest.mark.parametrize(
+    ("data", "error"),
+    [
+        (b"HTTP/1.1 200 OK\r\nContent-Length: 5000\r\n\r\n", TruncatedResponseError),
+        (CHUNKED + b"1388\r\n", TruncatedResponseError),
+        (CHUNKED + b"5dc\r\n" + b"y" * 1500 + b"\r\n-1\r\n", FramingError),
+    ],
+)
+def test_cut_stream_raises_and_closes(start, data, error):
+    """Guards R2: the end of a cut body must not look like the end of the body."""
+    server = start(answer_and_close(data + b"y" * 2000), OK_RESPONSE)
+    upstream = make_upstream()
+    stream = send(upstream, server).stream
+    with pytest.raises(error):
+        b"".join(stream)
+    assert stream.status is AttemptStatus.CUT
+    assert send(upstream, server).body == b"ok"
+
+
+def test_stream_is_bounded_by_the_deadline_and_can_be_closed(start):
+    head = b"HTTP/1.1 200 OK\r\nContent-Length: 5000\r\n\r\n" + b"y" * 2000
+    upstream = make_upstream()
+    server = start(head, head)
+    stream = send(upstream, server, seconds=0.1).stream
+    with pytest.raises(TruncatedResponseError):
+        list(stream)
+    assert stream.status is AttemptStatus.TIMEOUT
+    stream = send(upstream, server).stream
+    stream.close()
+    assert stream.status is AttemptStatus.CANCELLED
