--- a/src/lavendermast/exceptions.py
+++ b/src/lavendermast/exceptions.py
@@ -55,3 +55,15 @@
         self.retry_after = options.get("retry_after", 0)
         self.headers = options.get("headers", ())
         super().__init__(f"{status} {reason} {detail}".strip())
+
+
+class UpstreamError(LavendermastError):
+    """A backend server's response could not be used."""
+
+
+class TruncatedResponseError(UpstreamError):
+    """A response ended, timed out or was cancelled before its end."""
+
+
+class FramingError(UpstreamError):
+    """A response is malformed or contradicts its own length."""
