--- /dev/null
+++ b/src/lavendermast/settings_checks.py
@@ -0,0 +1,294 @@
+"""Checks of settings against the schema and of rules between settings."""
+
+import difflib
+import functools
+import importlib.resources
+import json
+import math
+
+import jsonschema
+
+_TYPE_NAMES = {
+    bool: "a boolean",
+    int: "an integer",
+    float: "a number with a fraction",
+    str: "a string",
+    list: "an array",
+    dict: "an object",
+    type(None): "null",
+}
+
+
+def _is_integer(checker, value):
+    # JSON Schema counts 12.0 as an integer; the settings classes need an int.
+    return isinstance(value, int) and not isinstance(value, bool)
+
+
+@functools.cache
+def load_schema():
+    """Return the settings schema."""
+    resource = importlib.resources.files("lavendermast") / "schema"
+    return json.loads((resource / "settings.schema.json").read_text())
+
+
+@functools.cache
+def make_validator(definition):
+    """Return the validator of one definition of the schema."""
+    base = jsonschema.Draft202012Validator
+    checker = base.TYPE_CHECKER.redefine("integer", _is_integer)
+    validator = jsonschema.validators.extend(base, type_checker=checker)
+    return validator({"$ref": f"#/$defs/{definition}", "$defs": load_schema()["$defs"]})
+
+
+def get_default(definition, key):
+    """
+    Return the default of one setting.
+
+    >>> get_default("Addresses", "hold_ms")
+    30000
+    """
+    return load_schema()["$defs"][definition]["properties"][key]["default"]
+
+
+def check_schema(value, definition):
+    """
+    Return what the schema refuses.
+
+    :param value: the settings as read from JSON.
+    :param definition: name of the schema definition that they must meet.
+    :return: a list of (path, message).
+
+    >>> check_schema({"weight": 0}, "Customer")
+    [(('weight',), '0 is out of range; give 1 to 1000')]
+    """
+    found = {}
+    for error in make_validator(definition).iter_errors(value):
+        for finding in _describe_error(error):
+            found.setdefault(finding)
+    return list(found)
+
+
+def _describe_error(error):
+    path = tuple(error.absolute_path)
+    describe = _DESCRIBERS.get(error.validator)
+    if describe is None:
+        return [(path, error.message)]
+    return [((*path, *suffix), message) for suffix, message in describe(error, path)]
+
+
+def _describe_unknown(error, path):
+    known = list(error.schema["properties"])
+    for key in error.instance:
+        if key in known:
+            continue
+        close = difflib.get_close_matches(str(key), known, n=1)
+        advice = f"did you mean {close[0]}?" if close else f"known: {', '.join(known)}"
+        yield (key,), f"unknown key; remove or rename it ({advice})"
+
+
+def _describe_required(error, path):
+    properties = error.schema["properties"]
+    for key in error.validator_value:
+        if key not in error.instance:
+            meaning = properties[key].get("description", "")
+            yield (), f"missing key {key}; add it ({meaning.rstrip('.')})"
+
+
+def _describe_type(error, path):
+    wanted = error.validator_value
+    yield (), f"wrong type: expected {wanted}, found {_show(error.instance, path)}"
+
+
+def _describe_range(error, path):
+    low = error.schema.get("minimum")
+    high = error.schema.get("maximum")
+    shown = _show_value(error.instance, path)
+    yield (), f"{shown} is out of range; give {low} to {high}"
+
+
+def _describe_enum(error, path):
+    choices = ", ".join(error.validator_value)
+    yield (), f"{_show_value(error.instance, path)} is not one of {choices}"
+
+
+def _describe_pattern(error, path):
+    shown = _show_value(error.instance, path)
+    yield (), f"{shown} is not of the form {error.validator_value}"
+
+
+def _describe_length(error, path):
+    yield (), f"too short; give at least {error.validator_value}"
+
+
+_DESCRIBERS = {
+    "additionalProperties": _describe_unknown,
+    "required": _describe_required,
+    "type": _describe_type,
+    "minimum": _describe_range,
+    "maximum": _describe_range,
+    "enum": _describe_enum,
+    "pattern": _describe_pattern,
+    "minLength": _describe_length,
+    "minItems": _describe_length,
+}
+
+
+def _show_value(value, path):
+    if path and path[-1] == "secret":  # secrets never reach a log
+        return "the value"
+    text = json.dumps(value)
+    return text if len(text) <= 60 else text[:57] + "..."
+
+
+def _show(value, path):
+    name = _TYPE_NAMES.get(type(value), type(value).__name__)
+    if isinstance(value, (str, int, float)) and not isinstance(value, bool):
+        return f"{name}, {_show_value(value, path)}"
+    return name
+
+
+def _get_section(value, key):
+    """Return the objects in a section, without those of a wrong type."""
+    section = value.get(key, {}) if isinstance(value, dict) else {}
+    if not isinstance(section, dict):
+        return {}
+    return {name: item for name, item in section.items() if isinstance(item, dict)}
+
+
+def _get_number(section, definition, key):
+    value = section.get(key)
+    if isinstance(value, bool) or not isinstance(value, (int, float)):
+        return get_default(definition, key)
+    return value
+
+
+def compute_floor_count(floor, expected_servers):
+    """
+    Return how many servers a floor keeps.
+
+    The product is rounded first: 0.07 * 100 is 7.000000000000001 as a float.
+
+    >>> compute_floor_count(0.75, 18), compute_floor_count(0.07, 100)
+    (14, 7)
+    """
+    return math.ceil(round(floor * expected_servers, 9))
+
+
+def check_rules(config):
+    """
+    Return what breaks a rule between settings.
+
+    :param config: base settings, or base settings merged with one overlay; parts
+        that the schema refuses are passed over.
+    :return: a list of (path, message).
+    """
+    services = _get_section(config, "services")
+    routes = _get_section(config, "routes")
+    findings = []
+    for name, service in services.items():
+        findings += _check_service(name, service)
+    for name, route in routes.items():
+        findings += _check_service_of_route(name, route, config, services)
+        findings += _check_route(name, route)
+    findings += _check_duplicates(routes)
+    findings += _check_tokens(config)
+    return findings
+
+
+def _check_service(name, service):
+    expected, floor = service.get("expected_servers"), service.get("floor")
+    numbers = all(
+        isinstance(value, (int, float)) and not isinstance(value, bool)
+        for value in (expected, floor)
+    )
+    # One server cannot be both kept and replaced, so a single one is let through.
+    if numbers and 1 < expected <= 5000 and 0 <= floor <= 1:
+        kept = compute_floor_count(floor, expected)
+        if kept >= expected:
+            yield (
+                ("services", name, "floor"),
+                f"the {expected} expected servers cannot meet this floor while one is "
+                f"ejected or leaves: it keeps {kept} of {expected}; lower floor to at "
+                f"most {math.floor((expected - 1) / expected * 1000) / 1000} or raise "
+                "expected_servers",
+            )
+    detection = service.get("detection", {})
+    if not isinstance(detection, dict):
+        return
+    first = _get_number(detection, "Detection", "ejection_ms")
+    longest = _get_number(detection, "Detection", "max_ejection_ms")
+    if first > longest:
+        yield (
+            ("services", name, "detection", "ejection_ms"),
+            f"{first} exceeds max_ejection_ms, {longest}; lower it or raise the other",
+        )
+
+
+def _check_service_of_route(name, route, config, services):
+    path = ("routes", name)
+    service, defined = route.get("service"), config.get("services")
+    if not isinstance(service, str) or not isinstance(defined, dict):
+        return
+    if service not in defined:
+        close = difflib.get_close_matches(service, defined, n=1)
+        advice = f"; did you mean {close[0]}?" if close else ""
+        yield (
+            (*path, "service"),
+            f"route to no service: {json.dumps(service)} is not in services; define it "
+            f"there or name another{advice}",
+        )
+    if (
+        route.get("work") == "long"
+        and service in services
+        and _get_number(services[service], "Service", "long_share") == 0
+    ):
+        yield (
+            (*path, "work"),
+            f"long route on service {service}, whose long_share is 0; raise long_share "
+            "or set work to short",
+        )
+
+
+def _check_route(name, route):
+    path = ("routes", name)
+    method = route.get("method")
+    if route.get("idempotent") is False and method in ("GET", "HEAD"):
+        yield (
+            (*path, "idempotent"),
+            f"a {method} route must be idempotent, because callers and proxies repeat "
+            f"{method}; set idempotent to true or use another method",
+        )
+    text = route.get("path")
+    if isinstance(text, str) and "*" in text[:-1]:
+        yield (
+            (*path, "path"),
+            "an asterisk may only be the last character; use an exact path or a prefix",
+        )
+
+
+def _check_duplicates(routes):
+    first = {}
+    for name, route in routes.items():
+        target = (route.get("method"), route.get("path"))
+        if not all(isinstance(part, str) for part in target):
+            continue
+        other = first.setdefault(target, name)
+        if other != name:
+            yield (
+                ("routes", name, "path"),
+                f"routes {other} and {name} both have {' '.join(target)}; remove one",
+            )
+
+
+def _check_tokens(config):
+    tokens, addresses = config.get("tokens", {}), config.get("addresses", {})
+    if not isinstance(tokens, dict) or not isinstance(addresses, dict):
+        return
+    accept = _get_number(tokens, "Tokens", "accept_ms")
+    hold = _get_number(addresses, "Addresses", "hold_ms")
+    if accept < hold:
+        yield (
+            ("tokens", "accept_ms"),
+            f"tokens are accepted for {accept} ms, shorter than the {hold} ms that "
+            "callers may hold addresses; raise accept_ms or lower addresses.hold_ms",
+        )
--- a/src/lavendermast/settings_model.py
+++ b/src/lavendermast/settings_model.py
@@ -233,6 +233,7 @@
     :param services: Services by name.
     :param routes: Routes by name.
     :param customers: Customers by identifier.
+    :param sites: Sites that may have an overlay; an overlay for another site is refused. Without the key any site may have one.
     :param retries: The retry budget.
     :param addresses: How address answers are made.
     :param tokens: Lifetimes of idempotency tokens.
@@ -242,6 +243,7 @@
     services: dict[str, Service]
     routes: dict[str, Route]
     customers: dict[str, Customer]
+    sites: tuple[str, ...]
     retries: Retries
     addresses: Addresses
     tokens: Tokens
@@ -262,6 +264,7 @@
                 key: Customer.from_config(value)
                 for key, value in data.get("customers", {}).items()
             },
+            sites=tuple(data.get("sites", [])),
             retries=Retries.from_config(data.get("retries", {})),
             addresses=Addresses.from_config(data.get("addresses", {})),
             tokens=Tokens.from_config(data.get("tokens", {})),
