--- a/src/lavendermast/codec.py
+++ b/src/lavendermast/codec.py
@@ -31,6 +31,22 @@
 _BODY_NAMES = {cls: name for name, cls in messages_model.BODY_CLASSES.items()}
 
 
+def pack_message(envelope):
+    """Return the packed capnp message of an envelope, without header and tag."""
+    message = _SCHEMA.Message.new_message(
+        sender=envelope.sender, bootId=envelope.boot_id, sentAt=envelope.sent_at
+    )
+    name = _BODY_NAMES[type(envelope.body)]
+    message.init(name).from_dict(envelope.body.to_dict())
+    return message.to_bytes_packed()
+
+
+def measure_body(body, sender=""):
+    """Return the size of the frame that carries a body, with the widest numbers."""
+    widest = 2**64 - 2
+    return HEADER_BYTES + len(pack_message(Envelope(sender, widest, widest, body)))
+
+
 class FrameCodec:
     """
     Encodes and authenticates peer messages.
@@ -61,12 +77,7 @@
 
     def encode(self, envelope):
         """Return the frame of an envelope."""
-        message = _SCHEMA.Message.new_message(
-            sender=envelope.sender, bootId=envelope.boot_id, sentAt=envelope.sent_at
-        )
-        name = _BODY_NAMES[type(envelope.body)]
-        message.init(name).from_dict(envelope.body.to_dict())
-        payload = message.to_bytes_packed()
+        payload = pack_message(envelope)
         head = bytes((FORMAT_VERSION, self._signing_key))
         return head + self._compute_tag(self._signing_key, head + payload) + payload
 
--- /dev/null
+++ b/src/lavendermast/members.py
@@ -0,0 +1,186 @@
+"""Member table: updates by VM, the ring of monitors and random choices."""
+
+import bisect
+import collections
+
+import attrs
+import xxhash
+
+from lavendermast.messages_model import MemberUpdate
+
+#: States of one incarnation in their order of precedence.
+STATE_RANKS = {"starting": 0, "alive": 1, "suspect": 2, "leaving": 3, "dead": 4}
+LIVE_STATES = ("starting", "alive", "suspect", "leaving")
+MONITORS = 3
+#: Suspects do not count as one of the monitored successors; this bounds the pings
+#: of a VM when a whole region is suspect.
+MAX_SUCCESSORS = 12
+#: Dead members are kept so that late updates about them are recognized as old;
+#: 1,000 are two hours of replacements at 11,000 a day.
+MAX_DEAD = 1_000
+SAMPLE = 40
+
+
+def get_order(update):
+    """
+    Return the key by which updates about one VM are ordered.
+
+    >>> first = MemberUpdate(boot_time=1, incarnation=1, state="suspect")
+    >>> get_order(first) < get_order(attrs.evolve(first, incarnation=2, state="alive"))
+    True
+    """
+    rank = STATE_RANKS[update.state]
+    return (update.boot_time, update.boot_id, update.incarnation, rank)
+
+
+@attrs.define
+class Member:
+    """
+    One other VM.
+
+    :param deadline: monotonic time at which it counts as dead, or ``None``.
+    """
+
+    update: MemberUpdate
+    deadline: float | None = None
+
+
+class MemberTable:
+    """
+    The members that one VM knows, by name, by address and on the hash ring.
+
+    :param own: first update about this VM.
+    """
+
+    def __init__(self, own, clock, random):
+        self.own = own
+        self._clock = clock
+        self._random = random
+        self._members = {}
+        self._dead = collections.OrderedDict()
+        self._timed = {}
+        self._addresses = {own.peer_address: own.vm}
+        self._ring = [(self._hash(own.vm), own.vm)]
+        self._digest = self._hash_update(own)
+
+    @property
+    def digest(self):
+        """Digest of the live members, equal on VMs with equal tables."""
+        return self._digest.to_bytes(8, "big")
+
+    @property
+    def size(self):
+        """Number of live members, this VM included."""
+        return len(self._ring)
+
+    def get_member(self, vm):
+        """Return the last update about a VM, or ``None``."""
+        if vm == self.own.vm:
+            return self.own
+        member = self._members.get(vm)
+        return member and member.update
+
+    def get_members(self, states=LIVE_STATES):
+        """Return the updates of all VMs in the given states, this VM included."""
+        updates = [self.own, *(member.update for member in self._members.values())]
+        return [update for update in updates if update.state in states]
+
+    def get_dead_count(self):
+        """Return the number of dead members that are remembered."""
+        return len(self._dead)
+
+    def get_successors(self):
+        """Return the updates of the VMs that this VM monitors."""
+        start = bisect.bisect(self._ring, (self._hash(self.own.vm), self.own.vm))
+        chosen, counted = [], 0
+        for offset in range(min(len(self._ring) - 1, MAX_SUCCESSORS)):
+            update = self._get_at((start + offset) % len(self._ring))
+            if update.vm == self.own.vm:
+                break
+            chosen.append(update)
+            counted += update.state != "suspect"
+            if counted == MONITORS:
+                break
+        return chosen
+
+    def pick_members(self, count, exclude=()):
+        """Return up to ``count`` random members that are not suspect."""
+        return self._sample(exclude)[:count]
+
+    def pick_neighbour(self, exclude=()):
+        """Return a random member, in four of five cases of the own zone."""
+        sample = self._sample(exclude)
+        if self._random.random() < 0.8:
+            sample.sort(key=lambda update: update.zone != self.own.zone)
+        return sample[0] if sample else None
+
+    def pick_helpers(self, target):
+        """Return members for an indirect ping, each in another zone if possible."""
+        used = {self.own.zone, target.zone}
+        sample = self._sample((target.vm,))
+        chosen = []
+        for update in sample:
+            if update.zone not in used:
+                used.add(update.zone)
+                chosen.append(update)
+        near = (self.own.zone, target.zone)
+        rest = [update for update in sample if update not in chosen]
+        rest.sort(key=lambda update: update.zone in near)
+        return (chosen + rest)[:MONITORS]
+
+    def _sample(self, exclude):
+        indices = range(len(self._ring))
+        picked = self._random.sample(indices, min(len(indices), SAMPLE))
+        updates = [self._get_at(index) for index in picked]
+        return [
+            update
+            for update in updates
+            if update.state != "suspect"
+            and update.vm != self.own.vm
+            and update.vm not in exclude
+        ]
+
+    def _get_at(self, index):
+        return self.get_member(self._ring[index][1])
+
+    def _store(self, update):
+        """Replace what is known about another VM."""
+        previous = self.get_member(update.vm)
+        if previous and previous.state != "dead":
+            self._remove_live(previous)
+        member = Member(update)
+        self._members[update.vm] = member
+        self._timed.pop(update.vm, None)
+        self._dead.pop(update.vm, None)
+        if update.state == "dead":
+            self._dead[update.vm] = True
+            self._drop_oldest_dead()
+            return member
+        bisect.insort(self._ring, (self._hash(update.vm), update.vm))
+        self._digest ^= self._hash_update(update)
+        return member
+
+    def _remove_live(self, update):
+        index = bisect.bisect_left(self._ring, (self._hash(update.vm), update.vm))
+        del self._ring[index]
+        self._digest ^= self._hash_update(update)
+
+    def _drop_oldest_dead(self):
+        while len(self._dead) > MAX_DEAD:
+            vm, _ = self._dead.popitem(last=False)
+            update = self._members.pop(vm).update
+            if self._addresses.get(update.peer_address) == vm:
+                del self._addresses[update.peer_address]
+
+    def _set_deadline(self, vm, member, seconds):
+        member.deadline = self._clock.monotonic() + seconds
+        self._timed[vm] = True
+
+    @staticmethod
+    def _hash(vm):
+        return xxhash.xxh64_intdigest(vm.encode())
+
+    @staticmethod
+    def _hash_update(update):
+        text = f"{update.vm}\x00{update.boot_id}\x00{update.incarnation}"
+        return xxhash.xxh64_intdigest(text.encode())
--- /dev/null
+++ b/src/lavendermast/peers.py
@@ -0,0 +1,306 @@
+"""Transport between VMs: UDP datagrams, and TCP for one request and one reply."""
+
+import abc
+import collections
+import struct
+
+import attrs
+import eventlet
+from eventlet.green import socket
+
+from lavendermast.codec import MAX_MESSAGE_BYTES, Envelope
+from lavendermast.exceptions import MessageError, PeerError
+from lavendermast.messages_model import BODY_CLASSES
+
+#: A datagram of this size fits one Ethernet frame with IP options and a tunnel header.
+MAX_DATAGRAM_BYTES = 1_400
+#: Bounds the memory of incoming bulk transfers: 16 x 4 MB is half of the 128 MB.
+MAX_CONNECTIONS = 16
+#: A peer that stops sending in the middle of a message holds a connection this long.
+CONNECTION_TIMEOUT_S = 5.0
+RECEIVE_BUFFER_BYTES = 4 * 1024 * 1024
+BIND_ATTEMPTS = 20
+_LENGTH = struct.Struct("!I")
+_KINDS = {cls: name for name, cls in BODY_CLASSES.items()}
+
+
+def parse_address(text):
+    """
+    Return the host and port of an ``ip:port`` address.
+
+    >>> parse_address("127.0.0.1:7000")
+    ('127.0.0.1', 7000)
+    """
+    host, _, port = text.rpartition(":")
+    return host, int(port)
+
+
+@attrs.define
+class TrafficCounts:
+    """
+    Control traffic of one VM.
+
+    ``messages`` and ``bytes`` are keyed by direction (``sent``, ``received``) and
+    message kind, ``drops`` by reason.
+    """
+
+    messages: collections.Counter = attrs.Factory(collections.Counter)
+    bytes: collections.Counter = attrs.Factory(collections.Counter)
+    drops: collections.Counter = attrs.Factory(collections.Counter)
+
+    def add(self, direction, body, size):
+        """Count one message."""
+        key = (direction, _KINDS[type(body)])
+        self.messages[key] += 1
+        self.bytes[key] += size
+
+
+class PeerTransport(abc.ABC):
+    """
+    Sends messages to other VMs and passes received ones to handlers.
+
+    A handler is called as ``handler(envelope, address)``; what it returns is the reply
+    to a TCP request. Datagram handlers must not block; they pass longer work to
+    :meth:`spawn`.
+    """
+
+    def __init__(self, vm):
+        self.vm = vm
+        self.boot_id = 0
+        self.counts = TrafficCounts()
+        self.record_error = None
+        self._handlers = {}
+        self._find_refusal = None
+
+    def join(self, membership):
+        """Send as the membership's own boot and admit only senders that it knows."""
+        self.boot_id = membership.own.boot_id
+        self._find_refusal = membership.find_refusal
+
+    def register(self, body_class, handler):
+        """Pass messages of a class to ``handler``, replacing an earlier one."""
+        self._handlers[body_class] = handler
+
+    @abc.abstractmethod
+    def send(self, address, body):
+        """Send a datagram; loss is not reported."""
+
+    @abc.abstractmethod
+    def request(self, address, body, deadline):
+        """
+        Send a request and return the body of the reply.
+
+        :param deadline: monotonic time at which waiting ends.
+        :raises PeerError: when no valid reply came.
+        """
+
+    @abc.abstractmethod
+    def spawn(self, function, *args):
+        """Run a function that may block in a task of its own."""
+
+    def make_envelope(self, body, clock):
+        """Return the envelope of an own message."""
+        return Envelope(self.vm, self.boot_id, clock.get_unix_ms(), body)
+
+    def dispatch(self, envelope, address):
+        """
+        Pass a verified message to its handler.
+
+        :return: the reply, or ``None`` when there is none or the message was dropped.
+        """
+        reason = self._find_refusal and self._find_refusal(envelope, address)
+        if reason:
+            self.counts.drops[reason] += 1
+            return None
+        handler = self._handlers.get(type(envelope.body))
+        if handler is None:
+            self.counts.drops["no_handler"] += 1
+            return None
+        return self.guard(handler, envelope, address)
+
+    def guard(self, function, *args):
+        """Call a function; an error in it is counted and never ends the caller."""
+        try:
+            return function(*args)
+        except PeerError:
+            self.counts.drops["peer_error"] += 1
+        except (Exception, eventlet.Timeout) as error:
+            self.counts.drops["handler_error"] += 1
+            if self.record_error:
+                self.record_error(error)
+        return None
+
+
+class PeerNetwork(PeerTransport):
+    """
+    The transport over sockets.
+
+    :param udp: bound datagram socket.
+    :param tcp: listening socket on the same port number.
+    """
+
+    def __init__(self, vm, codec, clock, udp, tcp):
+        super().__init__(vm)
+        self._codec = codec
+        self._clock = clock
+        self._udp = udp
+        self._tcp = tcp
+        self._pool = eventlet.GreenPool(MAX_CONNECTIONS)
+        self._tasks = []
+        self._closed = False
+        host, port = udp.getsockname()
+        self.address = f"{host}:{port}"
+
+    @classmethod
+    def from_settings(cls, settings, codec, clock):
+        """Return a transport bound to the ``peer_address`` of the settings."""
+        udp, tcp = bind_sockets(*parse_address(settings.peer_address))
+        return cls(settings.vm, codec, clock, udp, tcp)
+
+    def run(self):
+        """Receive until :meth:`close` is called."""
+        self._tasks = [
+            eventlet.spawn(self._receive_datagrams),
+            eventlet.spawn(self._accept_connections),
+        ]
+        for task in self._tasks:
+            task.wait()
+
+    def close(self):
+        """Stop receiving and close the sockets."""
+        self._closed = True
+        for task in self._tasks:
+            task.kill()
+        self._udp.close()
+        self._tcp.close()
+
+    def spawn(self, function, *args):
+        """Run a function in a green thread of its own."""
+        eventlet.spawn_n(self.guard, function, *args)
+
+    def send(self, address, body):
+        """Send a datagram; loss is not reported."""
+        frame = self._codec.encode(self.make_envelope(body, self._clock))
+        if len(frame) > MAX_DATAGRAM_BYTES:
+            self.counts.drops["datagram_too_large"] += 1
+            return
+        try:
+            self._udp.sendto(frame, parse_address(address))
+        except (OSError, ValueError):
+            self.counts.drops["send_error"] += 1
+            return
+        self.counts.add("sent", body, len(frame))
+
+    def request(self, address, body, deadline):
+        """Send a request over TCP and return the body of the reply."""
+        seconds = deadline - self._clock.monotonic()
+        if seconds <= 0:
+            raise PeerError(f"{address}: the deadline has passed")
+        frame = self._codec.encode(self.make_envelope(body, self._clock))
+        try:
+            with (
+                eventlet.Timeout(seconds),
+                eventlet.connect(parse_address(address)) as c,
+            ):
+                write_frame(c, frame)
+                self.counts.add("sent", body, len(frame))
+                reply = read_frame(c)
+            envelope = self._codec.decode(reply)
+        except eventlet.Timeout as error:
+            raise PeerError(f"{address}: no reply within {seconds:.1f} s") from error
+        except (OSError, ValueError, MessageError) as error:
+            raise PeerError(f"{address}: {error}") from error
+        self.counts.add("received", envelope.body, len(reply))
+        return envelope.body
+
+    def _receive_datagrams(self):
+        while not self._closed:
+            try:
+                frame, source = self._udp.recvfrom(65_535)
+            except OSError:
+                self.counts.drops["receive_error"] += 1
+                eventlet.sleep(0.05)
+                continue
+            self._handle_frame(frame, f"{source[0]}:{source[1]}")
+
+    def _accept_connections(self):
+        while not self._closed:
+            try:
+                connection, source = self._tcp.accept()
+            except OSError:
+                self.counts.drops["accept_error"] += 1
+                eventlet.sleep(0.05)
+                continue
+            self._pool.spawn_n(self._serve, connection, f"{source[0]}:{source[1]}")
+
+    def _serve(self, connection, address):
+        try:
+            with eventlet.Timeout(CONNECTION_TIMEOUT_S), connection:
+                reply = self._handle_frame(read_frame(connection), address)
+                if reply is not None:
+                    envelope = self.make_envelope(reply, self._clock)
+                    frame = self._codec.encode(envelope)
+                    write_frame(connection, frame)
+                    self.counts.add("sent", reply, len(frame))
+        except eventlet.Timeout:
+            self.counts.drops["connection_timeout"] += 1
+        except (OSError, MessageError):
+            self.counts.drops["connection_error"] += 1
+
+    def _handle_frame(self, frame, address):
+        try:
+            envelope = self._codec.decode(frame)
+        except MessageError as error:
+            self.counts.drops[error.reason] += 1
+            return None
+        self.counts.add("received", envelope.body, len(frame))
+        return self.dispatch(envelope, address)
+
+
+def bind_sockets(host, port):
+    """Return a UDP and a listening TCP socket on the same port; 0 takes a free one."""
+    for attempt in range(BIND_ATTEMPTS):
+        udp = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        tcp = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        try:
+            udp.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+            udp.bind((host, port))
+            tcp.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            tcp.bind(udp.getsockname())
+            tcp.listen(MAX_CONNECTIONS)
+        except OSError:
+            udp.close()
+            tcp.close()
+            # With port 0 the free UDP port may be taken on TCP; another one is tried.
+            if port or attempt == BIND_ATTEMPTS - 1:
+                raise
+            continue
+        return udp, tcp
+    raise PeerError("no free port")
+
+
+def write_frame(connection, frame):
+    """Write a frame with its length in front."""
+    connection.sendall(_LENGTH.pack(len(frame)) + frame)
+
+
+def read_frame(connection):
+    """
+    Read one frame with its length in front.
+
+    :raises MessageError: when it is too large or ends early.
+    """
+    (length,) = _LENGTH.unpack(_read_exactly(connection, _LENGTH.size))
+    if length > MAX_MESSAGE_BYTES:
+        raise MessageError("too_large", f"{length} bytes")
+    return _read_exactly(connection, length)
+
+
+def _read_exactly(connection, length):
+    data = bytearray()
+    while len(data) < length:
+        chunk = connection.recv(min(length - len(data), 65_536))
+        if not chunk:
+            raise MessageError("truncated", f"{len(data)} of {length} bytes")
+        data += chunk
+    return bytes(data)
