--- /dev/null
+++ b/src/lavendermast/callers.py
@@ -0,0 +1,44 @@
+"""Notices that a caller has closed its connection."""
+
+import socket
+
+from eventlet import hubs
+
+#: Requests that end sooner are never looked at, which keeps the plain path cheap.
+CHECK_INTERVAL_S = 0.1
+
+
+class CallerWatch:
+    """
+    Cancels an attempt when the caller's connection closes; a context manager.
+
+    :param sock: the caller's socket.
+    :param cancellation: an ``upstream.Cancellation``.
+    """
+
+    def __init__(self, sock, cancellation):
+        self._sock = sock
+        self._cancellation = cancellation
+        self._timer = None
+
+    def __enter__(self):
+        self._schedule()
+        return self
+
+    def __exit__(self, *exception):
+        self._timer.cancel()
+
+    def _schedule(self):
+        hub = hubs.get_hub()
+        self._timer = hub.schedule_call_global(CHECK_INTERVAL_S, self._check)
+
+    def _check(self):
+        try:
+            data = self._sock.fd.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+        except BlockingIOError:
+            self._schedule()
+            return
+        except (OSError, ValueError):
+            data = b""
+        if not data:
+            self._cancellation.cancel()
--- a/src/lavendermast/dispatch.py
+++ b/src/lavendermast/dispatch.py
@@ -1,11 +1,13 @@
-"""Sends one request to servers until it has a reply."""
+"""Sends one request to servers until there is a reply."""
 
 import attrs
 
-from lavendermast.models import AttemptResult, AttemptStatus, Outcome
+from lavendermast.exceptions import RequestError
+from lavendermast.models import AttemptStatus, Outcome
+from lavendermast.retries import RequestFacts
 
-#: Response headers that describe one connection and are not passed on.
 RETRY_AFTER_S = 1
+DEFAULT_WEIGHT = 1
 
 
 @attrs.define
@@ -27,46 +29,124 @@
     retry_after: int = 0
 
 
+class TrackedStream:
+    """
+    Passes a long body on and runs a callback once when it has ended.
+
+    :param finish: called with the final AttemptStatus.
+    """
+
+    def __init__(self, stream, finish):
+        self._stream = stream
+        self._finish = finish
+
+    def __iter__(self):
+        try:
+            yield from self._stream
+        finally:
+            self.close()
+
+    def close(self):
+        """Close the server's connection unless the body has ended."""
+        if self._finish is None:
+            return
+        self._stream.close()
+        finish, self._finish = self._finish, None
+        finish(self._stream.status)
+
+
 class Dispatcher:
     """
     Runs the attempts of a request.
 
+    :param policy: object with the current ``config``.
     :param pools: the service pools of this VM.
     :param upstream: sends one attempt.
+    :param retry_policy: decides what follows an attempt.
     """
 
-    def __init__(self, pools, upstream, retry_policy, clock, record_event):
+    def __init__(self, policy, pools, upstream, retry_policy, record_event):
+        self._policy = policy
         self._pools = pools
         self._upstream = upstream
         self._retries = retry_policy
-        self._clock = clock
         self._record_event = record_event
 
-    def run(self, request, route_name, route, cancelled=None):
-        """Return the reply to a request; never raises for a server's failure."""
+    def run(self, request, route_name, route, cancelled=None, keyed=False):
+        """
+        Return the reply to a request.
+
+        :param cancelled: an ``upstream.Cancellation``, or ``None``.
+        :param keyed: whether this VM's ledger guards the request against repeats.
+        :raises RequestError: when the request is refused before any attempt.
+        """
         pool = self._pools.get(route.service)
+        queue = pool.queues[route.work]
+        ticket = queue.acquire(request, request.customer, self._get_weight(request))
+        self._retries.add_request()
+        reply = None
+        try:
+            reply = self._run_attempts(request, route_name, route, cancelled, keyed)
+        finally:
+            if reply is None or reply.stream is None:
+                queue.release(ticket, served=bool(reply and reply.status < 500))
+        if reply.stream is not None:
+            reply.stream = TrackedStream(
+                reply.stream, lambda status: queue.release(ticket)
+            )
+        return reply
+
+    def _get_weight(self, request):
+        customer = self._policy.config.customers.get(request.customer)
+        return customer.weight if customer else DEFAULT_WEIGHT
+
+    def _run_attempts(self, request, route_name, route, cancelled, keyed):
+        pool = self._pools.get(route.service)
+        facts = RequestFacts(route.idempotent, keyed, request.deadline)
         tried = []
         while True:
             choice = pool.balancer.choose(route, tried)
             if choice is None:
-                result = AttemptResult("", AttemptStatus.SHED, detail="no server")
-                return self._retries.conclude(request, route, result, len(tried))
+                return self._give_up(facts, len(tried))
             tried.append(choice.server.name)
             self._log_decision(request, route_name, route, choice, len(tried))
             result = self._attempt(request, route_name, route, pool, choice, cancelled)
             self._log_attempt(request, result, len(tried))
-            if not self._retries.may_retry(request, route, result, len(tried)):
-                return self._retries.conclude(request, route, result, len(tried))
+            decision = self._retries.policy.decide(facts, result, len(tried))
+            if not decision.retry:
+                return make_reply(decision, result, len(tried))
+            facts = attrs.evolve(facts, may_have_run=decision.may_have_run)
+
+    def _give_up(self, facts, attempts):
+        if not facts.may_have_run:
+            raise RequestError(503, "no-server", retry_after=RETRY_AFTER_S)
+        return Reply(503, Outcome.UNKNOWN, "no-server", attempts=attempts)
 
     def _attempt(self, request, route_name, route, pool, choice, cancelled):
         name = choice.server.name
         handle = pool.tracker.start_attempt(name, route_name)
         pool.balancer.start(name, route.work)
-        result = self._upstream.send(
-            request, choice.server, request.deadline, cancelled
-        )
-        pool.balancer.finish(name, route.work, result)
-        pool.tracker.finish_attempt(handle, result)
+
+        def finish(result):
+            pool.balancer.finish(name, route.work, result)
+            pool.tracker.finish_attempt(handle, result)
+
+        result = None
+        try:
+            result = self._upstream.send(
+                request, choice.server, request.deadline, cancelled
+            )
+        finally:
+            if result is None:
+                pool.balancer.abandon(name, route.work)
+                pool.tracker.abandon_attempt(handle)
+        if result.stream is not None:
+            result.stream = TrackedStream(
+                result.stream,
+                lambda status: finish(attrs.evolve(result, status=status, stream=None)),
+            )
+            return result
+        finish(result)
         if result.status is AttemptStatus.DRAINING:
             pool.tracker.mark_leaving(name, "response")
         return result
@@ -93,5 +173,23 @@
             status=result.status.value,
             http_status=result.http_status,
             latency_ms=round(result.latency * 1000, 3),
-            detail=result.detail,
+            detail=result.detail or None,
         )
+
+
+def make_reply(decision, result, attempts):
+    """Return the reply that follows from the last attempt's decision."""
+    reply = Reply(
+        decision.status,
+        decision.outcome,
+        decision.reason,
+        server=result.server,
+        attempts=attempts,
+    )
+    if decision.outcome is Outcome.NOT_RUN:
+        reply.retry_after = RETRY_AFTER_S
+    if result.status is AttemptStatus.OK:
+        reply.headers = result.headers
+        reply.body = result.body
+        reply.stream = result.stream
+    return reply
--- a/src/lavendermast/services.py
+++ b/src/lavendermast/services.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from lavendermast.admission import AdmissionQueue
 from lavendermast.balancer import TwoChoiceBalancer
 from lavendermast.health import HealthTracker
 from lavendermast.models import Server, ServerState
@@ -14,6 +15,7 @@
     """
     Servers of one service with their health and load.
 
+    :param queues: admission queues by class of work.
     :param listed: servers of the VM list by name.
     """
 
@@ -21,11 +23,13 @@
     service: object
     tracker: object
     balancer: object
+    queues: dict
     listed: dict = attrs.Factory(dict)
 
     @classmethod
-    def from_config(cls, name, service, settings, clock, record_event):
+    def from_config(cls, name, config, settings, clock, record_event):
         """Return the pool of one service without servers."""
+        service = config.services[name]
         tracker = HealthTracker.from_config(name, service, clock, record_event)
         balancer = TwoChoiceBalancer.from_config(
             name,
@@ -35,8 +39,16 @@
             tracker.get_weight,
             settings.zone,
             settings.region,
+            has_long_routes=any(
+                route.service == name and route.work == "long"
+                for route in config.routes.values()
+            ),
         )
-        return cls(name, service, tracker, balancer)
+        queues = {
+            work: AdmissionQueue.from_config(config.limits, balancer, work, clock)
+            for work in ("short", "long")
+        }
+        return cls(name, service, tracker, balancer, queues)
 
     def replace_servers(self, servers):
         """
@@ -104,7 +116,7 @@
             pool = self._pools.get(name)
             if pool is None or pool.service != service:
                 pool = ServicePool.from_config(
-                    name, service, self._settings, self._clock, self._record_event
+                    name, config, self._settings, self._clock, self._record_event
                 )
                 pool.replace_servers(self._servers.get(name, []))
             pools[name] = pool
