--- /dev/null
+++ b/src/lavendermast/health.py
@@ -0,0 +1,360 @@
+"""Health of one service's servers as this VM sees it, and the weights that follow."""
+
+import attrs
+
+from .floors import EjectionBudget
+from .messages_model import Verdict
+from .models import AttemptStatus, Server, ServerState
+from .observations import Observations
+
+EJECTED_WEIGHT = 0.0
+#: Weight of a server held back but not ejected: with 12 servers it receives 0.5%
+#: of the requests, below the target of 2%.
+REDUCED_WEIGHT = 0.05
+#: Weight at which slow start begins.
+RAMP_START = 0.1
+#: ``advance`` comes every 100 ms; a longer gap means that the process was paused.
+GAP_S = 1.0
+#: Longest time for which one cold verdict slows a server, whatever it states.
+MAX_COLD_S = 60.0
+
+
+@attrs.define(eq=False)
+class ServerHealth:
+    """State of one server; times are monotonic unless named otherwise."""
+
+    server: Server
+    listed: bool = True
+    unlisted_since: float = 0.0
+    leaving: str = ""
+    leaving_unix_ms: int = 0
+    cold_until: float = 0.0
+    held_since: float = 0.0
+    hold_until: float = 0.0
+    confirmed: bool = False
+    score: float = 0.0
+    cause: str = ""
+    source: str = ""
+    repeats: int = 0
+    returned: float = 0.0
+    returned_unix_ms: int = 0
+    ramp_until: float = 0.0
+    ejected: bool = False
+    denied: bool = False
+
+    @property
+    def name(self):
+        """The server's name."""
+        return self.server.name
+
+    def is_slowed(self, now):
+        """Whether the server is cold or in slow start."""
+        return now < self.cold_until or now < self.ramp_until
+
+
+class HealthTracker:
+    """
+    Judges the servers of one service by this VM's attempts and the judges' verdicts.
+
+    A server is ejected on a verdict, or when this VM alone sees error answers, which
+    no link can make up. Timeouts, truncated or slow answers that only this VM sees
+    may come from its link, so they reduce the weight and eject nothing.
+
+    >>> from lavendermast.clock import ManualClock
+    >>> from lavendermast.settings_model import Service
+    >>> service = Service.from_config({"expected_servers": 1, "floor": 1})
+    >>> tracker = HealthTracker.from_config(
+    ...     "stock", service, ManualClock(), lambda event, **fields: None
+    ... )
+    >>> tracker.replace_servers([Server("s1", "stock", "r", "r-a", "127.0.0.1:1")])
+    >>> tracker.get_weight("s1")
+    1.0
+    """
+
+    def __init__(self, name, service, clock, record_event):
+        self.name = name
+        self._clock = clock
+        self._record_event = record_event
+        self._records = {}
+        self._weights = {}
+        self._notices = []
+        self._last_advance = clock.monotonic()
+        self.replace_service(service)
+
+    @classmethod
+    def from_config(cls, name, service, clock, record_event):
+        """
+        Return a tracker for one service.
+
+        :param service: its settings, a ``settings_model.Service``.
+        :param record_event: called as ``record_event(event, **fields)``.
+        """
+        return cls(name, service, clock, record_event)
+
+    def replace_service(self, service):
+        """Apply changed settings; evidence in the windows is dropped."""
+        self._detection = service.detection
+        self._budget = EjectionBudget.from_config(service)
+        self._observations = Observations(self.name, service.detection)
+        for record in self._records.values():
+            self._observations.add_server(record.server)
+        self._refresh_weights(self._clock.monotonic())
+
+    def replace_servers(self, servers):
+        """
+        Apply a new list of this service's servers.
+
+        A server that joins after the first list gets a slow start. One that left the
+        list keeps its state for a while, since the list lags and may flap.
+        """
+        now = self._clock.monotonic()
+        first = not self._records
+        names = {server.name for server in servers}
+        for record in self._records.values():
+            if record.listed and record.name not in names:
+                record.listed = False
+                record.unlisted_since = now
+        for server in servers:
+            record = self._records.get(server.name)
+            if record is None:
+                record = self._records[server.name] = ServerHealth(server)
+                if not first:
+                    self._start_ramp(record, now)
+            self._update_listed(record, server, now)
+        self._refresh_weights(now)
+
+    def _update_listed(self, record, server, now):
+        replaced = server.address != record.server.address or not record.listed
+        listed_live = server.state is ServerState.LIVE
+        was_leaving = record.server.state is ServerState.LEAVING
+        record.server = server
+        record.listed = True
+        self._observations.add_server(server)
+        if not listed_live:
+            self._set_leaving(record, "list")
+        elif record.leaving and (replaced or was_leaving):
+            self._end_leaving(record, now)
+
+    def start_attempt(self, server_name, route_name):
+        """Return a handle for an attempt that is being sent now."""
+        now = self._clock.monotonic()
+        return self._observations.start(server_name, route_name, now)
+
+    def finish_attempt(self, attempt, result):
+        """
+        Count a finished attempt.
+
+        :param attempt: the handle from ``start_attempt``.
+        :param result: its ``AttemptResult``.
+        """
+        now = self._clock.monotonic()
+        self._check_gap(now)
+        self._observations.finish(attempt, result, now)
+        if result.status is AttemptStatus.DRAINING:
+            self.mark_leaving(attempt.server_name, "response")
+
+    def get_weight(self, server_name):
+        """Return the server's weight, from 0.0 (no new work) to 1.0."""
+        return self._weights.get(server_name, EJECTED_WEIGHT)
+
+    def advance(self):
+        """Re-evaluate all servers; to be called about every 100 ms."""
+        now = self._clock.monotonic()
+        self._check_gap(now)
+        self._last_advance = now
+        self._observations.advance(now)
+        for record in list(self._records.values()):
+            self._advance_record(record, now)
+        self._refresh_weights(now)
+
+    def apply_verdict(self, verdict):
+        """Apply a judge's verdict; an expired one or one for another is ignored."""
+        record = self._records.get(verdict.server)
+        now_ms = self._clock.get_unix_ms()
+        if verdict.service != self.name or not record or verdict.valid_until <= now_ms:
+            return
+        now = self._clock.monotonic()
+        if verdict.health == "sick":
+            # What was judged before the server returned is evidence already used.
+            if verdict.issued_at > record.returned_unix_ms:
+                self._hold(record, verdict.score, "verdict", "verdict", True, now)
+        elif verdict.health == "draining":
+            self.mark_leaving(verdict.server, "health")
+        elif verdict.health == "cold":
+            until = now + (verdict.valid_until - now_ms) / 1000
+            record.cold_until = min(until, now + MAX_COLD_S)
+        elif verdict.health == "recovering":
+            listed_live = record.server.state is ServerState.LIVE
+            if listed_live and verdict.issued_at > record.leaving_unix_ms:
+                self._end_leaving(record, now)
+        elif now < record.cold_until:
+            self._start_ramp(record, now)
+        self._refresh_weights(now)
+
+    def mark_leaving(self, server_name, source):
+        """
+        Give a server no new work because it is leaving.
+
+        :param source: ``response``, ``health``, ``list`` or ``gossip``.
+        :return: whether this was not known before.
+        """
+        record = self._records.get(server_name)
+        if record is None:
+            return False
+        known = bool(record.leaving)
+        self._set_leaving(record, source)
+        self._refresh_weights(self._clock.monotonic())
+        return not known
+
+    def collect_notices(self):
+        """Return draining verdicts to gossip, for servers that said so in answers."""
+        notices, self._notices = self._notices, []
+        return notices
+
+    def collect_evidence(self, include_quiet=True):
+        """
+        Return what changed since the last call, for the judges.
+
+        :param include_quiet: whether servers without a failure are included.
+        :return: an ``EvidenceEntry`` for each server with new attempts, then one
+            with an empty server name: the whole service in the current window.
+        """
+        return self._observations.collect(include_quiet)
+
+    def _check_gap(self, now):
+        """Drop evidence gathered across a pause of this process."""
+        if now - self._last_advance <= GAP_S:
+            return
+        self._last_advance = now
+        self._observations.void()
+
+    def _advance_record(self, record, now):
+        if record.hold_until:
+            if now >= record.hold_until:
+                self._release(record, now)
+            return
+        if record.cold_until and now >= record.cold_until:
+            self._start_ramp(record, now)
+        finding = self._observations.find_cause(record.name, now)
+        if finding:
+            confirmed = not finding.may_be_link
+            self._hold(record, finding.score, finding.cause, "local", confirmed, now)
+        elif not record.listed and now - record.unlisted_since > self._max_hold_s:
+            del self._records[record.name], self._weights[record.name]
+            self._observations.remove_server(record.name)
+
+    @property
+    def _max_hold_s(self):
+        return self._detection.max_ejection_ms / 1000
+
+    def _hold(self, record, score, cause, source, confirmed, now):
+        """Hold a server back: ejected when confirmed, else at reduced weight."""
+        if record.hold_until and (record.confirmed or not confirmed):
+            return
+        if not record.hold_until:
+            if now - record.returned > self._max_hold_s:
+                record.repeats = 0
+            # The exponent is bounded because the power is computed before the limit.
+            held_ms = self._detection.ejection_ms * 2 ** min(record.repeats, 20)
+            record.repeats += 1
+            record.hold_until = now + min(held_ms / 1000, self._max_hold_s)
+            record.held_since = now
+        record.ramp_until = 0.0
+        record.confirmed = confirmed
+        record.score, record.cause, record.source = score, cause, source
+        record.denied = False
+        self._observations.clear_server(record.name)
+        if not confirmed:
+            self._record_hold("ejection_denied", record, 0)
+
+    def _release(self, record, now):
+        record.hold_until = 0.0
+        record.confirmed = record.ejected = False
+        self._observations.clear_server(record.name)
+        record.returned = now
+        record.returned_unix_ms = self._clock.get_unix_ms()
+        self._start_ramp(record, now)
+        self._record_event(
+            "returned",
+            service=self.name,
+            server=record.name,
+            weight=self._compute_weight(record, now),
+            ramp_until=self._convert_to_unix_ms(record.ramp_until, now),
+        )
+
+    def _start_ramp(self, record, now):
+        record.cold_until = 0.0
+        record.ramp_until = now + self._detection.ramp_ms / 1000
+
+    def _set_leaving(self, record, source):
+        if not record.leaving:
+            self._record_event(
+                "server_leaving", service=self.name, server=record.name, source=source
+            )
+            record.leaving = source
+            if source == "response":
+                self._notices.append(self._build_draining_verdict(record.name))
+        record.leaving_unix_ms = self._clock.get_unix_ms()
+
+    def _build_draining_verdict(self, server_name):
+        issued = self._clock.get_unix_ms()
+        return Verdict(
+            service=self.name,
+            server=server_name,
+            health="draining",
+            issued_at=issued,
+            valid_until=issued + 30_000,
+        )
+
+    def _end_leaving(self, record, now):
+        if record.leaving:
+            record.leaving = ""
+            self._observations.clear_server(record.name)
+            self._start_ramp(record, now)
+
+    def _refresh_weights(self, now):
+        live = [r for r in self._records.values() if r.listed and not r.leaving]
+        held = [r for r in live if r.confirmed]
+        slowed = sum(1 for r in live if not r.confirmed and r.is_slowed(now))
+        allowed = self._budget.count_allowed(len(live), slowed)
+        ejected = set(self._budget.select(held, len(live), slowed)) if held else ()
+        for record in held:
+            self._set_ejected(record, record in ejected, allowed - len(ejected))
+        for record in self._records.values():
+            self._weights[record.name] = self._compute_weight(record, now)
+
+    def _set_ejected(self, record, ejected, budget_left):
+        if ejected and not record.ejected:
+            self._record_hold("ejected", record, budget_left)
+        elif not ejected and not record.denied:
+            record.denied = True
+            self._record_hold("ejection_denied", record, budget_left)
+        record.ejected = ejected
+
+    def _record_hold(self, event, record, budget_left):
+        now = self._clock.monotonic()
+        self._record_event(
+            event,
+            service=self.name,
+            server=record.name,
+            cause=record.cause if record.confirmed else f"{record.cause}-unconfirmed",
+            source=record.source,
+            score=record.score,
+            until=self._convert_to_unix_ms(record.hold_until, now),
+            budget_left=budget_left,
+        )
+
+    def _convert_to_unix_ms(self, moment, now):
+        return self._clock.get_unix_ms() + round((moment - now) * 1000)
+
+    def _compute_weight(self, record, now):
+        if record.leaving or not record.listed or record.ejected:
+            return EJECTED_WEIGHT
+        if record.hold_until:
+            return REDUCED_WEIGHT
+        if now < record.cold_until:
+            return RAMP_START
+        if now < record.ramp_until:
+            left = (record.ramp_until - now) * 1000 / self._detection.ramp_ms
+            return 1.0 - (1.0 - RAMP_START) * left
+        return 1.0
--- /dev/null
+++ b/src/lavendermast/witnesses.py
@@ -0,0 +1,96 @@
+"""What the VMs of each zone saw of one server."""
+
+import collections
+
+import attrs
+
+from .samples import KINDS, OK, SlidingCounts, find_cause, is_beyond_chance
+
+#: Attempts a zone needs before its share is looked at.
+MIN_ZONE_SAMPLES = 2
+
+
+@attrs.define(eq=False)
+class Witness:
+    """One VM's recent attempts at a server."""
+
+    zone: str
+    counts: SlidingCounts
+
+
+@attrs.define
+class ZoneView:
+    """
+    A zone's attempts at a server and at the service's other servers.
+
+    :param own: shares by kind, summed over VMs, so that a busy VM with a bad link
+        doesn't outweigh the others.
+    """
+
+    own: list = attrs.Factory(lambda: [0.0] * len(KINDS))
+    others: list = attrs.Factory(lambda: [0.0] * len(KINDS))
+    samples: int = 0
+    bad: int = 0
+    bad_vms: int = 0
+
+    def add(self, counts, others):
+        """Add one VM's counts at the server and at the others."""
+        total = sum(counts)
+        for kind, count in enumerate(counts):
+            self.own[kind] += count / total
+        others_total = sum(others)
+        if others_total:
+            for kind, count in enumerate(others):
+                self.others[kind] += count / others_total
+        self.samples += total
+        self.bad += total - counts[OK]
+        self.bad_vms += 2 * counts[OK] < total
+
+    def find_cause(self, detection):
+        """Return what this zone alone finds against the server."""
+        if self.samples < MIN_ZONE_SAMPLES:
+            return None
+        return find_cause(self.own, self.others, detection)
+
+    def find_certain_cause(self, detection):
+        """Return a finding that chance does not explain."""
+        beyond_chance = self.bad >= detection.min_samples and is_beyond_chance(
+            self.bad, self.samples, self.others
+        )
+        return find_cause(self.own, self.others, detection) if beyond_chance else None
+
+    def contradicts(self, detection):
+        """Whether the zone's VMs are well served by the server."""
+        good = self.own[OK] > (1 - detection.error_share) * sum(self.own)
+        return self.samples >= MIN_ZONE_SAMPLES and good
+
+
+def merge_zones(zones):
+    """Return the view of all zones together."""
+    merged = ZoneView()
+    for zone in zones:
+        merged.own = [a + b for a, b in zip(merged.own, zone.own, strict=True)]
+        merged.others = [a + b for a, b in zip(merged.others, zone.others, strict=True)]
+        merged.samples += zone.samples
+        merged.bad += zone.bad
+        merged.bad_vms += zone.bad_vms
+    return merged
+
+
+def group_by_zone(witnesses, totals, now):
+    """
+    Return a ``ZoneView`` for each zone with attempts, and drop idle witnesses.
+
+    :param witnesses: ``Witness`` by VM; idle ones are removed.
+    :param totals: counts of the whole service by VM.
+    """
+    zones = collections.defaultdict(ZoneView)
+    for vm, witness in list(witnesses.items()):
+        witness.counts.expire(now)
+        counts = witness.counts.totals
+        if not sum(counts):
+            del witnesses[vm]
+            continue
+        pairs = zip(totals.get(vm, counts), counts, strict=True)
+        zones[witness.zone].add(counts, [max(0, a - b) for a, b in pairs])
+    return zones
