--- a/bench/experiment.py
+++ b/bench/experiment.py
@@ -122,7 +122,7 @@
     Plays faults at set times.
 
     Each step is a mapping with ``at`` (seconds) and one of: ``server`` with ``faults``;
-    ``vm`` with ``signal``, ``restart``; ``store`` with a change; ``call`` with a callable.
+    ``vm`` with ``signal`` or ``restart``; ``store`` with a change; ``call``.
     """
 
     def __init__(self, fleet, steps):
@@ -199,5 +199,7 @@
     cells = [list(map(str, headings))] + [list(map(str, row)) for row in rows]
     widths = [max(len(row[i]) for row in cells) for i in range(len(headings))]
     for row in cells:
-        line = "  ".join(cell.ljust(width) for cell, width in zip(row, widths, strict=True))
+        line = "  ".join(
+            cell.ljust(width) for cell, width in zip(row, widths, strict=True)
+        )
         print(line.rstrip())
--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -213,7 +213,9 @@
 
     def control_server(self, name, **faults):
         """Set the faults of a backend server."""
-        call(self._get_server(name)["address"], "/_control", json.dumps(faults).encode())
+        call(
+            self._get_server(name)["address"], "/_control", json.dumps(faults).encode()
+        )
 
     def get_executions(self, name):
         """Return what a backend server ran, with its counts."""
--- a/src/lavendermast/dispatch.py
+++ b/src/lavendermast/dispatch.py
@@ -3,7 +3,7 @@
 import attrs
 
 from lavendermast.exceptions import RequestError
-from lavendermast.models import AttemptStatus, Outcome
+from lavendermast.models import AttemptResult, AttemptStatus, Outcome
 from lavendermast.retries import RequestFacts
 
 RETRY_AFTER_S = 1
@@ -131,15 +131,13 @@
             pool.balancer.finish(name, route.work, result)
             pool.tracker.finish_attempt(handle, result)
 
-        result = None
         try:
             result = self._upstream.send(
                 request, choice.server, request.deadline, cancelled
             )
-        finally:
-            if result is None:
-                pool.balancer.abandon(name, route.work)
-                pool.tracker.abandon_attempt(handle)
+        except BaseException:
+            finish(AttemptResult(name, AttemptStatus.CANCELLED))
+            raise
         if result.stream is not None:
             result.stream = TrackedStream(
                 result.stream,
@@ -147,8 +145,6 @@
             )
             return result
         finish(result)
-        if result.status is AttemptStatus.DRAINING:
-            pool.tracker.mark_leaving(name, "response")
         return result
 
     def _log_decision(self, request, route_name, route, choice, attempt):
--- a/src/lavendermast/gateway.py
+++ b/src/lavendermast/gateway.py
@@ -41,7 +41,9 @@
     :param address_book: makes address answers.
     """
 
-    def __init__(self, policy, run_request, address_book, identity, clock, record_event):
+    def __init__(
+        self, policy, run_request, address_book, identity, clock, record_event
+    ):
         self._policy = policy
         self._run_request = run_request
         self._addresses = address_book
--- /dev/null
+++ b/src/lavendermast/judging.py
@@ -0,0 +1,119 @@
+"""Runs health tracking, evidence, judging and probes of one VM."""
+
+import attrs
+import eventlet
+
+from lavendermast.evidence import EvidenceReporter, Judge
+from lavendermast.messages_model import Evidence
+from lavendermast.probes import ProbeScheduler
+
+TICK_S = 0.1
+#: Entries in one datagram; 16 of about 60 packed bytes stay under 1,400 bytes.
+MAX_ENTRIES = 16
+
+
+class ServerWatch:
+    """
+    Connects the service pools' trackers with the judges of the fleet.
+
+    :param identity: who this VM is.
+    :param pools: the service pools.
+    :param policy: object with ``get_service_set``.
+    """
+
+    def __init__(self, identity, pools, policy, membership, gossip, network, **tools):
+        self._identity = identity
+        self._pools = pools
+        self._policy = policy
+        self._membership = membership
+        self._gossip = gossip
+        self._network = network
+        self._clock = tools["clock"]
+        record_event = tools["record_event"]
+        self._reporter = EvidenceReporter(pools.trackers, self._clock)
+        self._judge = Judge(identity.zone, identity.vm, self._clock, record_event)
+        self._probes = ProbeScheduler(identity.vm, self._clock)
+        self._stale = True
+        network.register(Evidence, self._handle_evidence)
+        gossip.on_verdict = self.apply_verdict
+
+    def invalidate(self):
+        """Assign judges anew at the next tick, after a change of VMs or servers."""
+        self._stale = True
+
+    def run(self):
+        """Do what is due until the task is killed."""
+        while True:
+            eventlet.sleep(TICK_S)
+            self._network.guard(self.advance)
+
+    def advance(self):
+        """Evaluate all servers, report evidence, judge and probe."""
+        if self._stale:
+            self._stale = False
+            self._assign_judges()
+        for pool in self._pools:
+            pool.tracker.advance()
+            self._announce_notices(pool.tracker.collect_notices())
+        for vm, evidence in self._reporter.collect():
+            self._send_evidence(vm, evidence)
+        self._publish(self._judge.advance())
+        for server in self._probes.take_due():
+            eventlet.spawn_n(self._network.guard, self._probe, server)
+
+    def apply_verdict(self, verdict):
+        """Apply a verdict from another VM to this VM's tracker."""
+        pool = self._pools.get(verdict.service)
+        if pool is None:
+            return
+        if verdict.health == "draining":
+            self._judge.note_leaving(verdict.service, verdict.server)
+        pool.tracker.apply_verdict(verdict)
+
+    def _assign_judges(self):
+        for pool in self._pools:
+            wanted = self._policy.get_service_set(pool.name) or ()
+            members = [self._membership.get_member(vm) for vm in wanted]
+            members = [member for member in members if member is not None]
+            servers = list(pool.listed.values())
+            self._reporter.replace_members(pool.name, members)
+            self._judge.replace_service(pool.name, pool.service, servers, members)
+            self._probes.replace_servers(pool.name, servers, members)
+
+    def _announce_notices(self, notices):
+        if notices:
+            vm = self._identity.vm
+            notices = [attrs.evolve(notice, judge=vm) for notice in notices]
+            self._gossip.announce(verdicts=notices)
+
+    def _send_evidence(self, vm, evidence):
+        if vm == self._identity.vm:
+            self._publish(self._judge.receive(self._identity.zone, vm, evidence))
+            return
+        member = self._membership.get_member(vm)
+        if member is None:
+            return
+        # The totals of a service go first, because its servers are judged by them.
+        entries = sorted(evidence.entries, key=lambda entry: entry.server != "")
+        for start in range(0, len(entries), MAX_ENTRIES):
+            part = tuple(entries[start : start + MAX_ENTRIES])
+            self._network.send(member.peer_address, Evidence(part, evidence.window_end))
+
+    def _handle_evidence(self, envelope, address):
+        member = self._membership.get_member(envelope.sender)
+        if member is None:
+            return
+        verdicts = self._judge.receive(member.zone, envelope.sender, envelope.body)
+        self._publish(verdicts)
+
+    def _probe(self, server):
+        self._publish(self._judge.receive_probe(self._probes.probe(server)))
+
+    def _publish(self, verdicts):
+        if not verdicts:
+            return
+        self._gossip.announce(verdicts=verdicts)
+        for verdict in verdicts:
+            pool = self._pools.get(verdict.service)
+            if pool is not None:
+                pool.tracker.apply_verdict(verdict)
--- a/src/lavendermast/node.py
+++ b/src/lavendermast/node.py
@@ -1,27 +1,27 @@
 """One VM of the fleet, composed from its parts."""
 
 import json
-import secrets
 
 import attrs
 import eventlet
 
 from lavendermast.addresses import AddressBook
 from lavendermast.admin import AdminApplication
+from lavendermast.callers import CallerWatch
 from lavendermast.clock import SystemClock
 from lavendermast.dispatch import Dispatcher
+from lavendermast.fleet import FleetAgent
 from lavendermast.gateway import Gateway
+from lavendermast.judging import ServerWatch
 from lavendermast.listeners import HttpListener
 from lavendermast.logs import EventLog
 from lavendermast.metrics import MetricsBoard
 from lavendermast.policy import Policy
-from lavendermast.retries import RetryPolicy
+from lavendermast.retries import RetryKeeper
 from lavendermast.services import ServicePools
-from lavendermast.settings import build_config
-from lavendermast.store import StoreClient, StoreReader
-from lavendermast.upstream import Upstream
-
-ADVANCE_INTERVAL_S = 0.1
+from lavendermast.settings import build_config, load_process_settings
+from lavendermast.status import StatusReporter, add_metrics
+from lavendermast.upstream import Cancellation, Upstream
 
 
 @attrs.frozen
@@ -33,12 +33,6 @@
     region: str
     boot_id: int
 
-    @classmethod
-    def from_settings(cls, settings):
-        """Return a new identity for the VM that the settings name."""
-        boot_id = secrets.randbits(64)
-        return cls(settings.vm, settings.zone, settings.region, boot_id)
-
 
 class Node:
     """
@@ -50,11 +44,130 @@
     def __init__(self, settings, clock=None):
         self.settings = settings
         self.clock = clock or SystemClock()
-        self.identity = Identity.from_settings(settings)
         self.log = EventLog.from_settings(settings, self.clock)
-        self.policy = Policy(lambda: [])
-        self.pools = ServicePools(settings, self.clock, self.log.record)
-        self.store = StoreClient.from_settings(settings)
-        self.gateway = None
-        self.listeners = []
+        record_event = self.log.record
+        self.fleet = FleetAgent(settings, self.clock, record_event)
+        own = self.fleet.membership.own
+        self.identity = Identity(own.vm, own.zone, own.region, own.boot_id)
+        self.policy = Policy(self.fleet.get_live_members)
+        self.pools = ServicePools(settings, self.clock, record_event)
+        self.retries = RetryKeeper(self.clock)
+        self.upstream = Upstream(self.clock, 0, {})
+        self.dispatcher = Dispatcher(
+            self.policy, self.pools, self.upstream, self.retries, record_event
+        )
+        self.watch = ServerWatch(
+            self.identity,
+            self.pools,
+            self.policy,
+            self.fleet.membership,
+            self.fleet.gossip,
+            self.fleet.network,
+            clock=self.clock,
+            record_event=record_event,
+        )
+        self.gateway = self._make_gateway(record_event)
+        self.callers = HttpListener(settings.caller_address, self.gateway)
+        self.admin = HttpListener(settings.admin_address, self._make_admin())
+        self.fleet.documents.on_accept.append(self._apply_document)
+        self.fleet.membership.on_change.append(self._apply_member)
         self._tasks = []
+
+    def start(self):
+        """Join the fleet and serve callers."""
+        self.log.record("started", boot_id=f"{self.identity.boot_id:016x}")
+        self._tasks = [eventlet.spawn(self.log.run)]
+        self.fleet.start()
+        self.admin.start()
+        self.callers.start()
+        self._tasks.append(eventlet.spawn(self.watch.run))
+
+    def stop(self, reason):
+        """
+        Stop gracefully.
+
+        :param reason: why, for the log.
+        """
+        self.log.record("leaving", reason=reason, config_version=self.policy.version)
+        self.callers.stop()
+        self._end(reason, 0)
+
+    def abort(self):
+        """End at once and log the requests that this cuts."""
+        self._end("second signal", len(self.gateway.in_flight))
+
+    def reload_keys(self, path):
+        """Read the fleet keys of the process settings again."""
+        self.settings = load_process_settings(path)
+        self.fleet.reload_keys(self.settings)
+
+    def get_document_age(self, name):
+        """Return the seconds since a document's version in force was accepted."""
+        return self.clock.monotonic() - self.fleet.documents.accepted_at[name]
+
+    def _end(self, reason, aborted):
+        self.log.record(
+            "stopped",
+            reason=reason,
+            config_version=self.policy.version,
+            aborted=aborted,
+        )
+        self.fleet.stop()
+        for task in self._tasks:
+            task.kill()
+        self.log.close()
+
+    def _make_gateway(self, record_event):
+        address_book = AddressBook(
+            self.policy,
+            self.fleet.get_fit_members,
+            lambda now: ("", 0),
+            lambda: self.fleet.membership.own,
+            self.clock,
+            record_event,
+        )
+        return Gateway(
+            self.policy,
+            self._run_request,
+            address_book,
+            self.identity,
+            self.clock,
+            record_event,
+        )
+
+    def _make_admin(self):
+        board = MetricsBoard()
+        add_metrics(board, self)
+        reporter = StatusReporter(self)
+        return AdminApplication(
+            board, reporter.get_status, reporter.explain, lambda: self.policy.ready
+        )
+
+    def _run_request(self, request, route_name, route, environ):
+        cancellation = Cancellation()
+        with CallerWatch(environ["eventlet.input"].get_socket(), cancellation):
+            return self.dispatcher.run(request, route_name, route, cancellation)
+
+    def _apply_document(self, stored):
+        value = json.loads(stored.content)
+        if stored.name == "vms":
+            self.fleet.apply_list(value["vms"])
+            self.pools.apply_list(value["vms"])
+        else:
+            self._apply_config(value)
+        self.watch.invalidate()
+
+    def _apply_config(self, bundle):
+        config = build_config(bundle, self.settings.site)
+        self.policy.apply(config, bundle["version"])
+        self.upstream.apply_config(config)
+        self.retries.apply_config(config)
+        self.pools.apply_config(config)
+        if not self.policy.ready:
+            self.policy.ready = True
+            self.fleet.membership.set_own_state("alive")
+            self.log.record("ready", config_version=bundle["version"])
+
+    def _apply_member(self, update, previous):
+        self.policy.invalidate_sets()
+        self.watch.invalidate()
--- a/src/lavendermast/retries.py
+++ b/src/lavendermast/retries.py
@@ -166,3 +166,25 @@
         if self._clock.monotonic() >= facts.deadline:
             return "deadline"
         return "" if self._budget.spend() else "budget"
+
+
+class RetryKeeper:
+    """Keeps the VM's retry budget while configurations change the policy."""
+
+    def __init__(self, clock):
+        self._clock = clock
+        self._budget = None
+        self._settings = None
+        self.policy = None
+
+    def apply_config(self, config):
+        """Use the retry settings of another configuration from now on."""
+        if config.retries == self._settings:
+            return
+        self._settings = config.retries
+        self._budget = RetryBudget.from_config(config.retries)
+        self.policy = RetryPolicy.from_config(config.retries, self._budget, self._clock)
+
+    def add_request(self):
+        """Count a request of a caller."""
+        self._budget.add_request()
--- a/src/lavendermast/services.py
+++ b/src/lavendermast/services.py
@@ -93,6 +93,8 @@
     All service pools of this VM, kept over configuration changes.
 
     :param settings: the process settings.
+
+    ``trackers`` holds the health trackers by service name and changes in place.
     """
 
     def __init__(self, settings, clock, record_event):
@@ -101,6 +103,7 @@
         self._record_event = record_event
         self._pools = {}
         self._servers = {}
+        self.trackers = {}
 
     def __iter__(self):
         return iter(self._pools.values())
@@ -121,6 +124,8 @@
                 pool.replace_servers(self._servers.get(name, []))
             pools[name] = pool
         self._pools = pools
+        self.trackers.clear()
+        self.trackers.update((name, pool.tracker) for name, pool in pools.items())
 
     def apply_list(self, vms):
         """Take over the backend servers of a VM list."""
--- a/standins/backend.py
+++ b/standins/backend.py
@@ -1,7 +1,7 @@
 """Backend server test double: slots, shedding, draining and gray faults on command.
 
-One process serves several backend servers, each on its own port. `POST /_control` sets a
-server's faults; `GET /_executions` returns what it ran.
+One process serves several backend servers, each on its own port. `POST /_control` sets
+a server's faults; `GET /_executions` returns what it ran.
 """
 
 import argparse
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -1,4 +1,4 @@
-"""Configuration service test double: read and watch, counted, stale or down on command."""
+"""Configuration service test double: read, watch, counted calls, stale or down."""
 
 import argparse
 import json
@@ -19,8 +19,8 @@
 
     `GET /v1/values/NAME` returns a value with its `X-Revision`. With `?after=REVISION&
     wait=SECONDS` the call waits for another revision and returns 304 if none comes.
-    `PUT /_control/values/NAME` publishes; `POST /_control` sets `down`, or `stale`, which
-    freezes the values that readers see; `GET /_control` returns the call counts.
+    `PUT /_control/values/NAME` publishes; `POST /_control` sets `down`, or `stale`,
+    which freezes the values that readers see; `GET /_control` returns call counts.
     """
 
     def __init__(self):
