--- a/src/lavendermast/exceptions.py
+++ b/src/lavendermast/exceptions.py
@@ -34,7 +34,19 @@
 
 
 class TokenError(LavendermastError):
-    """An idempotency token is malformed, forged or expired."""
+    """An idempotency token was not accepted."""
+
+
+class ForgedTokenError(TokenError):
+    """A token is malformed or forged, so no VM ever accepted it."""
+
+
+class UnknownKeyError(TokenError):
+    """A token was made under a key or format not known here; it may have been used."""
+
+
+class LedgerError(LavendermastError):
+    """A handover of the ledger breaks the rule of one successor."""
 
 
 class RequestError(LavendermastError):
--- a/src/lavendermast/messages_model.py
+++ b/src/lavendermast/messages_model.py
@@ -406,12 +406,18 @@
 
     boot_id: int = 0
     entries: tuple[LedgerEntry, ...] = ()
+    successor_boot_id: int = 0
+    refused_until: int = 0
+    forgotten_until: int = 0
 
     def to_dict(self):
         """Return the fields as pycapnp accepts them."""
         return {
             "bootId": self.boot_id,
             "entries": [item.to_dict() for item in self.entries],
+            "successorBootId": self.successor_boot_id,
+            "refusedUntil": self.refused_until,
+            "forgottenUntil": self.forgotten_until,
         }
 
     @classmethod
@@ -420,6 +426,9 @@
         return cls(
             boot_id=reader.bootId,
             entries=tuple(LedgerEntry.from_reader(item) for item in reader.entries),
+            successor_boot_id=reader.successorBootId,
+            refused_until=reader.refusedUntil,
+            forgotten_until=reader.forgottenUntil,
         )
 
 
--- a/src/lavendermast/schema/messages.capnp
+++ b/src/lavendermast/schema/messages.capnp
@@ -117,9 +117,14 @@
   requestDigest @6 :Data;
 }
 
+# A key that is not in entries did not run when its accept-until is at most refusedUntil,
+# and may have run when it is at most forgottenUntil.
 struct Handover {
   bootId @0 :UInt64;
   entries @1 :List(LedgerEntry);
+  successorBootId @2 :UInt64;
+  refusedUntil @3 :UInt64;
+  forgottenUntil @4 :UInt64;
 }
 
 struct HandoverReply {
