--- a/src/lavendermast/detector.py
+++ b/src/lavendermast/detector.py
@@ -63,6 +63,7 @@
         self._quiet_until = now
         self._next_period = now + random.uniform(0, PERIOD_S)
         self._next_contact = now + random.uniform(0, CONTACT_INTERVAL_S)
+        self.on_ack = []
         self.pauses = PauseDetector(clock, TICK_S, record_event)
         self.pauses.on_pause.append(self._resume)
         gossip.on_claims = self._add_claims
@@ -123,12 +124,16 @@
         piggyback = self._gossip.make_piggyback(target.vm, extra)
         self._transport.send(target.peer_address, Ping(sequence, piggyback))
 
+    def contact(self, address):
+        """Ping a VM that may not know this one."""
+        piggyback = self._gossip.make_piggyback(introduce=True)
+        self._transport.send(address, Ping(self._next_sequence(), piggyback))
+
     def _contact_lost(self):
         """Ping one listed VM that is no live member, so that partitions heal."""
         address = self._membership.pick_lost()
         if address:
-            piggyback = self._gossip.make_piggyback(introduce=True)
-            self._transport.send(address, Ping(self._next_sequence(), piggyback))
+            self.contact(address)
 
     def _expire_checks(self, now):
         due = [key for key, check in self._checks.items() if check.deadline <= now]
@@ -166,7 +171,8 @@
     def _handle_ping(self, envelope, address):
         ping = envelope.body
         self._gossip.receive(envelope, address, ping.piggyback)
-        introduce = self._membership.get_member(envelope.sender) is None
+        sender = self._membership.get_member(envelope.sender)
+        introduce = sender is None or sender.state == "starting"
         piggyback = self._gossip.make_piggyback(envelope.sender, introduce=introduce)
         ack = Ack(ping.sequence, self._membership.own.vm, piggyback)
         self._transport.send(address, ack)
@@ -184,6 +190,9 @@
     def _handle_ack(self, envelope, address):
         ack = envelope.body
         self._gossip.receive(envelope, address, ack.piggyback)
+        if envelope.sender == ack.target:
+            for callback in self.on_ack:
+                callback(envelope.sender, ack.piggyback.versions)
         relay = self._relays.get(ack.sequence)
         if relay is not None and relay.target == envelope.sender:
             del self._relays[ack.sequence]
--- /dev/null
+++ b/src/lavendermast/documents.py
@@ -0,0 +1,244 @@
+"""Versioned documents: one total order, deltas, verified content."""
+
+import collections
+import enum
+import hashlib
+
+import attrs
+import zstandard
+
+from lavendermast.exceptions import MessageError
+from lavendermast.messages_model import Document, DocumentVersion
+
+#: Values kept of each document, the current one included; a VM that missed two
+#: changes still receives a delta.
+KEPT_VALUES = 4
+#: The store's values are at most 1 MB; a corrupted frame must not claim more memory.
+MAX_VALUE_BYTES = 2 * 1024 * 1024
+MAX_REMEMBERED = 64
+MAX_CACHED_REPLIES = 4
+COMPRESSION_LEVEL = 3
+#: The window must hold the old value as well as the new one.
+WINDOW_LOG = 22
+
+
+class OfferResult(enum.StrEnum):
+    """What became of an offered value."""
+
+    ACCEPTED = "accepted"
+    OLDER = "older"
+    SAME = "same"
+    CONFLICT = "conflict"
+    REJECTED = "rejected"
+
+
+@attrs.frozen
+class StoredValue:
+    """One version of a document."""
+
+    name: str
+    version: int
+    digest: bytes
+    content: bytes
+
+
+def compute_digest(content):
+    """Return the digest by which a value is verified."""
+    return hashlib.sha256(content).digest()
+
+
+def compress(content, base=b""):
+    """
+    Return content compressed, with an older value as dictionary if there is one.
+
+    >>> old = b"route-1 /stock " * 100
+    >>> expand(compress(old + b"!", old), old) == old + b"!"
+    True
+    """
+    parameters = zstandard.ZstdCompressionParameters.from_level(
+        COMPRESSION_LEVEL, window_log=WINDOW_LOG, enable_ldm=bool(base)
+    )
+    compressor = zstandard.ZstdCompressor(
+        compression_params=parameters, dict_data=_make_dictionary(base)
+    )
+    return compressor.compress(content)
+
+
+def expand(data, base=b""):
+    """
+    Return what :func:`compress` was given.
+
+    :raises MessageError: when the data are damaged or claim too large a value.
+    """
+    try:
+        size = zstandard.frame_content_size(data)
+        if not 0 <= size <= MAX_VALUE_BYTES:
+            raise MessageError("document_too_large", f"{size} bytes")
+        decompressor = zstandard.ZstdDecompressor(dict_data=_make_dictionary(base))
+        return decompressor.decompress(data)
+    except zstandard.ZstdError as error:
+        raise MessageError("damaged_document", str(error)) from error
+
+
+def _make_dictionary(base):
+    if not base:
+        return None
+    raw = zstandard.DICT_TYPE_RAWCONTENT
+    return zstandard.ZstdCompressionDict(base, dict_type=raw)
+
+
+class DocumentStore:
+    """
+    The documents in force on one VM.
+
+    :param record_event: called as ``record_event(event, **fields)``.
+    :param validate: called as ``validate(name, content)``; returns findings.
+    """
+
+    def __init__(self, clock, record_event, validate):
+        self._clock = clock
+        self._record_event = record_event
+        self._validate = validate
+        self._history = {}
+        self._refused = collections.OrderedDict()
+        self._alarms = collections.OrderedDict()
+        self._replies = collections.OrderedDict()
+        self.accepted_at = {}
+        self.on_accept = []
+
+    def get(self, name):
+        """Return the :class:`StoredValue` in force, or ``None``."""
+        history = self._history.get(name)
+        return history[-1] if history else None
+
+    def get_versions(self):
+        """Return the versions in force, as they are announced."""
+        values = [history[-1] for _, history in sorted(self._history.items())]
+        return tuple(DocumentVersion(v.name, v.version, v.digest) for v in values)
+
+    def offer(self, name, version, content, source):
+        """
+        Put a value in force if it is valid and newer than the current one.
+
+        :return: an :class:`OfferResult`.
+        """
+        value = StoredValue(name, version, compute_digest(content), bytes(content))
+        result = self._compare(value, source)
+        if result is not None:
+            return result
+        findings = self._find_faults(name, content)
+        if findings:
+            self._remember(self._refused, (name, version, value.digest))
+            text = "; ".join(str(finding) for finding in findings)
+            self._record("config_rejected", value, source, findings=text)
+            return OfferResult.REJECTED
+        self._put_in_force(value, source)
+        return OfferResult.ACCEPTED
+
+    def is_wanted(self, announced, source):
+        """
+        Return whether an announced version must be fetched.
+
+        An alarm is raised if it contradicts the value in force.
+        """
+        if not announced.name or not announced.version:
+            return False
+        return self._compare(announced, source) is None
+
+    def make_request(self, name):
+        """Return the name, version and digest in force as a pair for a fetch."""
+        value = self.get(name)
+        return (value.version, value.digest) if value else (0, b"")
+
+    def make_reply(self, request):
+        """
+        Return the value in force for a ``FetchDocument``.
+
+        It is a delta if the requester's value is known here; version 0 means none.
+        """
+        value = self.get(request.name)
+        if value is None:
+            return Document(name=request.name)
+        base = self._find_base(request.name, request.have_digest)
+        key = (value.digest, base.digest if base else b"")
+        data = self._replies.get(key)
+        if data is None:
+            data = compress(value.content, base.content if base else b"")
+            self._remember(self._replies, key, data, MAX_CACHED_REPLIES)
+        return Document(value.name, value.version, value.digest, key[1], data)
+
+    def apply(self, document, source="peer"):
+        """
+        Verify a received document and offer its content.
+
+        :return: an :class:`OfferResult`.
+        :raises MessageError: when the content cannot be verified; nothing changed.
+        """
+        result = self._compare(document, source)
+        if result is not None:
+            return result
+        base = self._find_base(document.name, document.base_digest)
+        if document.base_digest and base is None:
+            raise MessageError("unknown_base", document.name)
+        content = expand(document.content, base.content if base else b"")
+        if compute_digest(content) != document.digest:
+            raise MessageError("wrong_digest", document.name)
+        return self.offer(document.name, document.version, content, source)
+
+    def _compare(self, value, source):
+        """Return the result for a value that is not put in force, else ``None``."""
+        current = self.get(value.name)
+        if current is not None and value.version < current.version:
+            return OfferResult.OLDER
+        if current is not None and value.version == current.version:
+            if value.digest == current.digest:
+                return OfferResult.SAME
+            self._raise_alarm(value, source)
+            return OfferResult.CONFLICT
+        if (value.name, value.version, value.digest) in self._refused:
+            return OfferResult.REJECTED
+        return None
+
+    def _find_faults(self, name, content):
+        try:
+            return self._validate(name, content)
+        except Exception as error:  # A value that breaks the check is not put in force.
+            return [f"{type(error).__name__}: {error}"]
+
+    def _put_in_force(self, value, source):
+        history = self._history.setdefault(
+            value.name, collections.deque(maxlen=KEPT_VALUES)
+        )
+        history.append(value)
+        self.accepted_at[value.name] = self._clock.monotonic()
+        self._record("config_accepted", value, source)
+        for callback in self.on_accept:
+            callback(value)
+
+    def _raise_alarm(self, value, source):
+        key = (value.name, value.version, value.digest)
+        if key not in self._alarms:
+            self._remember(self._alarms, key)
+            self._record("config_conflict", value, source, findings="other digest")
+
+    def _find_base(self, name, digest):
+        for value in self._history.get(name, ()):
+            if digest and value.digest == digest:
+                return value
+        return None
+
+    def _record(self, event, value, source, **fields):
+        self._record_event(
+            event,
+            document=value.name,
+            version=value.version,
+            digest=value.digest.hex()[:16],
+            source=source,
+            **fields,
+        )
+
+    @staticmethod
+    def _remember(mapping, key, item=True, limit=MAX_REMEMBERED):
+        mapping[key] = item
+        while len(mapping) > limit:
+            mapping.popitem(last=False)
--- a/src/lavendermast/lifecycle.py
+++ b/src/lavendermast/lifecycle.py
@@ -1,7 +1,13 @@
 """Start rule and pause detection of one process."""
 
+import attrs
+
 #: A timer that is late by more than this shows that the process was paused.
 PAUSE_S = 2.0
+#: Peers that must respond before a starting VM serves.
+START_PEERS = 3
+#: Peers pinged at once by a starting VM; more would be a burst at a restart of all.
+MAX_CONTACTS = 8
 
 
 class PauseDetector:
@@ -32,3 +38,102 @@
             for callback in self.on_pause:
                 callback(late)
         return late
+
+
+@attrs.frozen
+class StartDecision:
+    """Whether a starting VM may serve, and why."""
+
+    ready: bool
+    reason: str
+
+
+class Starter:
+    """
+    Decides when a starting VM may serve, by the start rule of docs/design.md.
+
+    :param store: the :class:`~lavendermast.documents.DocumentStore`.
+    """
+
+    def __init__(self, membership, gossip, detector, store, transport, random):
+        self._membership = membership
+        self._gossip = gossip
+        self._detector = detector
+        self._store = store
+        self._transport = transport
+        self._random = random
+        self._listed = None
+        self._store_read = False
+        self._responses = {}
+        detector.on_ack.append(self.note_response)
+
+    def set_listed(self, peers):
+        """
+        Replace the listed peers.
+
+        :param peers: mapping of VM name to (peer address, zone).
+        """
+        own = self._membership.own.vm
+        self._listed = {vm: peer for vm, peer in peers.items() if vm != own}
+        self._membership.set_listed({vm: peer[0] for vm, peer in self._listed.items()})
+
+    def note_store(self):
+        """Note that the store responded and its values were offered."""
+        self._store_read = True
+
+    def note_response(self, vm, versions):
+        """Note that a peer responded with its document versions."""
+        self._responses[vm] = versions
+
+    def contact_peers(self):
+        """Ping peers that have not responded; call it every 0.5 s until ready."""
+        missing = [
+            address
+            for vm, (address, _) in (self._listed or {}).items()
+            if vm not in self._responses
+        ]
+        missing += [seed for seed in self._membership.seeds if seed not in missing]
+        self._random.shuffle(missing)
+        for address in missing[:MAX_CONTACTS]:
+            self._detector.contact(address)
+        if missing and self._membership.size == 1:
+            self._transport.spawn(self._gossip.sync, missing[0])
+
+    def evaluate(self):
+        """Return a :class:`StartDecision` from what is known now."""
+        if not self._listed and not self._membership.seeds:
+            return self._evaluate_alone()
+        members = [self._membership.get_member(vm) for vm in self._responses]
+        members = [member for member in members if member is not None]
+        needed = min(START_PEERS, self._count_listed())
+        if len(members) < needed:
+            return StartDecision(False, f"responses {len(members)} of {needed}")
+        if len(self._get_listed_zones()) > 1 and len({m.zone for m in members}) < 2:
+            return StartDecision(False, "responses from one zone")
+        for vm, versions in self._responses.items():
+            if any(self._store.is_wanted(version, vm) for version in versions):
+                return StartDecision(False, f"newer version at {vm}")
+        if all(member.state == "starting" for member in members):
+            return self._evaluate_store("all peers starting")
+        return self._decide("version of peers")
+
+    def _evaluate_alone(self):
+        if self._listed is None:
+            return StartDecision(False, "no VM list")
+        return self._evaluate_store("no peer listed")
+
+    def _evaluate_store(self, reason):
+        if not self._store_read:
+            return StartDecision(False, f"{reason}, store not read")
+        return self._decide(f"{reason}, version of store")
+
+    def _decide(self, reason):
+        if self._store.get("config") is None:
+            return StartDecision(False, "no config")
+        return StartDecision(True, reason)
+
+    def _count_listed(self):
+        return len(self._listed or self._membership.seeds)
+
+    def _get_listed_zones(self):
+        return {zone for _, zone in (self._listed or {}).values()}
--- a/src/lavendermast/membership.py
+++ b/src/lavendermast/membership.py
@@ -39,7 +39,7 @@
         self.on_replaced = []
         self.changed_at = clock.monotonic()
         self._record_event = record_event
-        self._seeds = tuple(seeds)
+        self.seeds = tuple(seed for seed in seeds if seed != own.peer_address)
         self._listed = {}
 
     @classmethod
@@ -131,7 +131,7 @@
 
     def pick_lost(self):
         """Return the address of a listed VM or seed that is no live member."""
-        addresses = [*self._listed.values(), *self._seeds]
+        addresses = [*self._listed.values(), *self.seeds]
         lost = [address for address in addresses if not self._is_live(address)]
         return self._random.choice(lost) if lost else None
 
@@ -151,7 +151,7 @@
             return None
         if member is not None:
             return "unknown_boot"
-        if sender in self._listed or address in self._seeds:
+        if sender in self._listed or address in self.seeds:
             return None
         return "unknown_sender"
 
--- a/tests/memory_network.py
+++ b/tests/memory_network.py
@@ -4,15 +4,12 @@
 import itertools
 import random
 
-import attrs
-
 from lavendermast.clock import ManualClock
-from lavendermast.detector import TICK_S, FailureDetector
+from lavendermast.coordination import Coordination
+from lavendermast.detector import TICK_S
 from lavendermast.exceptions import PeerError
-from lavendermast.gossip import Gossip
-from lavendermast.membership import Membership
-from lavendermast.messages_model import MemberUpdate
 from lavendermast.peers import PeerTransport
+from lavendermast.settings_model import ProcessSettings
 
 REGIONS = ("riga", "kurzeme", "latgale")
 
@@ -25,24 +22,23 @@
         self.address, self.fleet = address, fleet
 
     def send(self, address, body):
-        self.counts.messages["sent"] += 1
-        frame = self.fleet.encode(self, body)
-        if self.fleet.blocks(self.address, address) or self.fleet.lose():
+        fleet = self.fleet
+        frame = self.make_envelope(body, fleet.clock)
+        if fleet.codec is not None:
+            frame = fleet.codec.encode(frame)
+        self.counts.add("sent", body, len(frame) if fleet.codec else 0)
+        if fleet.blocks(self.address, address) or fleet.random.random() < fleet.loss:
             return
-        for _ in range(1 + self.fleet.double()):
-            delay = self.fleet.get_delay(self.address, address)
-            self.fleet.schedule(
-                delay, address, self.fleet.deliver, frame, self, address
-            )
+        for _ in range(1 + (fleet.random.random() < fleet.doubled)):
+            delay = fleet.get_delay(self.address, address)
+            fleet.schedule(delay, address, fleet.deliver, frame, self.address, address)
 
     def request(self, address, body, deadline):
-        peer = self.fleet.transports.get(address)
-        lost = self.fleet.blocks(self.address, address)
-        if peer is None or lost or self.fleet.blocks(address, self.address):
-            raise PeerError("blocked")
-        if address in self.fleet.paused:
-            raise PeerError("paused")
-        reply = peer.dispatch(self.make_envelope(body, self.fleet.clock), self.address)
+        peer, fleet = self.fleet.transports.get(address), self.fleet
+        cut = fleet.blocks(self.address, address) or fleet.blocks(address, self.address)
+        if peer is None or cut or address in fleet.paused:
+            raise PeerError("not reachable")
+        reply = peer.dispatch(self.make_envelope(body, fleet.clock), self.address)
         if reply is None:
             raise PeerError("no reply")
         return reply
@@ -52,15 +48,15 @@
 
 
 class Fleet:
-    """Members ``vm-0`` to ``vm-<n-1>`` in six zones of three regions."""
+    """VMs ``vm-0`` to ``vm-<n-1>`` in six zones of three regions, started together."""
 
     def __init__(self, size, seed=1, codec=None, loss=0.0, doubled=0.0):
         self.random = random.Random(seed)
         self.clock, self.codec = ManualClock(), codec
         self.loss, self.doubled = loss, doubled
         self.block_rules, self.paused, self.transports = [], {}, {}
-        self.members, self.gossips, self.detectors, self.events = {}, {}, {}, []
-        self._queue, self._order = [], itertools.count()
+        self.vms, self.events, self._queue = {}, [], []
+        self._order = itertools.count()
         for index in range(size):
             self.start(index)
         updates = [m.set_own_state("alive") for m in self.members.values()]
@@ -69,80 +65,59 @@
             membership.set_listed({u.vm: u.peer_address for u in updates})
         self.events.clear()
 
+    @property
+    def members(self):
+        return {vm: coordination.membership for vm, coordination in self.vms.items()}
+
     def start(self, index, vm=None):
         vm, region = vm or f"vm-{index}", REGIONS[index % 3]
-        own = MemberUpdate(vm, self.random.getrandbits(64), self.clock.get_unix_ms())
-        own = attrs.evolve(own, state="starting", region=region)
-        own = attrs.evolve(own, zone=f"{region}-{index // 3 % 2}")
-        own = attrs.evolve(own, peer_address=f"10.0.0.{index}:7000")
-        seeded = random.Random(self.random.getrandbits(64))
-        transport = MemoryTransport(vm, own.peer_address, self)
-        self.transports[own.peer_address] = transport
+        place = (region, f"{region}-{index // 3 % 2}", "site")
+        address = f"10.0.0.{index}:7000"
+        settings = ProcessSettings(vm, *place, address, address, "", "", (), (), "-")
+        transport = self.transports[address] = MemoryTransport(vm, address, self)
 
         def record(event, **fields):
             self.events.append((self.clock.monotonic(), vm, event, fields))
 
-        parts = (self.clock, seeded)
-        membership = Membership(own, *parts, record)
-        gossip = Gossip(membership, transport, *parts)
-        detector = FailureDetector(membership, gossip, transport, *parts, record)
-        self.members[vm], self.gossips[vm] = membership, gossip
-        self.detectors[vm] = detector
-        self.schedule(seeded.uniform(0, TICK_S), own.peer_address, self.tick, transport)
-        return membership
-
-    def tick(self, transport):
+        seeded = random.Random(self.random.getrandbits(64))
+        self.vms[vm] = Coordination.from_settings(
+            settings, transport, self.clock, seeded, record, lambda *args: ()
+        )
+        delay = seeded.uniform(0, TICK_S)
+        self.schedule(delay, address, self.tick, self.vms[vm], transport)
+        return self.vms[vm]
+
+    def tick(self, coordination, transport):
         if self.transports.get(transport.address) is transport:
-            self.detectors[transport.vm].advance()
-            self.schedule(TICK_S, transport.address, self.tick, transport)
+            coordination.detector.advance()
+            self.schedule(TICK_S, transport.address, self.tick, coordination, transport)
 
-    def deliver(self, frame, sender, address):
-        receiver = self.transports.get(address)
-        if receiver is not None:
+    def deliver(self, frame, source, address):
+        if address in self.transports:
             envelope = self.codec.decode(frame) if self.codec else frame
-            receiver.counts.messages["received"] += 1
-            receiver.dispatch(envelope, sender.address)
-
-    def encode(self, transport, body):
-        envelope = transport.make_envelope(body, self.clock)
-        if self.codec is None:
-            return envelope
-        frame = self.codec.encode(envelope)
-        transport.counts.bytes["sent"] += len(frame)
-        return frame
-
-    def get_delay(self, source, target):
-        near = int(source.split(":")[0].split(".")[3]) % 3
-        far = near != int(target.split(":")[0].split(".")[3]) % 3
-        return self.random.uniform(0.8, 1.2) * (0.02 if far else 0.001)
+            self.transports[address].dispatch(envelope, source)
+
+    def get_delay(self, *path):
+        regions = {int(address.split(":")[0].split(".")[3]) % 3 for address in path}
+        return self.random.uniform(0.8, 1.2) * (0.02 if len(regions) == 2 else 0.001)
 
     def blocks(self, source, target):
         return any(rule(source, target) for rule in self.block_rules)
 
-    def lose(self):
-        return self.random.random() < self.loss
-
-    def double(self):
-        return self.random.random() < self.doubled
-
-    def schedule(self, delay, address, function, *args):
+    def schedule(self, delay, address, *call):
         at = self.clock.monotonic() + delay
-        entry = (at, next(self._order), address, function, args)
-        heapq.heappush(self._queue, entry)
+        heapq.heappush(self._queue, (at, next(self._order), address, call))
 
     def pause(self, vm):
         self.paused[self.members[vm].own.peer_address] = []
 
     def resume(self, vm):
-        for _, _, address, function, args in self.paused.pop(self.get_address(vm)):
-            self.schedule(0, address, function, *args)
-
-    def get_address(self, vm):
-        return self.members[vm].own.peer_address
+        for _, _, address, call in self.paused.pop(self.members[vm].own.peer_address):
+            self.schedule(0, address, *call)
 
     def kill(self, vm):
-        self.transports.pop(self.get_address(vm))
-        return self.members.pop(vm)
+        self.transports.pop(self.members[vm].own.peer_address)
+        return self.vms.pop(vm).membership
 
     def run(self, seconds):
         end = self.clock.monotonic() + seconds
@@ -152,5 +127,5 @@
             if entry[2] in self.paused:
                 self.paused[entry[2]].append(entry)
             else:
-                entry[3](*entry[4])
+                entry[3][0](*entry[3][1:])
         self.clock.advance(end - self.clock.monotonic())
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -1,7 +1,11 @@
 """Failure detection of a fleet of 44 under crashes, partitions, pauses and loss."""
 
+import attrs
 import pytest
 
+from lavendermast.codec import Envelope
+from lavendermast.members import MAX_DEAD, STATE_RANKS
+from lavendermast.messages_model import MemberUpdate, Piggyback, Ping
 from tests.memory_network import Fleet
 
 SIZE = 44
@@ -25,6 +29,13 @@
     return int(address.split(":")[0].split(".")[3])
 
 
+def join(fleet, index, vm=None):
+    coordination = fleet.start(index, vm)
+    coordination.gossip.sync(fleet.members["vm-1"].own.peer_address)
+    coordination.set_state("alive")
+    return coordination.membership
+
+
 def test_quiet_fleet_marks_nobody():
     fleet = Fleet(SIZE)
     fleet.run(30)
@@ -40,3 +51,148 @@
     assert get_states(fleet, "vm-7") <= {"suspect", "dead"}
     fleet.run(8)
     assert get_states(fleet, "vm-7") == {"dead"}
+
+
+def test_one_way_partition_between_two_vms_marks_nobody():
+    """Guards against trusting one path: helpers in other zones reach the target."""
+    fleet = Fleet(SIZE)
+    monitor = fleet.members["vm-3"]
+    target = monitor.get_successors()[0]
+    pair = (monitor.own.peer_address, target.peer_address)
+    for rule in (pair, pair[::-1]):
+        fleet.block_rules[:] = [lambda *path, rule=rule: path == rule]
+        fleet.run(20)
+        assert not find_marks(fleet)
+
+
+def test_one_way_partition_between_two_zones_marks_nobody():
+    """Guards the choice of helpers: those in the two zones fail alike."""
+    fleet = Fleet(SIZE)
+    fleet.block_rules.append(
+        lambda a, b: index_of(a) % 6 == 0 and index_of(b) % 6 == 1  # riga-0, kurzeme-0
+    )
+    fleet.run(40)
+    assert not find_marks(fleet)
+
+
+@pytest.mark.parametrize("seconds", [0.3, 0.7, 1.2, 1.9, 2.2, 5, 30])
+def test_paused_vm_suspects_nobody_and_rejoins(seconds):
+    """Guards against late timers that count queued acks as missing."""
+    fleet = Fleet(SIZE)
+    fleet.run(3)
+    fleet.pause("vm-5")
+    fleet.run(seconds)
+    fleet.resume("vm-5")
+    fleet.run(12)
+    assert {e[3]["member"] for e in find_marks(fleet)} <= {"vm-5"}
+    assert_all_alive(fleet)
+
+
+def test_replaced_vm_takes_the_place_of_the_old_boot():
+    """Guards against late updates about a boot that no longer exists."""
+    fleet = Fleet(SIZE)
+    fleet.run(2)
+    old = fleet.kill("vm-9")
+    fleet.run(1)
+    new = join(fleet, 9)
+    fleet.run(3)
+    late = attrs.evolve(old.own, incarnation=9, state="dead")
+    for membership in fleet.members.values():
+        membership.merge([late])
+        assert membership.get_member("vm-9").boot_id == new.own.boot_id
+    assert_all_alive(fleet)
+
+
+def test_new_name_at_the_same_address_replaces_the_old_vm():
+    fleet = Fleet(SIZE)
+    fleet.run(2)
+    fleet.kill("vm-9")
+    join(fleet, 9, "vm-new")
+    fleet.run(3)
+    assert fleet.members["vm-new"].get_member("vm-9") is None
+    assert get_states(fleet, "vm-new") == {"alive"}
+    fleet.vms.pop("vm-new")
+    assert get_states(fleet, "vm-9") == {"dead"}
+
+
+def test_newer_boot_with_a_slower_clock_is_not_ignored():
+    """Guards against a replacement on a host whose clock is behind the old one's."""
+    fleet = Fleet(8)
+    fleet.run(2)
+    old = fleet.kill("vm-2")
+    fleet.clock._epoch -= 60
+    new = join(fleet, 2)
+    assert new.own.boot_time > old.own.boot_time
+    fleet.run(5)
+    assert_all_alive(fleet)
+
+
+@pytest.mark.parametrize("seconds", [4, 15])
+def test_parts_of_a_partition_merge_after_healing(seconds):
+    fleet = Fleet(SIZE)
+    fleet.run(2)
+    fleet.block_rules.append(lambda a, b: index_of(a) % 3 != index_of(b) % 3)
+    fleet.run(seconds)
+    fleet.block_rules.clear()
+    fleet.run(20)
+    assert_all_alive(fleet)
+
+
+def test_healing_makes_no_live_vm_suspect_that_was_not():
+    """Guards the merge of tables: each part holds the other one dead."""
+    fleet = Fleet(SIZE)
+    fleet.run(2)
+    fleet.block_rules.append(lambda a, b: index_of(a) % 3 != index_of(b) % 3)
+    fleet.run(15)
+    assert {m.size for m in fleet.members.values()} == {14, 15}
+    fleet.block_rules.clear()
+    fleet.events.clear()
+    fleet.run(20)
+    assert not find_marks(fleet)
+
+
+def test_leaving_vm_is_gone_without_suspicion():
+    fleet = Fleet(SIZE)
+    fleet.run(2)
+    fleet.vms["vm-4"].set_state("leaving")
+    fleet.run(10)
+    assert get_states(fleet, "vm-4") == {"leaving"}
+    fleet.kill("vm-4")
+    fleet.run(10)
+    assert get_states(fleet, "vm-4") == {"dead"}
+    assert not find_marks(fleet, ("suspect",))
+
+
+def test_memory_of_dead_members_is_bounded():
+    membership = Fleet(2).members["vm-0"]
+    for index in range(2 * MAX_DEAD):
+        update = MemberUpdate(f"x{index}", index + 1, 5, 0, "alive")
+        update = attrs.evolve(update, peer_address=f"10.1.{index}:1")
+        membership.merge([update, attrs.evolve(update, boot_id=index + 2)])
+        membership.merge([attrs.evolve(update, boot_id=index + 3, state="dead")])
+    assert membership.get_dead_count() == MAX_DEAD
+    assert len(membership.get_members(STATE_RANKS)) == MAX_DEAD + 2
+
+
+def test_messages_of_a_vm_do_not_grow_with_the_fleet():
+    """Guards against per-member traffic: 3 successors, one neighbour, their acks."""
+    for size in (16, 64):
+        fleet = Fleet(size)
+        fleet.run(10)
+        sent = [t.counts.messages.total() for t in fleet.transports.values()]
+        assert sum(sent) <= size * 21 * 8  # 4 pings and 4 acks, 20 periods and a part
+
+
+def test_frames_of_strangers_are_dropped_and_introductions_admitted():
+    fleet = Fleet(4)
+    membership = fleet.members["vm-0"]
+    update = MemberUpdate("new", 5, 1, 0, "starting", peer_address="10.9.9.9:1")
+    ping = Ping(1)
+    stranger = Envelope("new", 5, 0, ping)
+    assert membership.find_refusal(stranger, "10.9.9.9:1") == "unknown_sender"
+    hello = Ping(1, Piggyback(updates=(update,)))
+    assert membership.find_refusal(Envelope("new", 5, 0, hello), "x:1") is None
+    assert membership.find_refusal(Envelope("new", 6, 0, hello), "x:1")
+    membership.set_listed({"new": "10.9.9.9:1"})
+    assert membership.find_refusal(stranger, "10.9.9.9:1") is None
+    assert membership.find_refusal(Envelope("vm-1", 1, 0, ping), "") == "unknown_boot"
