Join the fleet through the start rule

Cause: a starting VM took the store's configuration without asking its peers. Change: FleetAgent uses the composed coordination modules; a VM serves when the start rule is met. Before: ready on the first store read.

--- a/src/lavendermast/fleet.py
+++ b/src/lavendermast/fleet.py
@@ -6,19 +6,15 @@
 import eventlet
 
 from lavendermast.codec import FrameCodec
-from lavendermast.detector import FailureDetector
-from lavendermast.documents import DocumentStore
-from lavendermast.exceptions import PeerError
-from lavendermast.gossip import Gossip
-from lavendermast.membership import Membership
-from lavendermast.messages_model import Document, FetchDocument
+from lavendermast.coordination import Coordination
 from lavendermast.peers import PeerNetwork
 from lavendermast.settings import check_bundle
 from lavendermast.store import StoreClient, StoreReader, is_store_reader
 from lavendermast.vmlist import check_list
 
-FETCH_TIMEOUT_S = 5.0
-DOCUMENTS = {"config": "version", "vms": "revision"}
+START_INTERVAL_S = 0.5
+#: Key of the version inside each document.
+VERSION_KEYS = {"config": "version", "vms": "revision"}
 
 
 def validate_document(name, content):
@@ -28,11 +24,11 @@
     :param name: ``config`` or ``vms``.
     :param content: bytes as the configuration service holds them.
     """
-    try:
-        value = json.loads(content)
-    except ValueError as error:
-        return [f"{name} is not JSON: {error}"]
-    return check_bundle(value) if name == "config" else check_list(value)
+    if name == "config":
+        return check_bundle(content)
+    if name == "vms":
+        return check_list(json.loads(content))
+    return [f"unknown document {name}"]
 
 
 def read_version(name, content):
@@ -43,11 +39,11 @@
     3
     """
     try:
-        version = json.loads(content).get(DOCUMENTS[name])
+        version = json.loads(content).get(VERSION_KEYS[name])
     except (ValueError, AttributeError):
         return None
     valid = isinstance(version, int) and not isinstance(version, bool)
-    return version if valid and version > 0 else None
+    return version if valid and 0 < version < 2**63 else None
 
 
 class FleetAgent:
@@ -61,23 +57,24 @@
         self.settings = settings
         self._clock = clock
         self._record_event = record_event
-        self._random = random.SystemRandom()
-        tools = (clock, self._random, record_event)
-        self.membership = Membership.from_settings(settings, *tools)
         self.codec = FrameCodec.from_settings(settings)
         self.network = PeerNetwork.from_settings(settings, self.codec, clock)
         self.network.record_error = self._record_error
-        self.gossip = Gossip(self.membership, self.network, clock, self._random)
-        self.detector = FailureDetector(
-            self.membership, self.gossip, self.network, *tools
+        self._parts = Coordination.from_settings(
+            settings,
+            self.network,
+            clock,
+            random.SystemRandom(),
+            record_event,
+            validate_document,
         )
-        self.documents = DocumentStore(clock, record_event, validate_document)
+        self.membership = self._parts.membership
+        self.gossip = self._parts.gossip
+        self.detector = self._parts.detector
+        self.documents = self._parts.documents
         self.store = StoreClient.from_settings(settings)
-        self.gossip.get_versions = self.documents.get_versions
-        self.gossip.on_versions = self._consider_versions
-        self.documents.on_accept.append(self._announce_document)
-        self.network.register(FetchDocument, self._handle_fetch)
-        self._fetching = set()
+        self.ready = False
+        self.on_ready = []
         self._tasks = []
 
     def start(self):
@@ -85,13 +82,14 @@
         self._tasks = [
             eventlet.spawn(self.network.run),
             eventlet.spawn(self.detector.run),
+            eventlet.spawn(self._run_start),
         ]
-        for name in DOCUMENTS:
+        for name in VERSION_KEYS:
             reader = StoreReader(
                 name,
                 self.store,
                 lambda name=name: self._is_reader(name),
-                lambda content, name=name: self.offer(name, content, "store"),
+                lambda content, name=name: self._offer(name, content),
                 self._record_event,
             )
             self._tasks.append(eventlet.spawn(reader.run))
@@ -102,19 +100,9 @@
             task.kill()
         self.network.close()
 
-    def offer(self, name, content, source):
-        """Offer content read from the store; return the document store's result."""
-        version = read_version(name, content)
-        if version is None:
-            self._record_event(
-                "config_rejected",
-                document=name,
-                version=None,
-                source=source,
-                findings=f"no positive integer {DOCUMENTS[name]}",
-            )
-            return None
-        return self.documents.offer(name, version, content, source)
+    def set_state(self, state, continued_by=0):
+        """Change the own state and announce it at once."""
+        self._parts.set_state(state, continued_by)
 
     def get_live_members(self):
         """Return the members that may serve callers, suspects included."""
@@ -131,44 +119,54 @@
 
     def apply_list(self, vms):
         """Admit the entry VMs of a VM list as peers."""
-        listed = {vm["name"]: vm["peer_address"] for vm in vms if vm["kind"] == "entry"}
-        self.membership.set_listed(listed)
+        self._parts.starter.set_listed(
+            {
+                vm["name"]: (vm["peer_address"], vm["zone"])
+                for vm in vms
+                if vm["kind"] == "entry"
+            }
+        )
+
+    def _run_start(self):
+        """Ask peers until the start rule is met."""
+        starter = self._parts.starter
+        reported = None
+        while True:
+            decision = starter.evaluate()
+            if decision.ready:
+                break
+            if decision.reason != reported:
+                reported = decision.reason
+                self._record_event("not_ready", reason=reported)
+            starter.contact_peers()
+            self._clock.sleep(START_INTERVAL_S)
+        self.ready = True
+        self.set_state("alive")
+        for callback in self.on_ready:
+            callback(decision.reason)
 
     def _is_reader(self, name):
+        # A starting VM reads the store, since it knows no peer without the VM list.
+        if not self.ready:
+            return True
         own = self.membership.own
         return is_store_reader(name, own.vm, own.zone, self.get_live_members())
 
-    def _announce_document(self, value):
-        self.gossip.announce_versions()
-
-    def _consider_versions(self, sender, address, versions):
-        for version in versions:
-            wanted = self.documents.is_wanted(version, sender)
-            if wanted and version.name not in self._fetching:
-                self._fetching.add(version.name)
-                self.network.spawn(self._fetch, version.name, address)
-
-    def _fetch(self, name, address):
-        try:
-            self.fetch_document(name, address)
-        finally:
-            self._fetching.discard(name)
-
-    def fetch_document(self, name, address):
-        """
-        Fetch a peer's version of a document and offer it.
-
-        :raises PeerError: when the peer did not answer with the document.
-        """
-        request = FetchDocument(name, *self.documents.make_request(name))
-        deadline = self._clock.monotonic() + FETCH_TIMEOUT_S
-        reply = self.network.request(address, request, deadline)
-        if not isinstance(reply, Document):
-            raise PeerError(f"{address}: unexpected reply {type(reply).__name__}")
-        return self.documents.apply(reply)
-
-    def _handle_fetch(self, envelope, address):
-        return self.documents.make_reply(envelope.body)
+    def _offer(self, name, content):
+        if name == "config":
+            self._parts.starter.note_store()
+        version = read_version(name, content)
+        if version is not None:
+            self.documents.offer(name, version, content, "store")
+            return
+        self._record_event(
+            "config_rejected",
+            document=name,
+            version=None,
+            digest=None,
+            source="store",
+            findings=f"no positive integer {VERSION_KEYS[name]}",
+        )
 
     def _record_error(self, error):
         self._record_event("handler_failed", detail=f"{type(error).__name__}: {error}")
--- a/src/lavendermast/node.py
+++ b/src/lavendermast/node.py
@@ -70,6 +70,7 @@
         self.callers = HttpListener(settings.caller_address, self.gateway)
         self.admin = HttpListener(settings.admin_address, self._make_admin())
         self.fleet.documents.on_accept.append(self._apply_document)
+        self.fleet.on_ready.append(self._serve)
         self.fleet.membership.on_change.append(self._apply_member)
         self._tasks = []
 
@@ -163,10 +164,10 @@
         self.upstream.apply_config(config)
         self.retries.apply_config(config)
         self.pools.apply_config(config)
-        if not self.policy.ready:
-            self.policy.ready = True
-            self.fleet.membership.set_own_state("alive")
-            self.log.record("ready", config_version=bundle["version"])
+
+    def _serve(self, reason):
+        self.policy.ready = True
+        self.log.record("ready", config_version=self.policy.version, reason=reason)
 
     def _apply_member(self, update, previous):
         self.policy.invalidate_sets()
