Add ledger: each key runs at most once

Cause: repeats, late copies and handovers must never cause a second run, and a caller that was told not-run must be able to rely on it.

Change: a released key stays refused instead of becoming free again, because a late copy would make the not-run false. A full ledger and expired entries are remembered as one time mark per boot.

--- /dev/null
+++ b/src/lavendermast/ledger.py
@@ -0,0 +1,323 @@
+"""Idempotency keys seen by this process, and what became of each."""
+
+import enum
+import heapq
+
+import attrs
+
+from lavendermast.entries import Entry, EntryState, export_parts, import_entries
+from lavendermast.exceptions import LedgerError
+from lavendermast.models import Outcome
+
+#: Longest stored response body; a longer one is not replayed.
+MAX_STORED_BODY_BYTES = 65536
+#: Bound on all stored bodies and headers; a quarter of a node's 128 MB for control.
+MAX_STORED_BYTES = 32 * 1024 * 1024
+RECHECK_MS = 60_000
+
+
+class Action(enum.Enum):
+    """What the caller of :meth:`Ledger.begin` must do."""
+
+    RUN = "run"
+    JOIN = "join"
+    REPLAY = "replay"
+    REFUSE = "refuse"
+
+
+@attrs.frozen
+class Admission:
+    """
+    The decision on one submission.
+
+    :param status: HTTP status of a refusal or of the stored response.
+    """
+
+    action: Action
+    outcome: Outcome | None = None
+    reason: str = ""
+    status: int = 0
+    headers: tuple = ()
+    body: bytes = b""
+    entry: Entry | None = None
+
+
+@attrs.define
+class _Owned:
+    """
+    A boot whose keys this ledger decides on.
+
+    :param refused_until: absent keys accepted until then or earlier never run.
+    :param forgotten_until: absent keys accepted until then or earlier may have run.
+    """
+
+    refused_until: int = 0
+    forgotten_until: int = 0
+
+
+def _refuse(outcome, reason, status):
+    return Admission(Action.REFUSE, outcome, reason, status)
+
+
+class Ledger:
+    """
+    Runs each key at most once and tells repeats what became of it.
+
+    A key that did not run stays refused: a copy of the request that is still on its
+    way must not run after its caller was told ``not-run``.
+
+    :param boot_id: the process whose tokens this ledger accepts.
+    """
+
+    def __init__(self, clock, boot_id, capacity, remember_ms):
+        self._clock = clock
+        self.boot_id = boot_id
+        self._capacity = capacity
+        self._remember_ms = remember_ms
+        self._entries = {}
+        self._expiry = []
+        self._owned = {boot_id: _Owned()}
+        self._partial = {}
+        self._stored_bytes = 0
+        self._successor = None
+        self._handovers = None
+        # Wall time may step back; the ledger's time must not, or a key that was
+        # refused as too old would be accepted again.
+        self._epoch = clock.time() - clock.monotonic()
+
+    @classmethod
+    def from_config(cls, config, clock, boot_id):
+        """Return an empty ledger with the limits of an accepted configuration."""
+        limits, tokens = config.limits, config.tokens
+        return cls(clock, boot_id, limits.ledger_entries, tokens.remember_ms)
+
+    def apply_config(self, config):
+        """Use the limits of another configuration for later keys."""
+        self._capacity = config.limits.ledger_entries
+        self._remember_ms = config.tokens.remember_ms
+
+    def __len__(self):
+        return len(self._entries)
+
+    @property
+    def frozen(self):
+        """Whether the ledger was handed over."""
+        return self._successor is not None
+
+    def get_unix_ms(self):
+        """Return the ledger's time; tokens are issued by it."""
+        return int((self._epoch + self._clock.monotonic()) * 1000)
+
+    def owns(self, boot_id):
+        """Return whether keys of a boot are decided here."""
+        return boot_id in self._owned
+
+    def begin(self, key, request_digest, token):
+        """
+        Decide on one submission.
+
+        :param request_digest: digest of method, path, query and body.
+        :param token: the verified token of the key.
+        :return: an :class:`Admission`; after ``RUN`` one of ``finish``, ``release`` and
+            ``mark_unknown`` must follow, after ``JOIN`` call ``join``.
+        """
+        self.sweep()
+        entry = self._entries.get(key)
+        if entry is not None:
+            return _admit_repeat(entry, request_digest)
+        owned = self._owned.get(token.boot_id)
+        if owned is None:
+            return _refuse(Outcome.UNKNOWN, "other-boot", 504)
+        return self._admit_new(key, request_digest, token, owned)
+
+    def join(self, key, request_digest, token, deadline):
+        """
+        Wait for the request in flight with the same key.
+
+        :param deadline: monotonic time until which the waiter stays.
+        :return: the later :class:`Admission`, never ``JOIN``.
+        """
+        while True:
+            admission = self.begin(key, request_digest, token)
+            if admission.action is not Action.JOIN:
+                return admission
+            remaining = deadline - self._clock.monotonic()
+            if remaining <= 0:
+                return _refuse(Outcome.UNKNOWN, "in-flight", 504)
+            admission.entry.settled.wait(timeout=remaining)
+
+    def finish(self, key, status, headers, body):
+        """
+        Record the response of a key that ran.
+
+        :param body: the whole body, or ``None`` when it was streamed.
+        """
+        entry = self._get_running(key)
+        headers = tuple((name, value) for name, value in headers)
+        size = sum(len(name) + len(value) for name, value in headers)
+        size += len(body or b"")
+        if (
+            body is None
+            or len(body) > MAX_STORED_BODY_BYTES
+            or self._stored_bytes + size > MAX_STORED_BYTES
+        ):
+            self._settle(entry, EntryState.COMPLETED)
+            return
+        entry.status, entry.headers, entry.body = status, headers, body
+        entry.size = size
+        self._stored_bytes += size
+        self._settle(entry, EntryState.STORED)
+
+    def release(self, key):
+        """Record that a key certainly did not run; it never will."""
+        self._settle(self._get_running(key), EntryState.REFUSED)
+
+    def mark_unknown(self, key):
+        """Record that a key may have run."""
+        self._settle(self._get_running(key), EntryState.UNKNOWN)
+
+    def sweep(self):
+        """Drop settled entries whose time is over."""
+        now = self.get_unix_ms()
+        while self._expiry and self._expiry[0][0] <= now:
+            _, key = heapq.heappop(self._expiry)
+            entry = self._entries[key]
+            if entry.state is EntryState.RUNNING:
+                heapq.heappush(self._expiry, (now + RECHECK_MS, key))
+                continue
+            del self._entries[key]
+            self._stored_bytes -= entry.size
+            owned = self._owned[entry.boot_id]
+            if entry.state is not EntryState.REFUSED:
+                owned.forgotten_until = max(owned.forgotten_until, entry.accept_until)
+            owned.refused_until = max(owned.refused_until, entry.accept_until)
+
+    def freeze(self, successor_boot_id):
+        """
+        Accept no new key from now on; there is no way back.
+
+        :param successor_boot_id: the only process that may take over.
+        """
+        if self._successor not in (None, successor_boot_id):
+            raise LedgerError("the ledger has another successor")
+        self._successor = successor_boot_id
+
+    def export_handovers(self):
+        """
+        Return the messages that hand over every boot whose keys are decided here.
+
+        The successor must accept each of them before its ownership is announced.
+        """
+        if self._successor is None:
+            raise LedgerError("the ledger is not frozen")
+        # Parts of two snapshots could together miss an entry, so there is only one.
+        if self._handovers is None:
+            self._handovers = self._export()
+        return self._handovers
+
+    def _export(self):
+        self.sweep()
+        now = self.get_unix_ms()
+        return [
+            part
+            for boot_id, owned in self._owned.items()
+            for part in export_parts(
+                [item for item in self._entries.values() if item.boot_id == boot_id],
+                boot_id=boot_id,
+                successor_boot_id=self._successor,
+                # The successor's clock may be behind; it must not accept a key that
+                # was already refused here as too old.
+                refused_until=max(owned.refused_until, now - 1),
+                forgotten_until=owned.forgotten_until,
+            )
+        ]
+
+    def import_handover(self, handover):
+        """
+        Take one message of a handover; the last missing one passes ownership on.
+
+        :return: whether the message was accepted.
+        """
+        if handover.successor_boot_id != self.boot_id:
+            return False
+        if self.owns(handover.boot_id):
+            return True
+        taken = self._partial.setdefault(handover.boot_id, {})
+        entries = import_entries(handover)
+        room = self._capacity - len(self._entries)
+        if self.frozen or entries is None or handover.total > room:
+            return False
+        taken.update((entry.key, entry) for entry in entries)
+        if len(taken) == handover.total:
+            self._adopt(handover, taken.values())
+        return True
+
+    def _adopt(self, handover, entries):
+        del self._partial[handover.boot_id]
+        self._owned[handover.boot_id] = _Owned(
+            handover.refused_until, handover.forgotten_until
+        )
+        for entry in entries:
+            if self._stored_bytes + entry.size > MAX_STORED_BYTES:
+                entry.drop_response()
+            self._stored_bytes += entry.size
+            self._add(entry)
+
+    def _admit_new(self, key, digest, token, owned):
+        now = self.get_unix_ms()
+        accept_until = token.accept_until
+        if (
+            accept_until <= owned.forgotten_until
+            or now > accept_until + self._remember_ms
+        ):
+            return _refuse(Outcome.UNKNOWN, "forgotten", 504)
+        if self.frozen:
+            return _refuse(Outcome.UNKNOWN, "handed-over", 504)
+        if now > accept_until or accept_until <= owned.refused_until:
+            return _refuse(Outcome.NOT_RUN, "key-expired", 428)
+        if len(self._entries) >= self._capacity:
+            # Remembers every refused key in one number, so that a late copy of this
+            # request is still refused when there is room again.
+            owned.refused_until = accept_until
+            return _refuse(Outcome.NOT_RUN, "ledger-full", 503)
+        remember_until = accept_until + self._remember_ms
+        entry = Entry(key, token.boot_id, digest, accept_until, remember_until)
+        self._add(entry)
+        return Admission(Action.RUN, entry=entry)
+
+    def _add(self, entry):
+        self._entries[entry.key] = entry
+        heapq.heappush(self._expiry, (entry.remember_until, entry.key))
+
+    def _get_running(self, key):
+        entry = self._entries.get(key)
+        if entry is None or entry.state is not EntryState.RUNNING:
+            raise LedgerError("the key is not in flight")
+        return entry
+
+    def _settle(self, entry, state):
+        entry.state = state
+        entry.settled.send(state)
+
+
+def _admit_repeat(entry, digest):
+    if entry.digest != digest:
+        ran = entry.state is not EntryState.REFUSED
+        outcome = Outcome.UNKNOWN if ran else Outcome.NOT_RUN
+        return _refuse(outcome, "key-reused", 422)
+    if entry.state is EntryState.RUNNING:
+        return Admission(Action.JOIN, entry=entry)
+    if entry.state is EntryState.STORED:
+        return Admission(
+            Action.REPLAY,
+            Outcome.ANSWERED,
+            "replayed",
+            entry.status,
+            entry.headers,
+            entry.body,
+        )
+    if entry.state is EntryState.COMPLETED:
+        return _refuse(Outcome.UNKNOWN, "completed-before", 504)
+    if entry.state is EntryState.UNKNOWN:
+        return _refuse(Outcome.UNKNOWN, "may-have-run", 504)
+    return _refuse(Outcome.NOT_RUN, "refused-before", 503)
--- a/src/lavendermast/messages_model.py
+++ b/src/lavendermast/messages_model.py
@@ -409,6 +409,7 @@
     successor_boot_id: int = 0
     refused_until: int = 0
     forgotten_until: int = 0
+    total: int = 0
 
     def to_dict(self):
         """Return the fields as pycapnp accepts them."""
@@ -418,6 +419,7 @@
             "successorBootId": self.successor_boot_id,
             "refusedUntil": self.refused_until,
             "forgottenUntil": self.forgotten_until,
+            "total": self.total,
         }
 
     @classmethod
@@ -429,6 +431,7 @@
             successor_boot_id=reader.successorBootId,
             refused_until=reader.refusedUntil,
             forgotten_until=reader.forgottenUntil,
+            total=reader.total,
         )
 
 
--- a/src/lavendermast/schema/messages.capnp
+++ b/src/lavendermast/schema/messages.capnp
@@ -125,6 +125,8 @@
   successorBootId @2 :UInt64;
   refusedUntil @3 :UInt64;
   forgottenUntil @4 :UInt64;
+  # Number of entries in all messages for this boot; one message holds a part of them.
+  total @5 :UInt32;
 }
 
 struct HandoverReply {
