--- /dev/null
+++ b/src/lavendermast/forwarding.py
@@ -0,0 +1,116 @@
+"""Forwards a keyed request to the VM that owns its token."""
+
+import attrs
+
+from lavendermast.exceptions import RequestError
+from lavendermast.framing import remove_hop_headers
+from lavendermast.models import Outcome, Server
+from lavendermast.upstream import Upstream, add_length
+
+FORWARDED_HEADER = "Lavendermast-Forwarded"
+_OUTCOMES = {outcome.value: outcome for outcome in Outcome}
+_REPLACED = frozenset(
+    {
+        "host",
+        "content-length",
+        "expect",
+        "lavendermast-forwarded",
+        "lavendermast-key",
+        "lavendermast-deadline",
+        "lavendermast-request",
+    }
+)
+
+
+@attrs.define
+class Reply:
+    """
+    What the caller of a keyed request is told.
+
+    :param stream: a long body, or ``None``.
+    """
+
+    outcome: Outcome
+    reason: str
+    status: int
+    headers: list = attrs.Factory(list)
+    body: bytes = b""
+    stream: object = None
+
+
+def is_forwarded(request):
+    """Return whether another VM forwarded the request."""
+    return any(name.lower() == FORWARDED_HEADER.lower() for name, _ in request.headers)
+
+
+class Forwarder:
+    """
+    Forwards requests over one hop.
+
+    :param find_owner: function of a token that returns the caller address of the
+        process that owns it or took it over, or ``None``.
+    """
+
+    def __init__(self, upstream, find_owner):
+        self._upstream = upstream
+        self._find_owner = find_owner
+
+    @classmethod
+    def from_config(cls, config, clock, vm, find_owner):
+        """Return a forwarder for the VM of this name."""
+
+        def build_headers(request, server):
+            headers = [("Host", server.address)]
+            headers += [
+                pair
+                for pair in remove_hop_headers(request.headers)
+                if pair[0].lower() not in _REPLACED
+            ]
+            headers.append((FORWARDED_HEADER, vm))
+            headers.append(("Lavendermast-Key", request.key))
+            headers.append(("Lavendermast-Deadline", str(request.deadline_unix_ms)))
+            headers.append(("Lavendermast-Request", request.id))
+            return add_length(headers, request)
+
+        return cls(Upstream.from_config(config, clock, build_headers), find_owner)
+
+    def forward(self, request, token, deadline, cancelled=None):
+        """
+        Return the owner's reply, or an ``unknown`` one.
+
+        :param token: the verified token of the request's key.
+        :param deadline: monotonic time that bounds the hop.
+        """
+        if is_forwarded(request):
+            return Reply(Outcome.UNKNOWN, "not-owner", 504)
+        address = self._find_owner(token)
+        if address is None:
+            return Reply(Outcome.UNKNOWN, "owner-unknown", 504)
+        owner = Server(token.vm, "", "", "", address)
+        try:
+            result = self._upstream.send(request, owner, deadline, cancelled)
+        except RequestError as error:
+            # An earlier copy of the request may have reached the owner.
+            return Reply(Outcome.UNKNOWN, error.reason, error.status)
+        return read_reply(result) or Reply(
+            Outcome.UNKNOWN, f"owner-{result.status.value}".replace("_", "-"), 504
+        )
+
+
+def read_reply(result):
+    """Return the reply of a VM in an attempt's result, or ``None`` without one."""
+    fields = {name.lower(): value for name, value in result.headers}
+    outcome = _OUTCOMES.get(fields.get("lavendermast-outcome"))
+    if not result.http_status or outcome is None:
+        return None
+    headers = [
+        pair for pair in result.headers if not pair[0].lower().startswith("lavender")
+    ]
+    return Reply(
+        outcome,
+        fields.get("lavendermast-reason", ""),
+        result.http_status,
+        headers,
+        result.body,
+        result.stream,
+    )
--- a/src/lavendermast/upstream.py
+++ b/src/lavendermast/upstream.py
@@ -161,21 +161,23 @@
 
     :param buffer_bytes: longest body that is read whole.
     :param idle_limits: mapping of service to idle connections kept for one server.
+    :param build_headers: function of request and server that returns the headers sent.
 
     >>> from lavendermast.clock import SystemClock
     >>> Upstream(SystemClock(), 262144, {"stock": 7}).close_server("stock-1")
     """
 
-    def __init__(self, clock, buffer_bytes, idle_limits):
+    def __init__(self, clock, buffer_bytes, idle_limits, build_headers=None):
         self._clock = clock
         self._buffer_bytes = buffer_bytes
         self._idle_limits = dict(idle_limits)
+        self._build_headers = build_headers or build_server_headers
         self._idle = collections.defaultdict(collections.deque)
 
     @classmethod
-    def from_config(cls, config, clock):
+    def from_config(cls, config, clock, build_headers=None):
         """Return an upstream with the limits of an accepted configuration."""
-        upstream = cls(clock, 0, {})
+        upstream = cls(clock, 0, {}, build_headers)
         upstream.apply_config(config)
         return upstream
 
@@ -231,7 +233,7 @@
 
     def _exchange(self, attempt, request):
         target = f"{request.path}?{request.query}" if request.query else request.path
-        headers = _build_headers(request, attempt.server)
+        headers = self._build_headers(request, attempt.server)
         repeatable = request.method in _REPEATABLE_METHODS and not request.key
         while True:
             reused = self._take_connection(attempt, repeatable)
@@ -309,7 +311,8 @@
         attempt.connection.close()
 
 
-def _build_headers(request, server):
+def build_server_headers(request, server):
+    """Return the headers of a request to a backend server."""
     headers = [("Host", server.address)]
     for name, value in remove_hop_headers(request.headers):
         lowered = name.lower()
@@ -322,6 +325,11 @@
     headers.append(("X-Request-Id", request.id))
     if request.key:
         headers.append(("Idempotency-Key", request.key))
+    return add_length(headers, request)
+
+
+def add_length(headers, request):
+    """Append the length of a request's body where the method calls for one."""
     if request.body or request.method not in _REPEATABLE_METHODS:
         headers.append(("Content-Length", str(len(request.body))))
     return headers
--- /dev/null
+++ b/tests/test_forwarding.py
@@ -0,0 +1,129 @@
+"""Forwarding and submissions: one hop, and every failure is unknown."""
+
+import pytest
+from eventlet.event import Event
+
+from lavendermast.clock import ManualClock
+from lavendermast.exceptions import RequestError
+from lavendermast.forwarding import FORWARDED_HEADER, Forwarder
+from lavendermast.ledger import Ledger
+from lavendermast.models import AttemptResult, AttemptStatus, CallerRequest, Outcome
+from lavendermast.submissions import Submissions
+from lavendermast.tokens import TokenIssuer, TokenVerifier
+
+KEY = b"0123456789abcdef"
+TOKEN = TokenIssuer("vm-1", 1, 60_000, 1, KEY).issue(1_700_000_000_000)
+
+
+class FixedUpstream:
+    def __init__(self, result):
+        self.result = result
+
+    def send(self, request, server, deadline, cancelled=None):
+        self.address = server.address
+        return self.result
+
+
+def make_request(headers=(), key=TOKEN + ".u", body=b""):
+    return CallerRequest(
+        "r", "POST", "/orders", "", list(headers), body, "c", 5.0, 1, 0.0, key
+    )
+
+
+def make_submissions(boot_id=1, upstream=None, address="127.0.0.1:1"):
+    ledger = Ledger(ManualClock(), boot_id, 10, 900_000)
+    forwarder = Forwarder(upstream, lambda token: address)
+    return Submissions(ledger, TokenVerifier({1: KEY}), forwarder)
+
+
+def answered(status=AttemptStatus.OK, http_status=200, outcome="answered", **fields):
+    headers = [("Lavendermast-Outcome", outcome)] if outcome else []
+    return AttemptResult("s", status, 0, http_status, headers, **fields)
+
+
+@pytest.mark.parametrize("status", list(AttemptStatus))
+def test_every_failure_of_the_hop_is_unknown(status):
+    """Guards R3: the owner may have run an earlier copy of the request."""
+    upstream = FixedUpstream(AttemptResult("vm-1", status))
+    reply = make_submissions(2, upstream).submit(make_request(), None)
+    assert (reply.outcome, reply.status) == (Outcome.UNKNOWN, 504)
+
+
+def test_reply_without_an_outcome_is_unknown():
+    upstream = FixedUpstream(answered(outcome=""))
+    reply = make_submissions(2, upstream).submit(make_request(), None)
+    assert reply.outcome is Outcome.UNKNOWN
+
+
+@pytest.mark.parametrize("outcome", list(Outcome))
+def test_owners_outcome_is_passed_on(outcome):
+    result = answered(http_status=201, outcome=outcome.value, body=b"x")
+    upstream = FixedUpstream(result)
+    reply = make_submissions(2, upstream).submit(make_request(), None)
+    assert (reply.outcome, reply.status, reply.body) == (outcome, 201, b"x")
+    assert (reply.headers, upstream.address) == ([], "127.0.0.1:1")
+
+
+def test_second_hop_and_missing_owner_are_unknown():
+    """Guards against two VMs that forward to each other."""
+    request = make_request([(FORWARDED_HEADER.lower(), "vm-3")])
+    assert make_submissions(2).submit(request, None).reason == "not-owner"
+    reply = make_submissions(2, address=None).submit(make_request(), None)
+    assert (reply.outcome, reply.reason) == (Outcome.UNKNOWN, "owner-unknown")
+
+
+def test_refused_keys_by_class():
+    submissions = make_submissions()
+    for key, outcome, status in (
+        ("x.y", Outcome.NOT_RUN, 400),
+        (TOKEN, Outcome.NOT_RUN, 400),
+        (
+            TokenIssuer("vm-1", 1, 60_000, 9, KEY).issue(0) + ".u",
+            Outcome.UNKNOWN,
+            504,
+        ),
+    ):
+        reply = submissions.submit(make_request(key=key), None)
+        assert (reply.outcome, reply.status) == (outcome, status)
+
+
+def refuse():
+    raise RequestError(503, "queue-full")
+
+
+@pytest.mark.parametrize(
+    ("run", "first", "second"),
+    [
+        (answered, Outcome.ANSWERED, "replayed"),
+        (lambda: answered(stream=Event()), Outcome.ANSWERED, "completed-before"),
+        (
+            lambda: AttemptResult("s", AttemptStatus.CUT),
+            Outcome.UNKNOWN,
+            "may-have-run",
+        ),
+        (
+            lambda: AttemptResult("s", AttemptStatus.SHED, 0, 503),
+            Outcome.NOT_RUN,
+            "refused-before",
+        ),
+        (refuse, Outcome.NOT_RUN, "refused-before"),
+    ],
+)
+def test_repeat_never_runs_again(run, first, second):
+    """Guards R4 for each way in which the first submission can end."""
+    submissions = make_submissions()
+    assert submissions.submit(make_request(), run).outcome is first
+    assert submissions.submit(make_request(), None).reason == second
+    assert submissions.submit(make_request(body=b"2"), None).status == 422
+
+
+def test_error_inside_the_run_leaves_the_key_unknown():
+    """Guards R4: a killed task must not leave the key free or in flight for ever."""
+    submissions = make_submissions()
+    with pytest.raises(KeyboardInterrupt):
+        submissions.submit(make_request(), interrupt)
+    assert submissions.submit(make_request(), None).reason == "may-have-run"
+
+
+def interrupt():
+    raise KeyboardInterrupt
