--- a/src/lavendermast/gossip.py
+++ b/src/lavendermast/gossip.py
@@ -1,6 +1,7 @@
 """Dissemination: piggybacked updates, immediate spread and table exchange."""
 
 import collections
+import functools
 import heapq
 import math
 
@@ -137,11 +138,10 @@
     def enqueue(self, updates=(), verdicts=()):
         """Queue items to be piggybacked only."""
         for update in updates:
-            size = self._measure(Piggyback(updates=(update,)))
-            self._queue.put(("member", update.vm), update, size)
+            self._queue.put(("member", update.vm), update, measure_update(update))
         for verdict in verdicts:
             key = (verdict.service, verdict.server, verdict.judge)
-            size = self._measure(Piggyback(verdicts=(verdict,)))
+            size = measure_item(Piggyback(verdicts=(verdict,)))
             self._queue.put(("verdict", *key), verdict, size)
 
     def make_piggyback(self, vm=None, extra=(), introduce=False):
@@ -161,7 +161,7 @@
             updates[own.vm] = own
         versions = tuple(self.get_versions())
         budget = self._get_budget(versions)
-        budget -= sum(self._measure(Piggyback(updates=(u,))) for u in updates.values())
+        budget -= sum(measure_update(update) for update in updates.values())
         limit = RETRANSMIT_FACTOR * math.ceil(math.log2(self._membership.size + 1))
         count = MAX_PIGGYBACK_ITEMS - len(updates)
         verdicts = []
@@ -262,9 +262,16 @@
             self._base = (versions, size)
         return MAX_DATAGRAM_BYTES - self._base[1] - FRAME_MARGIN_BYTES
 
-    @staticmethod
-    def _measure(piggyback):
-        return measure_body(piggyback) - _EMPTY_BYTES + ITEM_MARGIN_BYTES
-
 
 _EMPTY_BYTES = measure_body(Piggyback())
+
+
+def measure_item(piggyback):
+    """Return the bytes that the one item of a piggyback adds to a message."""
+    return measure_body(piggyback) - _EMPTY_BYTES + ITEM_MARGIN_BYTES
+
+
+@functools.lru_cache(maxsize=MAX_QUEUE_LENGTH)
+def measure_update(update):
+    """Return the bytes that a member update adds to a message."""
+    return measure_item(Piggyback(updates=(update,)))
--- a/tests/memory_network.py
+++ b/tests/memory_network.py
@@ -1,4 +1,4 @@
-"""A fleet in one process: in-memory transport on a manual clock."""
+"""A fleet of vm-0 to vm-<n-1> in six zones: in-memory transport on a manual clock."""
 
 import heapq
 import itertools
@@ -11,35 +11,28 @@
 from lavendermast.peers import PeerTransport
 from lavendermast.settings_model import ProcessSettings
 
-REGIONS = ("riga", "kurzeme", "latgale")
-
 
 class MemoryTransport(PeerTransport):
-    """Delivers through the fleet's event queue."""
-
     def __init__(self, vm, address, fleet):
         super().__init__(vm)
         self.address, self.fleet = address, fleet
 
     def send(self, address, body):
         fleet = self.fleet
-        frame = self.make_envelope(body, fleet.clock)
-        if fleet.codec is not None:
-            frame = fleet.codec.encode(frame)
+        frame = fleet.encode(self.make_envelope(body, fleet.clock))
         self.counts.add("sent", body, len(frame) if fleet.codec else 0)
-        if fleet.blocks(self.address, address) or fleet.random.random() < fleet.loss:
-            return
-        for _ in range(1 + (fleet.random.random() < fleet.doubled)):
+        lost = fleet.blocks(self.address, address) or fleet.random.random() < fleet.loss
+        for _ in range(0 if lost else 1 + (fleet.random.random() < fleet.doubled)):
             delay = fleet.get_delay(self.address, address)
             fleet.schedule(delay, address, fleet.deliver, frame, self.address, address)
 
     def request(self, address, body, deadline):
         peer, fleet = self.fleet.transports.get(address), self.fleet
         cut = fleet.blocks(self.address, address) or fleet.blocks(address, self.address)
-        if peer is None or cut or address in fleet.paused:
-            raise PeerError("not reachable")
-        reply = peer.dispatch(self.make_envelope(body, fleet.clock), self.address)
-        if reply is None:
+        envelope = self.make_envelope(body, fleet.clock)
+        reachable = peer and not cut and address not in fleet.paused
+        reply = reachable and peer.dispatch(envelope, self.address)
+        if not reply:
             raise PeerError("no reply")
         return reply
 
@@ -48,49 +41,44 @@
 
 
 class Fleet:
-    """VMs ``vm-0`` to ``vm-<n-1>`` in six zones of three regions, started together."""
-
     def __init__(self, size, seed=1, codec=None, loss=0.0, doubled=0.0):
-        self.random = random.Random(seed)
-        self.clock, self.codec = ManualClock(), codec
-        self.loss, self.doubled = loss, doubled
-        self.block_rules, self.paused, self.transports = [], {}, {}
-        self.vms, self.events, self._queue = {}, [], []
-        self._order = itertools.count()
-        for index in range(size):
-            self.start(index)
-        updates = [m.set_own_state("alive") for m in self.members.values()]
-        for membership in self.members.values():
-            membership.merge(updates)
-            membership.set_listed({u.vm: u.peer_address for u in updates})
+        self.random, self.clock, self.codec = random.Random(seed), ManualClock(), codec
+        self.loss, self.doubled, self.events = loss, doubled, []
+        self.block_rules, self.paused, self.transports, self.vms = [], {}, {}, {}
+        self._queue, self._order = [], itertools.count()
+        members = [self.start(index).membership for index in range(size)]
+        updates = [member.set_own_state("alive") for member in members]
+        for member in members:
+            member.merge(updates)
+            member.set_listed({u.vm: u.peer_address for u in updates})
         self.events.clear()
 
-    @property
-    def members(self):
-        return {vm: coordination.membership for vm, coordination in self.vms.items()}
+    members = property(lambda self: {vm: p.membership for vm, p in self.vms.items()})
 
     def start(self, index, vm=None):
-        vm, region = vm or f"vm-{index}", REGIONS[index % 3]
-        place = (region, f"{region}-{index // 3 % 2}", "site")
-        address = f"10.0.0.{index}:7000"
+        vm, address = vm or f"vm-{index}", f"10.0.0.{index}:7000"
+        place = (f"region-{index % 3}", f"zone-{index % 6}", "site")
         settings = ProcessSettings(vm, *place, address, address, "", "", (), (), "-")
         transport = self.transports[address] = MemoryTransport(vm, address, self)
 
         def record(event, **fields):
             self.events.append((self.clock.monotonic(), vm, event, fields))
 
-        seeded = random.Random(self.random.getrandbits(64))
-        self.vms[vm] = Coordination.from_settings(
-            settings, transport, self.clock, seeded, record, lambda *args: ()
+        own = (self.clock, random.Random(self.random.getrandbits(64)), record)
+        parts = Coordination.from_settings(settings, transport, *own, lambda *_: ())
+        self.schedule(
+            self.random.random() * TICK_S, address, self.tick, parts, transport
         )
-        delay = seeded.uniform(0, TICK_S)
-        self.schedule(delay, address, self.tick, self.vms[vm], transport)
-        return self.vms[vm]
+        self.vms[vm] = parts
+        return parts
 
-    def tick(self, coordination, transport):
+    def tick(self, parts, transport):
         if self.transports.get(transport.address) is transport:
-            coordination.detector.advance()
-            self.schedule(TICK_S, transport.address, self.tick, coordination, transport)
+            parts.detector.advance()
+            self.schedule(TICK_S, transport.address, self.tick, parts, transport)
+
+    def encode(self, envelope):
+        return self.codec.encode(envelope) if self.codec else envelope
 
     def deliver(self, frame, source, address):
         if address in self.transports:
@@ -101,18 +89,18 @@
         regions = {int(address.split(":")[0].split(".")[3]) % 3 for address in path}
         return self.random.uniform(0.8, 1.2) * (0.02 if len(regions) == 2 else 0.001)
 
-    def blocks(self, source, target):
-        return any(rule(source, target) for rule in self.block_rules)
+    def blocks(self, *path):
+        return any(rule(*path) for rule in self.block_rules)
 
     def schedule(self, delay, address, *call):
         at = self.clock.monotonic() + delay
         heapq.heappush(self._queue, (at, next(self._order), address, call))
 
-    def pause(self, vm):
-        self.paused[self.members[vm].own.peer_address] = []
-
-    def resume(self, vm):
-        for _, _, address, call in self.paused.pop(self.members[vm].own.peer_address):
+    def pause(self, vm, seconds):
+        address = self.members[vm].own.peer_address
+        self.paused[address] = []
+        self.run(seconds)
+        for _, _, _, call in self.paused.pop(address):
             self.schedule(0, address, *call)
 
     def kill(self, vm):
@@ -124,8 +112,8 @@
         while self._queue and self._queue[0][0] <= end:
             entry = heapq.heappop(self._queue)
             self.clock.advance(max(0.0, entry[0] - self.clock.monotonic()))
+            function, *args = entry[3]
             if entry[2] in self.paused:
-                self.paused[entry[2]].append(entry)
-            else:
-                entry[3][0](*entry[3][1:])
+                function, args = self.paused[entry[2]].append, [entry]
+            function(*args)
         self.clock.advance(end - self.clock.monotonic())
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -69,7 +69,7 @@
     """Guards the choice of helpers: those in the two zones fail alike."""
     fleet = Fleet(SIZE)
     fleet.block_rules.append(
-        lambda a, b: index_of(a) % 6 == 0 and index_of(b) % 6 == 1  # riga-0, kurzeme-0
+        lambda a, b: index_of(a) % 6 == 0 and index_of(b) % 6 == 1  # zone-0, zone-1
     )
     fleet.run(40)
     assert not find_marks(fleet)
@@ -80,9 +80,7 @@
     """Guards against late timers that count queued acks as missing."""
     fleet = Fleet(SIZE)
     fleet.run(3)
-    fleet.pause("vm-5")
-    fleet.run(seconds)
-    fleet.resume("vm-5")
+    fleet.pause("vm-5", seconds)
     fleet.run(12)
     assert {e[3]["member"] for e in find_marks(fleet)} <= {"vm-5"}
     assert_all_alive(fleet)
--- /dev/null
+++ b/tests/test_peers.py
@@ -0,0 +1,128 @@
+"""Peer transport over real sockets on the loopback interface."""
+
+import random
+
+import attrs
+import eventlet
+import pytest
+
+from lavendermast.clock import SystemClock
+from lavendermast.codec import FrameCodec
+from lavendermast.coordination import Coordination
+from lavendermast.exceptions import PeerError
+from lavendermast.gossip import MAX_PIGGYBACK_ITEMS
+from lavendermast.messages_model import (
+    Evidence,
+    FetchDocument,
+    MemberUpdate,
+    Piggyback,
+    Ping,
+    SyncMembers,
+    Verdict,
+)
+from lavendermast.peers import MAX_DATAGRAM_BYTES, PeerNetwork, parse_address
+from lavendermast.settings_model import ProcessSettings
+from tests.memory_network import Fleet
+
+CODEC = FrameCodec({1: b"0123456789abcdef"}, 1)
+
+
+@pytest.fixture
+def start_vm():
+    started = []
+
+    def start(vm, seeds=()):
+        place = ("riga", "riga-0", "site", "", "127.0.0.1:0", "", "", (), seeds, "-")
+        settings = ProcessSettings(vm, *place)
+        clock = SystemClock()
+        network = PeerNetwork.from_settings(settings, CODEC, clock)
+        settings = attrs.evolve(settings, peer_address=network.address)
+        own = (clock, random.Random(vm), lambda *args, **fields: None)
+        parts = Coordination.from_settings(settings, network, *own, lambda *_: ())
+        started.append((network, parts, eventlet.spawn(network.run)))
+        started[-1] += (eventlet.spawn(parts.detector.run),)
+        return network, parts
+
+    yield start
+    for network, _, *tasks in started:
+        network.close()
+        for task in tasks:
+            task.kill()
+
+
+def wait_until(condition):
+    with eventlet.Timeout(20):
+        while not condition():
+            eventlet.sleep(0.02)
+
+
+def test_two_vms_join_exchange_a_document_and_survive_bad_input(start_vm):
+    """Guards the receiving tasks: neither damaged frames nor handlers end them."""
+    network, first = start_vm("vm-1")
+    first.documents.offer("config", 3, b"content" * 50_000, "store")
+    first.set_state("alive")
+    other, second = start_vm("vm-2", (network.address,))
+
+    def fail(envelope, address):
+        raise RuntimeError("handler")
+
+    network.register(Evidence, fail)
+    second.starter.contact_peers()
+    wait_until(lambda: second.documents.get("config"))
+    wait_until(lambda: second.starter.evaluate().ready)
+    second.set_state("alive")
+    wait_until(lambda: first.membership.get_member("vm-2").state == "alive")
+
+    other._udp.sendto(b"\x01\x01noise", parse_address(network.address))
+    with eventlet.connect(parse_address(network.address)) as connection:
+        connection.sendall(b"\xff\xff\xff\xff")
+    other.send(network.address, Evidence())
+    deadline = other._clock.monotonic() + 10
+    with pytest.raises(PeerError):
+        other.request(network.address, Evidence(), deadline)
+    wait_until(lambda: network.counts.drops["handler_error"] == 2)
+    wait_until(lambda: network.counts.drops["connection_error"] >= 1)
+    assert network.counts.drops["truncated"] == 1
+    assert network.counts.bytes["received", "ping"] > 0
+    reply = other.request(network.address, FetchDocument("config"), deadline + 10)
+    assert second.documents.apply(reply) == "same"
+
+    stranger, _ = start_vm("vm-3")
+    stranger.send(network.address, Ping(1))
+    wait_until(lambda: network.counts.drops["unknown_sender"] == 1)
+    stranger.send(network.address, Piggyback(updates=(MemberUpdate("x" * 1400),)))
+    assert stranger.counts.drops["datagram_too_large"] == 1
+
+
+def test_request_ends_at_its_deadline_when_the_peer_is_silent(start_vm):
+    network, _ = start_vm("vm-1")
+    silent = eventlet.listen(("127.0.0.1", 0))
+    address = f"127.0.0.1:{silent.getsockname()[1]}"
+    for wait in (-1, 0.05):
+        with pytest.raises(PeerError):
+            deadline = network._clock.monotonic() + wait
+            network.request(address, SyncMembers(), deadline)
+
+
+@pytest.mark.parametrize("length", [1, 20, 63, 200])
+def test_every_message_with_queued_items_fits_a_datagram(length):
+    """Guards against fragments, which are lost together; sizes are worst cases."""
+    fleet = Fleet(3, codec=CODEC)
+    gossip = fleet.vms["vm-0"].gossip
+    name = "é" * (length // 2) + "x" * (length % 2)
+    for index in range(20):
+        update = MemberUpdate(
+            f"{name}{index}", 2**64 - 2, 2**63 + 1, 2**32 - 2, "dead", name, name
+        )
+        update = attrs.evolve(update, caller_address=name, peer_address=name)
+        verdict = Verdict(name, f"{name}{index}", "cold", 0.3, name, 2**63 + 7, 2**62)
+        gossip.enqueue([update], [verdict])
+    sizes = []
+    for _ in range(100):
+        piggyback = gossip.make_piggyback("vm-1", introduce=True)
+        count = len(piggyback.updates) + len(piggyback.verdicts)
+        assert 1 <= count <= MAX_PIGGYBACK_ITEMS
+        body = Ping(2**64 - 2, piggyback)
+        envelope = fleet.transports["10.0.0.0:7000"].make_envelope(body, fleet.clock)
+        sizes.append(len(CODEC.encode(envelope)))
+    assert max(sizes) <= MAX_DATAGRAM_BYTES
