Add incident reconstruction from decision logs

Cause: an analyst must be able to rebuild what happened to each request from logs of many VMs that are unordered, incomplete and on different clocks.

--- a/src/lavendermast/exceptions.py
+++ b/src/lavendermast/exceptions.py
@@ -45,3 +45,7 @@
         self.reason = reason
         self.detail = detail
         super().__init__(f"{status} {reason} {detail}".strip())
+
+
+class LogError(LavendermastError):
+    """A log that an analyst names cannot be used."""
--- /dev/null
+++ b/src/lavendermast/incident_output.py
@@ -0,0 +1,242 @@
+"""Writes reconstructed incidents as text and as JSON."""
+
+import datetime
+import json
+import math
+
+from .stories import get_arrival, get_deadline
+
+FAULT_KINDS = frozenset({"disagreement", "contradiction"})
+
+
+def format_time(moment):
+    """
+    Return a Unix time as text.
+
+    >>> format_time(1700000000.25)
+    '2023-11-14T22:13:20.250Z'
+    """
+    if moment is None or not math.isfinite(moment):
+        return "-"
+    text = datetime.datetime.fromtimestamp(moment, datetime.UTC).isoformat(
+        timespec="milliseconds"
+    )
+    return text.replace("+00:00", "Z")
+
+
+def describe_logs(incident):
+    """Return what was read as a dict: counts, coverage, clocks and missing logs."""
+    return {
+        "lines": incident.counts.lines,
+        "damaged": incident.counts.damaged,
+        "torn": incident.counts.torn,
+        "caller_lines": incident.caller_counts.lines,
+        "damaged_caller_lines": incident.caller_counts.damaged,
+        "missing_vms": incident.list_missing_vms(),
+        "vms": [
+            {
+                "vm": vm,
+                "lines": coverage.lines,
+                "first": coverage.first,
+                "last": coverage.last,
+                "gaps": coverage.find_gaps(),
+                "clock_ahead_s": round(incident.offsets[vm].seconds, 6),
+                "clock_error_s": incident.offsets[vm].error,
+                "clock_samples": incident.offsets[vm].samples,
+            }
+            for vm, coverage in sorted(incident.coverage.items())
+        ],
+    }
+
+
+def format_logs(incident):
+    """Return what was read as lines of text."""
+    logs = describe_logs(incident)
+    lines = [
+        f"{logs['lines']} log lines of {len(logs['vms'])} VMs, {logs['damaged']} "
+        f"damaged, {logs['torn']} torn; {logs['caller_lines']} callers' records, "
+        f"{logs['damaged_caller_lines']} damaged"
+    ]
+    for row in logs["vms"]:
+        clock = "clock difference not known"
+        if row["clock_error_s"] is not None:
+            clock = (
+                f"clock {row['clock_ahead_s'] * 1000:+.1f} ms "
+                f"(error up to {row['clock_error_s'] * 1000:.1f} ms, "
+                f"{row['clock_samples']} samples)"
+            )
+        first, last = format_time(row["first"]), format_time(row["last"])
+        lines.append(f"  {row['vm']}: {row['lines']} lines, {first} to {last}, {clock}")
+        lines += [
+            f"    gap from {format_time(start)} to {format_time(end)}"
+            for start, end in row["gaps"]
+        ]
+    if logs["missing_vms"]:
+        lines.append("  logs missing: " + ", ".join(logs["missing_vms"]))
+    return lines
+
+
+def _describe_decision(fields):
+    return (
+        f"chose {fields.get('server')} for attempt {fields.get('attempt')} "
+        f"({fields.get('reason')}; candidates {fields.get('candidates') or 'none'})"
+    )
+
+
+def _describe_attempt(fields):
+    detail = f" ({fields['detail']})" if fields.get("detail") else ""
+    return (
+        f"attempt {fields.get('attempt')} on {fields.get('server')}: "
+        f"{fields.get('status')} {fields.get('http_status') or ''} after "
+        f"{fields.get('latency_ms')} ms{detail}"
+    )
+
+
+def _describe_request(fields):
+    return (
+        f"told {fields.get('outcome')}, status {fields.get('status')}, reason "
+        f"{fields.get('reason') or 'none'}, {fields.get('bytes')} bytes, after "
+        f"{fields.get('latency_ms')} ms"
+    )
+
+
+_DESCRIBERS = {
+    "decision": _describe_decision,
+    "attempt": _describe_attempt,
+    "request": _describe_request,
+    "forwarded": lambda fields: (
+        f"forwarded to the key's owner {fields.get('owner')} at {fields.get('address')}"
+    ),
+    "duplicate": lambda fields: f"duplicate of a key: {fields.get('action')}",
+}
+
+
+def format_story(story, timeline):
+    """Return a request's story as lines of text, times relative to its start."""
+    start = story.get_start()
+    head = f"request {story.request}"
+    for name in ("method", "path", "service", "customer", "key"):
+        if story.get_field(name):
+            head += f", {name} {story.get_field(name)}"
+    lines = [head]
+    rows = []
+    for line in story.select("request"):
+        deadline = format_time(get_deadline(line))
+        version = timeline.find_version(line.vm, get_arrival(line))
+        text = f"received, deadline {deadline}, configuration {version or 'not known'}"
+        rows.append((get_arrival(line), line.vm, text))
+    for line in story.lines:
+        rows.append((line.time, line.vm, _DESCRIBERS[line.event](line.fields)))
+    rows.sort(key=lambda row: row[0])
+    lines.append(f"  starts {format_time(start)}")
+    lines += [
+        f"  {(moment - start) * 1000:+9.1f} ms  {vm}  {text}"
+        for moment, vm, text in rows
+    ]
+    for item in story.ejections:
+        lines.append(
+            f"  in force on {item.vm}: {item.server} ejected from "
+            f"{format_time(item.start)} to {format_time(item.end)} "
+            f"({item.cause}, {item.source})"
+        )
+    for record in story.callers:
+        lines.append(
+            f"  caller saw {record.outcome or 'no complete response'}, status "
+            f"{record.status}, {record.bytes} bytes"
+        )
+    return lines + [format_issue(issue, "  ") for issue in story.issues]
+
+
+def format_issue(issue, indent=""):
+    """Return an issue as a line of text."""
+    place = " ".join(part for part in (issue.request, issue.vm) if part)
+    return f"{indent}{issue.kind.upper()} {place}: {issue.text}"
+
+
+def write_text(incident, selection, stream, with_stories):
+    """
+    Write an incident as text.
+
+    :param with_stories: whether to write every selected story or issues only.
+    :return: whether the account is free of disagreements and contradictions.
+    """
+    clean = True
+    for line in format_logs(incident):
+        stream.write(line + "\n")
+    stream.write("\n")
+    for story in incident.iterate_stories(selection):
+        lines = [format_issue(issue) for issue in story.issues]
+        if with_stories:
+            lines = [*format_story(story, incident.timeline), ""]
+        stream.writelines(line + "\n" for line in lines)
+        clean = clean and not has_fault(story.issues)
+    fleet = list(incident.iterate_fleet_issues())
+    stream.writelines(format_issue(issue) + "\n" for issue in fleet)
+    stream.write("\nsummary\n")
+    for name, count in sorted(incident.totals.items()):
+        stream.write(f"  {name}: {count}\n")
+    return clean and not has_fault(fleet)
+
+
+def has_fault(issues):
+    """Return whether an issue shows that an account is wrong."""
+    return any(issue.kind in FAULT_KINDS for issue in issues)
+
+
+def _export_issue(issue):
+    return {
+        "kind": issue.kind,
+        "request": issue.request,
+        "vm": issue.vm,
+        "text": issue.text,
+    }
+
+
+def _export_story(story, with_lines):
+    result = {
+        "request": story.request,
+        "start": story.get_start(),
+        "issues": [_export_issue(issue) for issue in story.issues],
+    }
+    if with_lines:
+        result["lines"] = [
+            {"time": round(line.time, 6), **line.fields} for line in story.lines
+        ]
+        result["ejections"] = [
+            {
+                "vm": item.vm,
+                "service": item.service,
+                "server": item.server,
+                "start": item.start,
+                "end": item.end if math.isfinite(item.end) else None,
+                "cause": item.cause,
+                "source": item.source,
+            }
+            for item in story.ejections
+        ]
+        result["callers"] = [
+            {"outcome": record.outcome, "status": record.status, "bytes": record.bytes}
+            for record in story.callers
+        ]
+    return result
+
+
+def write_json(incident, selection, stream, with_stories):
+    """
+    Write an incident as one JSON object; see ``write_text``.
+
+    Requests without issues are left out unless stories are asked for.
+    """
+    clean, separator = True, ""
+    stream.write('{"logs": ' + json.dumps(describe_logs(incident)) + ',\n"requests": [')
+    for story in incident.iterate_stories(selection):
+        if with_stories or story.issues:
+            text = json.dumps(_export_story(story, with_stories))
+            stream.write(f"{separator}\n{text}")
+            separator = ","
+        clean = clean and not has_fault(story.issues)
+    fleet = list(incident.iterate_fleet_issues())
+    exported = json.dumps([_export_issue(issue) for issue in fleet])
+    summary = json.dumps(dict(sorted(incident.totals.items())))
+    stream.write(f'],\n"fleet_issues": {exported},\n"summary": {summary}}}\n')
+    return clean and not has_fault(fleet)
--- /dev/null
+++ b/src/lavendermast/loglines.py
@@ -0,0 +1,180 @@
+"""Reads decision logs and callers' logs."""
+
+import json
+import pathlib
+import re
+import sys
+
+import attrs
+
+from .exceptions import LogError
+
+_PAIR = re.compile(r'([a-z_]+)=("(?:[^"\\]|\\.)*"|[^ "]*)(?: |$)')
+_TIME = re.compile(r"\d{1,12}(\.\d{1,9})?")
+_REQUIRED = ("ts", "event", "vm", "zone")
+#: Events that tell a part of one request's story.
+REQUEST_EVENTS = frozenset({"decision", "attempt", "request", "forwarded", "duplicate"})
+PROGRESS_LINES = 50_000
+
+
+def parse_line(line):
+    """
+    Return the fields of one log line as text, or ``None`` for a damaged line.
+
+    :param line: a line of key=value pairs without its line break.
+    :return: a dict; a value that the log left empty (``-``) is ``None``.
+
+    >>> line = 'ts=17.5 event=attempt vm=a zone=z detail="two words" server=-'
+    >>> fields = parse_line(line)
+    >>> fields["detail"], fields["server"]
+    ('two words', None)
+    """
+    if '"' not in line:
+        try:
+            fields = dict([pair.split("=", 1) for pair in line.split(" ")])
+        except ValueError:
+            return None
+    else:
+        fields = _parse_quoted(line)
+        if fields is None:
+            return None
+    if tuple(fields)[:4] != _REQUIRED:
+        return None
+    if not _TIME.fullmatch(fields["ts"]):
+        return None
+    return {key: None if value == "-" else value for key, value in fields.items()}
+
+
+def _parse_quoted(line):
+    fields, index = {}, 0
+    while index < len(line):
+        match = _PAIR.match(line, index)
+        if match is None:
+            return None
+        key, value = match.groups()
+        if value.startswith('"'):
+            try:
+                value = json.loads(value)
+            except ValueError:
+                return None
+        fields[key] = value
+        index = match.end()
+    return fields
+
+
+def get_number(fields, key):
+    """
+    Return a field as a number, or ``None`` when it is absent or not a number.
+
+    >>> get_number({"latency_ms": "2.5"}, "latency_ms")
+    2.5
+    """
+    try:
+        return float(fields[key])
+    except (KeyError, TypeError, ValueError):
+        return None
+
+
+@attrs.define
+class ReadCounts:
+    """What reading found: lines in all, and those that could not be used."""
+
+    lines: int = 0
+    damaged: int = 0
+    torn: int = 0
+
+
+class Progress:
+    """Shows the progress of long steps on a terminal, and nowhere else."""
+
+    def __init__(self, stream=None):
+        self._stream = stream or sys.stderr
+        self._enabled = self._stream.isatty()
+
+    def show(self, text):
+        """Replace the line that shows the progress."""
+        if self._enabled:
+            self._stream.write(f"\r\x1b[K{text}")
+            self._stream.flush()
+
+    def clear(self):
+        """Remove the line."""
+        self.show("")
+
+
+def iterate_lines(paths, counts, progress):
+    """
+    Yield the complete lines of files, without their line breaks.
+
+    :param paths: file names; ``-`` is standard input. A last line without a line
+        break is torn and left out.
+    """
+    for path in paths:
+        for line in _open(path):
+            counts.lines += 1
+            if counts.lines % PROGRESS_LINES == 0:
+                progress.show(f"reading {path}: {counts.lines} lines")
+            if not line.endswith("\n"):
+                counts.torn += 1
+                continue
+            line = line[:-1]
+            if line:
+                yield line
+    progress.clear()
+
+
+def _open(path):
+    if path == "-":
+        yield from sys.stdin
+        return
+    try:
+        with pathlib.Path(path).open(errors="replace", newline="\n") as stream:
+            yield from stream
+    except OSError as error:
+        raise LogError(f"{path} cannot be read ({error.strerror})") from None
+
+
+@attrs.frozen
+class CallerRecord:
+    """
+    What one caller observed.
+
+    :param request: request id of the response; empty when there was none.
+    :param outcome: outcome told; empty when no complete response was received.
+    """
+
+    request: str
+    sent_at: float | None = None
+    outcome: str = ""
+    status: int | None = None
+    body_digest: str = ""
+    bytes: int | None = None
+    key: str = ""
+    vm: str = ""
+
+    @classmethod
+    def from_json(cls, text):
+        """
+        Return the record in one line, or ``None`` when it is damaged.
+
+        >>> CallerRecord.from_json('{"request": "r1", "status": 200}').status
+        200
+        """
+        try:
+            data = json.loads(text)
+            return cls(
+                request=str(data.get("request") or ""),
+                sent_at=_convert(float, data.get("sent_at")),
+                outcome=str(data.get("outcome") or ""),
+                status=_convert(int, data.get("status")),
+                body_digest=str(data.get("body_digest") or ""),
+                bytes=_convert(int, data.get("bytes")),
+                key=str(data.get("key") or ""),
+                vm=str(data.get("vm") or ""),
+            )
+        except (ValueError, TypeError, AttributeError, RecursionError, OverflowError):
+            return None
+
+
+def _convert(kind, value):
+    return None if value is None else kind(value)
--- /dev/null
+++ b/src/lavendermast/report.py
@@ -0,0 +1,229 @@
+"""Makes the report page of an incident: HTML with PNG plots in one file."""
+
+import base64
+import collections
+import html
+import io
+import math
+
+from .exceptions import LogError
+from .incident_output import (
+    format_issue,
+    format_logs,
+    format_story,
+    format_time,
+    has_fault,
+)
+from .timeline import compute_percentile
+
+#: The page lists this many issues and stories; text and JSON output list all.
+MAX_ISSUES = 1_000
+MAX_STORIES = 50
+_STYLE = """
+body { font-family: sans-serif; max-width: 60em; margin: 2em auto; color: #222; }
+pre { background: #f4f4f4; padding: 0.6em; overflow-x: auto; }
+table { border-collapse: collapse; } td { padding: 0.2em 1em 0.2em 0; }
+img { max-width: 100%; }
+"""
+
+
+def load_figure_class():
+    """Return matplotlib's figure class; raises ``LogError`` without matplotlib."""
+    try:
+        from matplotlib.figure import Figure
+    except ImportError:
+        raise LogError(
+            "report pages need matplotlib; install lavendermast[report] or use "
+            "--format text"
+        ) from None
+    return Figure
+
+
+def render_plot(draw, title, label):
+    """
+    Return a plot as PNG.
+
+    :param draw: function that draws on the axes it is given.
+    :return: bytes, or ``None`` when there was nothing to draw.
+    """
+    figure = load_figure_class()(figsize=(9, 3.2), dpi=100, layout="constrained")
+    axes = figure.add_subplot()
+    if not draw(axes):
+        return None
+    axes.set_title(title)
+    axes.set_ylabel(label)
+    axes.set_xlabel("seconds from the start")
+    axes.legend(loc="upper right", fontsize="small")
+    stream = io.BytesIO()
+    figure.savefig(stream, format="png")
+    return stream.getvalue()
+
+
+def draw_outcomes(axes, series, start):
+    """Draw the outcomes told over time."""
+    steps = sorted(series.steps)
+    times = [step * series.width - start for step in steps]
+    labels = sorted({label for counts in series.steps.values() for label in counts})
+    for label in labels:
+        rates = [series.steps[step][label] / series.width for step in steps]
+        axes.plot(times, rates, label=label, drawstyle="steps-post", marker=".")
+    return bool(steps)
+
+
+def draw_latencies(axes, series, start):
+    """Draw latency percentiles over time."""
+    steps = sorted(series.steps)
+    times = [step * series.width - start for step in steps]
+    for share in (0.5, 0.99):
+        values = [compute_percentile(series.steps[step], share) for step in steps]
+        axes.plot(times, values, label=f"{share:.0%} of requests", marker=".")
+    axes.set_yscale("log")
+    return bool(steps)
+
+
+def compute_ejected(ejections):
+    """
+    Return the ejected servers of one service over time, as rows of (time, most on
+    one VM, most that the floor allowed that VM).
+
+    The limit is the number ejected plus the budget left that the log states.
+    """
+    changes = []
+    for number, item in enumerate(ejections):
+        changes.append((item.start, 1, number))
+        if math.isfinite(item.end):
+            changes.append((item.end, 0, number))
+    held, allowed, rows = collections.defaultdict(set), {}, []
+    for moment, starts, number in sorted(changes):
+        item = ejections[number]
+        if starts:
+            held[item.vm].add(number)
+            if item.budget_left is not None:
+                servers = {ejections[other].server for other in held[item.vm]}
+                allowed[item.vm] = len(servers) + item.budget_left
+        else:
+            held[item.vm].discard(number)
+        vm = max(held, key=lambda name: (len(held[name]), name))
+        count = len({ejections[other].server for other in held[vm]})
+        rows.append((moment, count, allowed.get(vm)))
+    return rows
+
+
+def draw_ejections(axes, ejections, start):
+    """Draw ejected servers by service against what the floor allows."""
+    services = collections.defaultdict(list)
+    for item in ejections:
+        services[item.service].append(item)
+    for service, items in sorted(services.items()):
+        rows = compute_ejected(items)
+        times = [row[0] - start for row in rows]
+        (line,) = axes.plot(
+            times,
+            [row[1] for row in rows],
+            drawstyle="steps-post",
+            label=f"{service}: ejected",
+        )
+        limits = [math.nan if row[2] is None else row[2] for row in rows]
+        axes.plot(
+            times,
+            limits,
+            drawstyle="steps-post",
+            linestyle="--",
+            color=line.get_color(),
+            label=f"{service}: limit by the floor",
+        )
+    return bool(services)
+
+
+def draw_versions(axes, versions, start):
+    """Draw the configuration version in force by VM."""
+    for vm, rows in sorted(versions.items()):
+        times = [row[0] - start for row in rows]
+        values = [row[1] for row in rows]
+        # A legend of thousands of VMs would hide the plot.
+        label = vm if len(versions) <= 12 else None
+        axes.plot(times, values, drawstyle="steps-post", marker=".", label=label)
+    if len(versions) > 12:
+        axes.plot([], [], label=f"{len(versions)} VMs")
+    return bool(versions)
+
+
+def render_plots(incident):
+    """Return (title, PNG or ``None``) of each plot of the page."""
+    start = min((item.first for item in incident.coverage.values()), default=0.0)
+    timeline = incident.timeline
+    plots = (
+        ("Outcomes told", "requests/s", draw_outcomes, incident.outcomes),
+        ("Latency", "ms", draw_latencies, incident.latencies),
+        (
+            "Ejections against the floor (most on one VM)",
+            "servers",
+            draw_ejections,
+            timeline.list_ejections(),
+        ),
+        (
+            "Configuration in force by VM",
+            "version",
+            draw_versions,
+            timeline.versions,
+        ),
+    )
+    return [
+        (
+            title,
+            render_plot(lambda axes, d=draw, x=data: d(axes, x, start), title, unit),
+        )
+        for title, unit, draw, data in plots
+    ]
+
+
+def write_page(incident, selection, stream, with_stories):
+    """Write an incident as a page; see ``incident_output.write_text``."""
+    load_figure_class()  # fails before the long work, not after it
+    issues, stories, more, clean = [], [], 0, True
+    for story in incident.iterate_stories(selection):
+        clean = clean and not has_fault(story.issues)
+        more += len(story.issues)
+        issues += story.issues[: max(0, MAX_ISSUES - len(issues))]
+        if len(stories) < MAX_STORIES and (with_stories or has_fault(story.issues)):
+            stories.append("\n".join(format_story(story, incident.timeline)))
+    fleet = list(incident.iterate_fleet_issues())
+    issues = fleet + issues
+    listed = "\n".join(format_issue(issue) for issue in issues) or "none"
+    more += len(fleet) - len(issues)
+    if more:
+        listed += f"\n{more} more; text and JSON output list all"
+    parts = [
+        "<!DOCTYPE html><html lang='en'><head><meta charset='utf-8'>",
+        f"<title>Incident report</title><style>{_STYLE}</style></head><body>",
+        "<h1>Incident report</h1>",
+        f"<p>{_format_span(incident)}</p>",
+        "<h2>Summary</h2><table>",
+    ]
+    for name, count in sorted(incident.totals.items()):
+        parts.append(f"<tr><td>{html.escape(name)}</td><td>{count}</td></tr>")
+    parts.append("</table>")
+    for title, image in render_plots(incident):
+        parts.append(f"<h2>{html.escape(title)}</h2>")
+        parts.append(_embed(image, title))
+    for title, text in (
+        ("Disagreements and what cannot be known", listed),
+        ("Requests", "\n\n".join(stories) or "none"),
+        ("Logs and clocks", "\n".join(format_logs(incident))),
+    ):
+        parts.append(f"<h2>{title}</h2><pre>{html.escape(text)}</pre>")
+    stream.write("\n".join(parts) + "\n</body></html>\n")
+    return clean and not has_fault(fleet)
+
+
+def _embed(image, title):
+    if image is None:
+        return "<p>No such events in the logs.</p>"
+    data = base64.b64encode(image).decode()
+    return f"<img alt='{html.escape(title)}' src='data:image/png;base64,{data}'>"
+
+
+def _format_span(incident):
+    first = min((item.first for item in incident.coverage.values()), default=None)
+    last = max((item.last for item in incident.coverage.values()), default=None)
+    return f"{format_time(first)} to {format_time(last)}"
