--- a/src/lavendermast/settings_checks.py
+++ b/src/lavendermast/settings_checks.py
@@ -292,3 +292,25 @@
             f"tokens are accepted for {accept} ms, shorter than the {hold} ms that "
             "callers may hold addresses; raise accept_ms or lower addresses.hold_ms",
         )
+
+
+def fill_defaults(value, definition):
+    """
+    Return checked settings with every default written out.
+
+    >>> fill_defaults({}, "Retries")
+    {'share': 0.1, 'max_attempts': 3}
+    """
+    result = {}
+    for key, node in load_schema()["$defs"][definition]["properties"].items():
+        if key not in value and "default" not in node:
+            continue
+        item = value.get(key, node.get("default"))
+        inner = node.get("additionalProperties") or {}
+        if "$ref" in node:
+            item = fill_defaults(item, node["$ref"].rsplit("/", 1)[1])
+        elif "$ref" in inner:
+            name = inner["$ref"].rsplit("/", 1)[1]
+            item = {key: fill_defaults(part, name) for key, part in item.items()}
+        result[key] = item
+    return result
