--- a/src/lavendermast/cli.py
+++ b/src/lavendermast/cli.py
@@ -1,5 +1,6 @@
 """The command-line tool ``lavendermast``."""
 
+import contextlib
 import datetime
 import enum
 import json
@@ -294,7 +295,7 @@
 
 def _open_output(path):
     if path == "-":
-        return open(sys.stdout.fileno(), "w", encoding="utf-8", closefd=False)
+        return contextlib.nullcontext(sys.stdout)
     try:
         return open(path, "w", encoding="utf-8", errors="backslashreplace")
     except OSError as error:
@@ -333,6 +334,9 @@
 
 def main():
     """Run the tool and exit."""
+    for stream in (sys.stdout, sys.stderr):
+        # Logs may hold characters that the terminal's encoding lacks.
+        stream.reconfigure(errors="backslashreplace")
     sys.exit(run())
 
 
--- a/src/lavendermast/incident_output.py
+++ b/src/lavendermast/incident_output.py
@@ -24,6 +24,23 @@
     return text.replace("+00:00", "Z")
 
 
+def escape_text(text):
+    r"""
+    Return a line with control characters escaped.
+
+    A path or a detail from a log could otherwise forge lines of the report.
+
+    >>> escape_text("a\nb")
+    'a\\nb'
+    """
+    if text.isprintable():
+        return text
+    return "".join(
+        part if part.isprintable() else part.encode("unicode_escape").decode()
+        for part in text
+    )
+
+
 def describe_logs(incident):
     """Return what was read as a dict: counts, coverage, clocks and missing logs."""
     return {
@@ -144,13 +161,14 @@
             f"  caller saw {record.outcome or 'no complete response'}, status "
             f"{record.status}, {record.bytes} bytes"
         )
+    lines = [escape_text(line) for line in lines]
     return lines + [format_issue(issue, "  ") for issue in story.issues]
 
 
 def format_issue(issue, indent=""):
     """Return an issue as a line of text."""
     place = " ".join(part for part in (issue.request, issue.vm) if part)
-    return f"{indent}{issue.kind.upper()} {place}: {issue.text}"
+    return escape_text(f"{indent}{issue.kind.upper()} {place}: {issue.text}")
 
 
 def write_text(incident, selection, stream, with_stories):
--- a/src/lavendermast/loglines.py
+++ b/src/lavendermast/loglines.py
@@ -15,6 +15,8 @@
 #: Events that tell a part of one request's story.
 REQUEST_EVENTS = frozenset({"decision", "attempt", "request", "forwarded", "duplicate"})
 PROGRESS_LINES = 50_000
+#: No field holds a larger number; Unix times in ms are below it.
+MAX_NUMBER = 1e15
 
 
 def parse_line(line):
@@ -42,37 +44,37 @@
         return None
     if not _TIME.fullmatch(fields["ts"]):
         return None
-    return {key: None if value == "-" else value for key, value in fields.items()}
+    if "=-" in line:
+        fields = {key: None if v == "-" else v for key, v in fields.items()}
+    return fields
 
 
 def _parse_quoted(line):
-    fields, index = {}, 0
-    while index < len(line):
-        match = _PAIR.match(line, index)
-        if match is None:
-            return None
-        key, value = match.groups()
-        if value.startswith('"'):
-            try:
-                value = json.loads(value)
-            except ValueError:
-                return None
-        fields[key] = value
-        index = match.end()
-    return fields
+    pairs = _PAIR.findall(line)
+    # Text between two pairs means that the line is damaged.
+    if sum(len(key) + len(value) + 2 for key, value in pairs) != len(line) + 1:
+        return None
+    try:
+        return {
+            key: json.loads(value) if value[:1] == '"' else value
+            for key, value in pairs
+        }
+    except ValueError:
+        return None
 
 
 def get_number(fields, key):
     """
-    Return a field as a number, or ``None`` when it is absent or not a number.
+    Return a field as a number, or ``None`` when it is absent or no usable number.
 
     >>> get_number({"latency_ms": "2.5"}, "latency_ms")
     2.5
     """
     try:
-        return float(fields[key])
+        value = float(fields[key])
     except (KeyError, TypeError, ValueError):
         return None
+    return value if abs(value) < MAX_NUMBER else None  # refuses nan as well
 
 
 @attrs.define
--- a/src/lavendermast/timeline.py
+++ b/src/lavendermast/timeline.py
@@ -6,6 +6,8 @@
 
 import attrs
 
+from .loglines import get_number
+
 #: A longer silence in a VM's log is listed as a gap.
 GAP_S = 10.0
 MAX_POINTS = 2_000
@@ -152,7 +154,7 @@
         if key in open_ejections:
             before = open_ejections[key]
             self._keep(attrs.evolve(before, end=min(moment, before.end)))
-        until = convert_time(_get_float(fields, "until"))
+        until = convert_time(get_number(fields, "until"))
         open_ejections[key] = Ejection(
             moment,
             max(until, moment) if until is not None else math.inf,
@@ -161,7 +163,7 @@
             fields.get("server") or "",
             fields.get("cause") or "",
             fields.get("source") or "",
-            _get_float(fields, "budget_left"),
+            get_number(fields, "budget_left"),
         )
 
     def _return(self, moment, vm, fields, open_ejections):
@@ -176,7 +178,7 @@
             self._keep(attrs.evolve(ejection, end=min(moment, ejection.end)))
 
     def _accept(self, moment, vm, fields, open_ejections):
-        version = _get_float(fields, "version")
+        version = get_number(fields, "version")
         if fields.get("document") != "config" or version is None:
             return
         versions = self.versions[vm]
@@ -217,7 +219,7 @@
                 break
             if ejection.end > moment:
                 found.append(ejection)
-        return found
+        return found[::-1]
 
     def list_ejections(self):
         """Return all ejections, sorted by their start."""
@@ -231,10 +233,3 @@
 
 
 _KEPT_EVENTS = frozenset(Timeline._handlers)
-
-
-def _get_float(fields, key):
-    try:
-        return float(fields[key])
-    except (KeyError, TypeError, ValueError):
-        return None
