--- a/src/lavendermast/exceptions.py
+++ b/src/lavendermast/exceptions.py
@@ -79,3 +79,7 @@
 
 class FramingError(UpstreamError):
     """A response is malformed or contradicts its own length."""
+
+
+class LogError(LavendermastError):
+    """A log that an analyst names cannot be used."""
