Add a program that measures detection and false ejections

Cause: the thresholds need figures before other modules rely on them. Change: bench/detection_model.py; latency references no longer hash Server objects, and a judge skips servers with too few failures. Before: no figures.

--- /dev/null
+++ b/bench/detection_model.py
@@ -0,0 +1,272 @@
+"""Checks detection times and false ejections of the health decisions.
+
+No sockets: all trackers and judges run in one process on a manual clock, and messages
+arrive after a set delay. This checks decisions; it is not a simulation of a cluster.
+"""
+
+import argparse
+import collections
+import heapq
+import random
+import statistics
+import time
+
+import attrs
+
+from lavendermast.clock import ManualClock, SystemClock
+from lavendermast.evidence import EvidenceReporter, Judge
+from lavendermast.health import HealthTracker
+from lavendermast.models import AttemptResult, AttemptStatus, Server
+from lavendermast.settings_model import Service
+
+STEP_S = 0.02
+MESSAGE_DELAY_S = 0.05
+WARM_UP_S = 12.0
+TIMEOUT_S = 2.0
+SERVICE = "status"
+#: Route name: share of requests, median latency in seconds, spread of its logarithm.
+ROUTES = {"short": (0.9, 0.03, 0.4), "long": (0.1, 1.0, 0.6)}
+#: Link latency between regions, each way, in both deployments.
+REGION_DELAY_S = 0.02
+#: Latency between zones, regions, settings and the page's detection targets.
+DEPLOYMENTS = {
+    "latvia": (
+        0.001,
+        ("riga", "kurzeme", "latgale"),
+        {"detection": {}},
+        {"error": 2.0, "half-answer": 2.0, "slow": 3.0},
+    ),
+    "mauritius": (
+        0.0015,
+        ("grand-port", "port-louis", "flacq"),
+        {"detection": {"window_ms": 4000, "error_share": 0.4, "min_samples": 8}},
+        {"error": 4.0, "half-answer": 4.0, "slow": 6.0},
+    ),
+}
+SCENARIOS = (
+    *("long beside short", "load spike", "paused vm", "one-way vm", "slow vm"),
+    *("one-way zone", "slow zone", "unreachable zone"),
+)
+SICK = {"error": AttemptStatus.ERROR, "half-answer": AttemptStatus.CUT}
+
+Member = collections.namedtuple("Member", "vm zone")
+
+
+@attrs.define
+class Vm:
+    """One VM's part of the decisions."""
+
+    name: str
+    zone: str
+    tracker: HealthTracker
+    reporter: EvidenceReporter
+    judge: Judge
+
+
+class Model:
+    """Trackers and judges of one deployment under a fault."""
+
+    def __init__(self, deployment, seed, vms=44, servers=12, rate=1.0):
+        zone_delay, regions, settings, self.targets = DEPLOYMENTS[deployment]
+        self.zone_delay, self.rate = zone_delay, rate
+        self.random = random.Random(seed)
+        self.clock = ManualClock()
+        self.events, self.sequence = [], 0
+        self.false_ejections, self.reduced = 0, 0
+        self.sick, self.fault, self.paused_until = None, None, 0.0
+        self.sent = collections.deque()
+        zones = self.zones = [
+            f"{region}-{letter}" for region in regions for letter in "ab"
+        ]
+        self.servers = [
+            Server(f"s{n}", SERVICE, zones[n % 6][:-2], zones[n % 6], f"127.0.0.1:{n}")
+            for n in range(servers)
+        ]
+        service = Service.from_config(
+            {"expected_servers": servers, "floor": 0.6, **settings}
+        )
+        members = [Member(f"v{n}", zones[n % 6]) for n in range(vms)]
+        self.vms = {m.vm: self._build_vm(m, service, members) for m in members}
+
+    def _build_vm(self, member, service, members):
+        tracker = HealthTracker.from_config(SERVICE, service, self.clock, self._record)
+        tracker.replace_servers(self.servers)
+        reporter = EvidenceReporter({SERVICE: tracker}, self.clock)
+        reporter.replace_members(SERVICE, members)
+        judge = Judge(member.zone, member.vm, self.clock, lambda event, **fields: None)
+        judge.replace_service(SERVICE, service, self.servers, members)
+        return Vm(member.vm, member.zone, tracker, reporter, judge)
+
+    def _record(self, event, **fields):
+        if fields["server"] != self.sick:
+            self.false_ejections += event == "ejected"
+            self.reduced += event == "ejection_denied"
+
+    def post(self, delay, action, *arguments):
+        """Run an action after a delay."""
+        self.sequence += 1
+        moment = self.clock.monotonic() + delay
+        heapq.heappush(self.events, (moment, self.sequence, action, arguments))
+
+    def run(self, seconds):
+        """Run all VMs for a time."""
+        end = self.clock.monotonic() + seconds
+        while self.clock.monotonic() < end:
+            self.clock.advance(STEP_S)
+            now = self.clock.monotonic()
+            while self.events and self.events[0][0] <= now:
+                _, _, action, arguments = heapq.heappop(self.events)
+                action(*arguments)
+            step = round(now / STEP_S)
+            for index, vm in enumerate(self.vms.values()):
+                if vm.name == "v0" and now < self.paused_until:
+                    continue
+                self._send_requests(vm)
+                if (step + index) % 5 == 0:
+                    self._advance(vm)
+
+    def _advance(self, vm):
+        vm.tracker.advance()
+        for receiver, evidence in vm.reporter.collect():
+            self.post(MESSAGE_DELAY_S, self._deliver, vm, receiver, evidence)
+        self._send_verdicts(vm.judge.advance())
+
+    def _deliver(self, vm, receiver, evidence):
+        judge = self.vms[receiver].judge
+        self._send_verdicts(judge.receive(vm.zone, vm.name, evidence))
+
+    def _send_verdicts(self, verdicts):
+        for verdict in verdicts:
+            for vm in self.vms.values():
+                self.post(MESSAGE_DELAY_S, vm.tracker.apply_verdict, verdict)
+
+    def _send_requests(self, vm):
+        spike = 5 if self.fault == "load spike" else 1
+        expected = self.rate * spike * len(self.servers) * STEP_S
+        count = int(expected) + (self.random.random() < expected % 1)
+        weights = [vm.tracker.get_weight(server.name) for server in self.servers]
+        for server in self.random.choices(self.servers, weights, k=count):
+            self._send_request(vm, server)
+
+    def _send_request(self, vm, server):
+        names = list(ROUTES)
+        shares = [ROUTES[name][0] for name in names]
+        route = self.random.choices(names, shares)[0]
+        _, median, spread = ROUTES[route]
+        latency = median * self.random.lognormvariate(0, spread)
+        status = AttemptStatus.OK
+        if server.name == self.sick:
+            status = SICK.get(self.fault, AttemptStatus.OK)
+            latency *= 10 if self.fault == "slow" else 1
+        if self.fault == "load spike":
+            latency *= 8
+        latency += self._get_link_delay(vm, server)
+        timeout = TIMEOUT_S if route == "short" else 20.0
+        if latency > timeout:
+            latency, status = timeout, AttemptStatus.TIMEOUT
+        attempt = vm.tracker.start_attempt(server.name, route)
+        self.sent.append((self.clock.monotonic(), server.name))
+        result = AttemptResult(server.name, status, latency)
+        self.post(latency, self._finish, vm, attempt, result)
+
+    def _get_link_delay(self, vm, server):
+        delay = 2 * self.zone_delay * (vm.zone != server.zone)
+        delay += 2 * REGION_DELAY_S * (vm.zone[:-2] != server.region)
+        if self._is_bad_link(vm, server):
+            delay += 0.3 if self.fault.startswith("slow") else 10 * TIMEOUT_S
+        return delay
+
+    def _is_bad_link(self, vm, server):
+        if self.fault in ("one-way vm", "slow vm"):
+            return vm.name == "v1"
+        if self.fault in ("one-way zone", "slow zone"):
+            return vm.zone == self.zones[0] and server.zone[-1] == "b"
+        if self.fault == "unreachable zone":
+            return vm.zone != self.zones[0] and server.zone == self.zones[0]
+        return False
+
+    def _finish(self, vm, attempt, result):
+        if vm.name == "v0" and self.clock.monotonic() < self.paused_until:
+            left = self.paused_until - self.clock.monotonic()
+            self.post(left, self._finish, vm, attempt, result)
+            return
+        vm.tracker.finish_attempt(attempt, result)
+
+    def get_share(self, server_name):
+        """Return a server's share of the last 0.2 s of requests."""
+        oldest = self.clock.monotonic() - 0.2
+        while self.sent and self.sent[0][0] < oldest:
+            self.sent.popleft()
+        return sum(name == server_name for _, name in self.sent) / len(self.sent)
+
+
+def measure_detection(deployment, fault, seed):
+    """Return seconds until the unhealthy server's share stays under 2%."""
+    model = Model(deployment, seed)
+    model.run(WARM_UP_S)
+    model.sick, model.fault = f"s{seed % 12}", fault
+    begin = model.clock.monotonic()
+    while model.clock.monotonic() < begin + 15:
+        model.run(0.1)
+        if model.get_share(model.sick) < 0.02:
+            return model.clock.monotonic() - begin, model.false_ejections
+    return float("inf"), model.false_ejections
+
+
+def count_false_ejections(deployment, scenario, seed):
+    """Return ejections and reductions of healthy servers in 40 s of a scenario."""
+    model = Model(deployment, seed)
+    model.run(WARM_UP_S)
+    model.fault = scenario
+    if scenario == "paused vm":
+        model.paused_until = model.clock.monotonic() + 30
+    model.run(20 if scenario == "load spike" else 35)
+    model.fault = None
+    model.run(5)
+    return model.false_ejections, model.reduced
+
+
+def measure_cost(servers, rounds=20_000):
+    """Return the median cost of one attempt's calls in microseconds."""
+    service = Service.from_config({"expected_servers": servers, "floor": 0.6})
+    tracker = HealthTracker.from_config(
+        SERVICE, service, SystemClock(), lambda event, **fields: None
+    )
+    listed = [Server(f"s{n}", SERVICE, "r", "r-a", "-") for n in range(servers)]
+    tracker.replace_servers(listed)
+    costs = []
+    for n in range(rounds):
+        name = f"s{n % servers}"
+        result = AttemptResult(name, AttemptStatus.OK, 0.02)
+        if n % 100 == 0:
+            tracker.advance()
+        begin = time.perf_counter_ns()
+        tracker.get_weight(name)
+        tracker.finish_attempt(tracker.start_attempt(name, "short"), result)
+        costs.append((time.perf_counter_ns() - begin) / 1000)
+    return statistics.median(costs)
+
+
+def main():
+    """Print all figures."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--runs", type=int, default=5)
+    options = parser.parse_args()
+    seeds = range(options.seed, options.seed + options.runs)
+    for deployment, (_, _, _, targets) in DEPLOYMENTS.items():
+        for fault, target in targets.items():
+            runs = [measure_detection(deployment, fault, seed) for seed in seeds]
+            times = " ".join(f"{seconds:.1f}" for seconds, _ in runs)
+            wrong = sum(count for _, count in runs)
+            print(f"{deployment} {fault}: {times} s, target {target} s, false {wrong}")
+        for scenario in SCENARIOS:
+            runs = [count_false_ejections(deployment, scenario, s) for s in seeds]
+            wrong, reduced = (sum(column) for column in zip(*runs, strict=True))
+            print(f"{deployment} {scenario}: false {wrong}, reduced {reduced}")
+    for servers in (12, 100, 500):
+        print(f"{servers} servers: {measure_cost(servers):.1f} us an attempt")
+
+
+if __name__ == "__main__":
+    main()
--- a/src/lavendermast/evidence.py
+++ b/src/lavendermast/evidence.py
@@ -136,6 +136,7 @@
 class _Case:
     """What a judge knows of a server."""
 
+    counts: SlidingCounts
     witnesses: dict = attrs.Factory(dict)
     dirty: bool = False
     evaluated: float = float("-inf")
@@ -164,7 +165,7 @@
         self._clock = clock
         self._record_event = record_event
         self._services = {}
-        self._cases = collections.defaultdict(_Case)
+        self._cases = {}
         self._last_advance = clock.monotonic()
 
     def replace_service(self, name, settings, servers, members):
@@ -229,7 +230,7 @@
         if result.state == "dead":
             return self._note_failed_probe(view, key, now)
         view.failed_probes[result.server] = 0
-        case = self._cases[key]
+        case = self._get_case(key)
         if result.state == "draining":
             case.drained = now
             return [self._issue(key, "draining", STATE_VALID_MS)]
@@ -244,7 +245,9 @@
 
     def note_leaving(self, service, server):
         """Note that a server said, in a response or by gossip, that it is leaving."""
-        self._cases[service, server].drained = self._clock.monotonic()
+        view = self._services.get(service)
+        if view and server in view.servers:
+            self._get_case((service, server)).drained = self._clock.monotonic()
 
     def _end_draining(self, case, key, now):
         if case.drained is None or now - case.drained < QUIET_AFTER_DRAIN_S:
@@ -269,21 +272,33 @@
         return self._evaluate_due([key], now)
 
     def _add_counts(self, key, zone, vm, counts, now):
-        case = self._cases[key]
+        case = self._get_case(key)
         witness = case.witnesses.get(vm)
         if witness is None or witness.zone != zone:
-            window_s = self._services[key[0]].settings.detection.window_ms / 1000
-            witness = case.witnesses[vm] = Witness(zone, SlidingCounts(window_s))
+            witness = Witness(zone, SlidingCounts(self._get_window_s(key)))
+            case.witnesses[vm] = witness
         for kind, count in enumerate(counts):
             if count:
+                case.counts.add(kind, now, count)
                 witness.counts.add(kind, now, count)
                 case.dirty = case.dirty or kind != OK
 
+    def _get_case(self, key):
+        case = self._cases.get(key)
+        if case is None:
+            case = _Case(SlidingCounts(self._get_window_s(key)))
+            self._cases[key] = case
+        return case
+
+    def _get_window_s(self, key):
+        return self._services[key[0]].settings.detection.window_ms / 1000
+
     def _check_gap(self, now):
         if now - self._last_advance > GAP_S:
             self._last_advance = now
             for case in self._cases.values():
                 case.witnesses.clear()
+                case.counts.clear()
                 case.dirty = False
             for view in self._services.values():
                 view.totals.clear()
@@ -309,6 +324,11 @@
     def _find_cause(self, key, case, now):
         view = self._services[key[0]]
         detection = view.settings.detection
+        case.counts.expire(now)
+        counts = case.counts.totals
+        if sum(counts) - counts[OK] < detection.min_samples:
+            case.dirty = False
+            return None, 0, 0
         totals = view.get_fresh_totals(now)
         zones = group_by_zone(case.witnesses, totals, now)
         case.dirty = any(zone.bad for zone in zones.values())
--- a/src/lavendermast/samples.py
+++ b/src/lavendermast/samples.py
@@ -177,9 +177,9 @@
             return
         by_server = {}
         for _, server, latency in latest:
-            by_server.setdefault(server, []).append(latency)
-        for server, latencies in by_server.items():
-            median = self._medians[server.name] = statistics.median_low(latencies)
+            by_server.setdefault(server.name, (server, []))[1].append(latency)
+        for name, (server, latencies) in by_server.items():
+            median = self._medians[name] = statistics.median_low(latencies)
             for region in (server.region, None):
                 self._sorted.setdefault(region, []).append(median)
         for medians in self._sorted.values():
