--- a/src/lavendermast/evidence.py
+++ b/src/lavendermast/evidence.py
@@ -330,7 +330,7 @@
             case.dirty = False
             return None, 0, 0
         totals = view.get_fresh_totals(now)
-        zones = group_by_zone(case.witnesses, totals, now)
+        zones = group_by_zone(case.witnesses, totals, detection.error_share, now)
         case.dirty = any(zone.bad for zone in zones.values())
         sick = {}
         for name, zone in zones.items():
--- a/src/lavendermast/health.py
+++ b/src/lavendermast/health.py
@@ -356,5 +356,5 @@
             return RAMP_START
         if now < record.ramp_until:
             left = (record.ramp_until - now) * 1000 / self._detection.ramp_ms
-            return 1.0 - (1.0 - RAMP_START) * left
+            return RAMP_START + (1.0 - RAMP_START) * (1.0 - left)
         return 1.0
--- a/src/lavendermast/witnesses.py
+++ b/src/lavendermast/witnesses.py
@@ -33,7 +33,7 @@
     bad: int = 0
     bad_vms: int = 0
 
-    def add(self, counts, others):
+    def add(self, counts, others, error_share):
         """Add one VM's counts at the server and at the others."""
         total = sum(counts)
         for kind, count in enumerate(counts):
@@ -44,7 +44,7 @@
                 self.others[kind] += count / others_total
         self.samples += total
         self.bad += total - counts[OK]
-        self.bad_vms += 2 * counts[OK] < total
+        self.bad_vms += total - counts[OK] >= error_share * total
 
     def find_cause(self, detection):
         """Return what this zone alone finds against the server."""
@@ -77,12 +77,13 @@
     return merged
 
 
-def group_by_zone(witnesses, totals, now):
+def group_by_zone(witnesses, totals, error_share, now):
     """
     Return a ``ZoneView`` for each zone with attempts, and drop idle witnesses.
 
     :param witnesses: ``Witness`` by VM; idle ones are removed.
     :param totals: counts of the whole service by VM.
+    :param error_share: share of bad attempts from which a VM is a witness.
     """
     zones = collections.defaultdict(ZoneView)
     for vm, witness in list(witnesses.items()):
@@ -92,5 +93,6 @@
             del witnesses[vm]
             continue
         pairs = zip(totals.get(vm, counts), counts, strict=True)
-        zones[witness.zone].add(counts, [max(0, a - b) for a, b in pairs])
+        others = [max(0, a - b) for a, b in pairs]
+        zones[witness.zone].add(counts, others, error_share)
     return zones
--- /dev/null
+++ b/tests/test_evidence.py
@@ -0,0 +1,177 @@
+"""Guards against verdicts without corroboration and against missed faults."""
+
+import collections
+
+import pytest
+
+from lavendermast.clock import ManualClock
+from lavendermast.evidence import EvidenceReporter, Judge, choose_judges
+from lavendermast.messages_model import Evidence, EvidenceEntry
+from lavendermast.models import Server
+from lavendermast.probes import ProbeResult, ProbeScheduler
+from lavendermast.settings_model import Service
+
+Member = collections.namedtuple("Member", "vm zone")
+SERVICE = Service.from_config({"expected_servers": 4, "floor": 0.5})
+SERVERS = [Server(f"s{n}", "stock", "r", f"z{n % 3}", "-") for n in range(4)]
+BAD_ERRORS = {"errors": 3}
+FINE = {"ok": 3}
+
+
+class Fixture:
+    def __init__(self, zones=3):
+        self.clock = ManualClock()
+        self.events = []
+        self.judge = Judge(
+            "z0", "v0", self.clock, lambda event, **fields: self.events.append(event)
+        )
+        self.members = [Member(f"v{n}", f"z{n % zones}") for n in range(6)]
+        self.judge.replace_service("stock", SERVICE, SERVERS, self.members)
+
+    def report(self, own_by_vm, others=None, age_ms=0):
+        """Send one report a VM about s0 and return the verdicts."""
+        verdicts = []
+        others = others or {"ok": 20}
+        for vm, zone in self.members:
+            own = own_by_vm(vm, zone)
+            total = collections.Counter(own) + collections.Counter(others)
+            entries = (
+                EvidenceEntry("stock", "s0", **own),
+                EvidenceEntry("stock", "", **total),
+            )
+            end = self.clock.get_unix_ms() - age_ms
+            verdicts += self.judge.receive(zone, vm, Evidence(entries, end))
+        self.clock.advance(0.1)
+        return verdicts + self.judge.advance()
+
+    def probe(self, state, server="s0"):
+        return [
+            verdict.health
+            for verdict in self.judge.receive_probe(ProbeResult("stock", server, state))
+        ]
+
+
+def bad_in(zones, bad):
+    return lambda vm, zone: bad if zone in zones else FINE
+
+
+@pytest.mark.parametrize("kind", ["errors", "timeouts", "cut", "slow"])
+def test_failure_seen_from_all_zones_gives_one_verdict(kind):
+    fixture = Fixture()
+    verdicts = fixture.report(lambda vm, zone: {kind: 3})
+    assert [(v.server, v.health) for v in verdicts] == [("s0", "sick")]
+    assert fixture.events == ["verdict"]
+    assert fixture.report(lambda vm, zone: {kind: 3}) == []
+
+
+def test_one_zone_alone_gives_no_verdict():
+    fixture = Fixture()
+    assert fixture.report(bad_in({"z1"}, {"errors": 30})) == []
+    assert fixture.report(bad_in({"z1", "z2"}, BAD_ERRORS))[0].health == "sick"
+
+
+def test_one_vm_of_each_zone_gives_no_verdict():
+    # A busy VM with a bad link must not outweigh the others of its zone.
+    fixture = Fixture()
+    many = {"errors": 1, "timeouts": 30}
+    verdicts = fixture.report(
+        lambda vm, zone: many if vm == "v0" else {"ok": 30},
+    )
+    assert verdicts == []
+
+
+def test_links_into_a_zone_are_not_blamed_on_its_servers():
+    fixture = Fixture()
+    assert fixture.report(bad_in({"z1", "z2"}, {"timeouts": 3})) == []
+    assert fixture.report(bad_in({"z1", "z2"}, {"slow": 3})) == []
+
+
+@pytest.mark.parametrize("kind", ["errors", "timeouts", "slow"])
+def test_service_failing_together_gives_no_verdict(kind):
+    fixture = Fixture()
+    assert fixture.report(lambda vm, zone: {kind: 3}, {kind: 20}) == []
+    assert fixture.report(lambda vm, zone: {kind: 3}, {"ok": 8, kind: 12}) == []
+
+
+def test_fleet_of_one_zone_needs_two_vms():
+    fixture = Fixture(zones=1)
+    assert fixture.report(lambda vm, zone: {"errors": 9} if vm == "v1" else FINE) == []
+    assert fixture.report(lambda vm, zone: BAD_ERRORS) != []
+
+
+def test_evidence_from_before_a_pause_is_dropped():
+    fixture = Fixture()
+    assert fixture.report(lambda vm, zone: BAD_ERRORS, age_ms=6000) == []
+    fixture.report(bad_in({"z1"}, BAD_ERRORS))
+    fixture.clock.advance(1.5)
+    assert fixture.report(bad_in({"z2"}, BAD_ERRORS)) == []
+
+
+def test_probes_alone_never_convict_but_corroborate():
+    fixture = Fixture()
+    for _ in range(10):
+        for server in ("s1", "s2", "s3"):
+            fixture.probe("ok", server)
+        assert fixture.probe("dead") == []
+    fixture.clock.advance(0.1)
+    verdicts = fixture.report(lambda vm, zone: {"timeouts": 3} if zone == "z1" else {})
+    assert [verdict.health for verdict in verdicts] == ["sick"]
+
+
+def test_probe_states_become_verdicts():
+    fixture = Fixture()
+    assert fixture.probe("ok") == []
+    assert fixture.probe("cold") == ["cold"]
+    assert fixture.probe("ok") == ["healthy"]
+    assert fixture.probe("draining") == ["draining"]
+    assert fixture.probe("ok") == []
+    fixture.clock.advance(31)
+    assert fixture.probe("ok") == ["recovering"]
+    fixture.judge.note_leaving("stock", "s0")
+    assert fixture.probe("ok") == []
+
+
+def test_judges_come_from_different_zones():
+    members = [Member(f"v{n}", f"z{n % 4}") for n in range(44)]
+    for n in range(50):
+        judges = choose_judges("stock", f"s{n}", members)
+        assert len({int(vm[1:]) % 4 for vm in judges}) == 3
+
+
+def test_reports_are_limited_and_wait_without_failures():
+    class Tracker:
+        def collect_evidence(self, include_quiet):
+            entries = [EvidenceEntry("stock", "s0", errors=1)]
+            if include_quiet:
+                entries.append(EvidenceEntry("stock", "s1", ok=1))
+            return [*entries, EvidenceEntry("stock", "", ok=9)]
+
+    clock = ManualClock()
+    reporter = EvidenceReporter({"stock": Tracker()}, clock)
+    reporter.replace_members("stock", [Member("v0", "z0")])
+    counts = []
+    for _ in range(20):
+        counts += [len(evidence.entries) for _, evidence in reporter.collect()]
+        clock.advance(0.1)
+    assert len(counts) <= 8
+    assert counts.count(3) == 2
+
+
+def test_probe_of_any_failure_is_a_state():
+    answers = [{"state": "ok", "busy": 3, "slots": 6}, {"state": "?"}, [], OSError()]
+
+    def fetch(server):
+        answer = answers.pop(0)
+        if isinstance(answer, Exception):
+            raise answer
+        return answer
+
+    clock = ManualClock()
+    scheduler = ProbeScheduler("v0", clock, fetch)
+    scheduler.replace_servers("stock", SERVERS, [Member("v0", "z0")])
+    results = [scheduler.probe(SERVERS[0]) for _ in range(4)]
+    assert [result.state for result in results] == ["ok", "dead", "dead", "dead"]
+    assert results[0].load == 0.5
+    clock.advance(5)
+    assert len(scheduler.take_due()) == 4
+    assert scheduler.take_due() == []
