--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -1,13 +1,15 @@
 """Forwarding and submissions: one hop, and every failure is unknown."""
 
+import eventlet
 import pytest
 from eventlet.event import Event
 
-from lavendermast.clock import ManualClock
+from lavendermast.clock import ManualClock, SystemClock
 from lavendermast.exceptions import RequestError
 from lavendermast.forwarding import FORWARDED_HEADER, Forwarder
 from lavendermast.ledger import Ledger
 from lavendermast.models import AttemptResult, AttemptStatus, CallerRequest, Outcome
+from lavendermast.settings_model import Config
 from lavendermast.submissions import Submissions
 from lavendermast.tokens import TokenIssuer, TokenVerifier
 
@@ -127,3 +129,31 @@
 
 def interrupt():
     raise KeyboardInterrupt
+
+
+def test_forwarded_request_names_its_key_and_sender_on_the_wire():
+    """Guards against a lost key, which would let the owner run it unkeyed."""
+    received = []
+    listener = eventlet.listen(("127.0.0.1", 0))
+
+    def serve():
+        sock, _ = listener.accept()
+        received.append(sock.recv(65536))
+        sock.sendall(
+            b"HTTP/1.1 503 No\r\nLavendermast-Outcome: not-run\r\n"
+            b"Content-Length: 0\r\n\r\n"
+        )
+
+    eventlet.spawn(serve)
+    clock = SystemClock()
+    address = f"127.0.0.1:{listener.getsockname()[1]}"
+    config = Config.from_config({"services": {}, "routes": {}})
+    forwarder = Forwarder.from_config(config, clock, "vm-2", lambda token: address)
+    request = make_request([("Lavendermast-Key", "other"), ("Accept", "a")], body=b"1")
+    token = TokenVerifier({1: KEY}).verify(TOKEN)
+    reply = forwarder.forward(request, token, clock.monotonic() + 5)
+    assert reply.outcome is Outcome.NOT_RUN
+    lines = received[0].decode().split("\r\n")
+    assert f"Lavendermast-Key: {TOKEN}.u" in lines
+    assert "Lavendermast-Key: other" not in lines
+    assert {"Lavendermast-Forwarded: vm-2", "Accept: a"} <= set(lines)
