Guard non-idempotent requests by keys and stop gracefully

Cause: keys were ignored, tokens were empty, and SIGTERM stopped at once. Change: IdempotencyGuard joins ledger, tokens and forwarding; an address answer carries a token for each VM it names; OwnerTable follows handed-over ledgers; Drainer leaves address answers, waits for held answers and hands the ledger over. Bench ports lie below the ephemeral range: a daemon's port had been taken by an outgoing connection.

--- a/bench/demo.py
+++ b/bench/demo.py
@@ -8,12 +8,19 @@
 from bench.fleet import LocalFleet, call
 
 VMS = 6
+#: Callers keep address answers this long here, so that the stop is short to watch.
+HOLD_MS = 500
+
+
+def shorten_hold(base):
+    """Let callers keep an address answer for half a second only."""
+    base.setdefault("addresses", {})["hold_ms"] = HOLD_MS
 
 
 def main():
     """Start a fleet, send a request through it and print what happened."""
     print(f"starting {VMS} daemons with stand-ins on loopback")
-    with LocalFleet("mauritius", VMS) as fleet:
+    with LocalFleet("mauritius", VMS, shorten_hold) as fleet:
         vm = fleet.vms[0]
         answer = json.loads(
             call(vm.caller_address, "/.well-known/lavendermast/addresses?service=stock")
--- a/bench/layouts.py
+++ b/bench/layouts.py
@@ -2,6 +2,7 @@
 
 import json
 import pathlib
+import random
 import socket
 
 import attrs
@@ -13,6 +14,8 @@
 }
 ZONES_PER_REGION = 2
 SHORT_WORK = {"work_ms": 20.0, "body_bytes": 2_000}
+PORT_RANGE = (10_000, 32_000)
+_random = random.SystemRandom()
 LONG_WORK = {"work_ms": 600.0, "body_bytes": 400_000}
 
 
@@ -40,18 +43,31 @@
 
 
 def take_ports(count):
-    """Return free loopback ports, all different."""
-    sockets = []
-    for _ in range(count):
-        sock = socket.socket()
-        sock.bind(("127.0.0.1", 0))
-        sockets.append(sock)
-    ports = [sock.getsockname()[1] for sock in sockets]
-    for sock in sockets:
-        sock.close()
+    """
+    Return free loopback ports, all different.
+
+    They lie below the range of ephemeral ports, so that no outgoing connection takes
+    one before its listener starts.
+    """
+    ports = []
+    while len(ports) < count:
+        port = _random.randrange(*PORT_RANGE)
+        if port not in ports and is_free(port):
+            ports.append(port)
     return ports
 
 
+def is_free(port):
+    """Return whether a loopback port is free for TCP and UDP."""
+    try:
+        for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
+            with socket.socket(socket.AF_INET, kind) as sock:
+                sock.bind(("127.0.0.1", port))
+    except OSError:
+        return False
+    return True
+
+
 def take_addresses(count):
     """Return free loopback addresses as ``ip:port``."""
     return [f"127.0.0.1:{port}" for port in take_ports(count)]
--- a/bench/load.py
+++ b/bench/load.py
@@ -33,8 +33,8 @@
     name: str
     zone: str
     addresses: list = attrs.Factory(list)
+    tokens: dict = attrs.Factory(dict)
     use_until: float = 0.0
-    token: str = ""
 
 
 class LoadGenerator:
@@ -87,7 +87,7 @@
         key = ""
         address = self._get_address(caller)
         if not route["idempotent"]:
-            key = f"{caller.token}.{nonce}"
+            key = f"{caller.tokens.get(address, '')}.{nonce}"
         self._submit(scheduled, nonce, name, route, caller, key, address, 0)
         if repeat and key:
             others = [item for item in caller.addresses if item != address]
@@ -118,7 +118,9 @@
                 continue
             caller.addresses = [item["address"] for item in answer["addresses"]]
             caller.use_until = answer["use_until"] / 1000
-            caller.token = answer["token"]
+            caller.tokens = {
+                item["address"]: item["token"] for item in answer["addresses"]
+            }
             return
 
     def _get_pool(self, address):
--- a/src/lavendermast/addresses.py
+++ b/src/lavendermast/addresses.py
@@ -9,14 +9,14 @@
 
     :param policy: object with the current ``config`` and service ``sets``.
     :param get_members: callable that returns the members fit for new callers.
-    :param issue_token: callable ``(now_unix_ms) -> (token, accept_until)``.
+    :param get_issuer: callable that returns the ``tokens.TokenIssuer``.
     :param own: this VM's member record, the fallback when no other fits.
     """
 
-    def __init__(self, policy, get_members, issue_token, own, clock, record_event):
+    def __init__(self, policy, get_members, get_issuer, own, clock, record_event):
         self._policy = policy
         self._get_members = get_members
-        self._issue_token = issue_token
+        self._get_issuer = get_issuer
         self._own = own
         self._clock = clock
         self._record_event = record_event
@@ -33,7 +33,8 @@
         settings = self._policy.config.addresses
         now = self._clock.get_unix_ms()
         members = self._choose(service, zone, caller, settings.count)
-        token, accept_until = self._issue_token(now)
+        issuer = self._get_issuer()
+        tokens = [issuer.issue_for(m.vm, m.boot_id, now) for m in members]
         use_until = now + settings.hold_ms
         self._record_event(
             "address",
@@ -44,12 +45,17 @@
         )
         return {
             "addresses": [
-                {"vm": item.vm, "zone": item.zone, "address": item.caller_address}
-                for item in members
+                {
+                    "vm": member.vm,
+                    "zone": member.zone,
+                    "address": member.caller_address,
+                    "token": token,
+                }
+                for member, token in zip(members, tokens, strict=True)
             ],
             "use_until": use_until,
-            "token": token,
-            "token_accept_until": accept_until,
+            "token": tokens[0],
+            "token_accept_until": now + issuer.accept_ms,
         }
 
     def _choose(self, service, zone, caller, count):
--- a/src/lavendermast/dispatch.py
+++ b/src/lavendermast/dispatch.py
@@ -29,6 +29,15 @@
     retry_after: int = 0
 
 
+@attrs.define
+class LastAttempt:
+    """The attempt after which a request is not tried again."""
+
+    result: AttemptResult
+    decision: object
+    attempts: int
+
+
 class TrackedStream:
     """
     Passes a long body on and runs a callback once when it has ended.
@@ -38,6 +47,7 @@
 
     def __init__(self, stream, finish):
         self._stream = stream
+        self.length = getattr(stream, "length", None)
         self._finish = finish
 
     def __iter__(self):
@@ -80,48 +90,52 @@
         :param keyed: whether this VM's ledger guards the request against repeats.
         :raises RequestError: when the request is refused before any attempt.
         """
+        last = self.run_attempts(request, route_name, route, cancelled, keyed)
+        return make_reply(last.decision, last.result, last.attempts)
+
+    def run_attempts(self, request, route_name, route, cancelled=None, keyed=False):
+        """Return the last attempt, as ``run`` does its reply."""
         pool = self._pools.get(route.service)
         queue = pool.queues[route.work]
         ticket = queue.acquire(request, request.customer, self._get_weight(request))
         self._retries.add_request()
-        reply = None
+        result = None
         try:
-            reply = self._run_attempts(request, route_name, route, cancelled, keyed)
+            last = self._try_servers(request, route_name, route, cancelled, keyed)
+            result = last.result
         finally:
-            if reply is None or reply.stream is None:
-                queue.release(ticket, served=bool(reply and reply.status < 500))
-        if reply.stream is not None:
-            reply.stream = TrackedStream(
-                reply.stream, lambda status: queue.release(ticket)
+            if result is None or result.stream is None:
+                served = result is not None and result.status is AttemptStatus.OK
+                queue.release(ticket, served=served)
+        if result.stream is not None:
+            result.stream = TrackedStream(
+                result.stream, lambda status: queue.release(ticket)
             )
-        return reply
+        return last
 
     def _get_weight(self, request):
         customer = self._policy.config.customers.get(request.customer)
         return customer.weight if customer else DEFAULT_WEIGHT
 
-    def _run_attempts(self, request, route_name, route, cancelled, keyed):
+    def _try_servers(self, request, route_name, route, cancelled, keyed):
         pool = self._pools.get(route.service)
         facts = RequestFacts(route.idempotent, keyed, request.deadline)
         tried = []
+        last = None
         while True:
             choice = pool.balancer.choose(route, tried)
             if choice is None:
-                return self._give_up(facts, len(tried))
+                return give_up(facts, last)
             tried.append(choice.server.name)
             self._log_decision(request, route_name, route, choice, len(tried))
             result = self._attempt(request, route_name, route, pool, choice, cancelled)
             self._log_attempt(request, result, len(tried))
             decision = self._retries.policy.decide(facts, result, len(tried))
+            last = LastAttempt(result, decision, len(tried))
             if not decision.retry:
-                return make_reply(decision, result, len(tried))
+                return last
             facts = attrs.evolve(facts, may_have_run=decision.may_have_run)
 
-    def _give_up(self, facts, attempts):
-        if not facts.may_have_run:
-            raise RequestError(503, "no-server", retry_after=RETRY_AFTER_S)
-        return Reply(503, Outcome.UNKNOWN, "no-server", attempts=attempts)
-
     def _attempt(self, request, route_name, route, pool, choice, cancelled):
         name = choice.server.name
         handle = pool.tracker.start_attempt(name, route_name)
@@ -173,6 +187,17 @@
         )
 
 
+def give_up(facts, last):
+    """
+    Return the last attempt of a request for which no server is left.
+
+    :raises RequestError: when the request certainly did not run.
+    """
+    if not facts.may_have_run:
+        raise RequestError(503, "no-server", retry_after=RETRY_AFTER_S)
+    return attrs.evolve(last, decision=attrs.evolve(last.decision, retry=False))
+
+
 def make_reply(decision, result, attempts):
     """Return the reply that follows from the last attempt's decision."""
     reply = Reply(
--- /dev/null
+++ b/src/lavendermast/drain.py
@@ -0,0 +1,76 @@
+"""Graceful shutdown: callers leave, work ends, the ledger finds a successor."""
+
+from lavendermast.exceptions import PeerError
+from lavendermast.hashing import rank_members
+from lavendermast.messages_model import HandoverReply
+
+#: Time for the announcement to reach every VM that answers for addresses.
+SPREAD_MARGIN_S = 5.0
+HANDOVER_TIMEOUT_S = 5.0
+HANDOVER_ATTEMPTS = 3
+#: Time for the announcement of the successor to spread.
+LINGER_S = 1.0
+
+
+class Drainer:
+    """
+    Takes a node out of service without aborting a request.
+
+    :param node: the running ``node.Node``.
+    """
+
+    def __init__(self, node):
+        self._node = node
+        self._clock = node.clock
+
+    def drain(self):
+        """Return when nothing is in flight and the ledger is handed over."""
+        node = self._node
+        if not node.fleet.ready:
+            node.callers.stop()
+            return
+        node.fleet.set_state("leaving")
+        node.gateway.close_connections = True
+        hold_s = node.policy.config.addresses.hold_ms / 1000
+        deadline = self._clock.monotonic() + hold_s + SPREAD_MARGIN_S
+        while (remaining := deadline - self._clock.monotonic()) > 0:
+            self._clock.sleep(min(remaining, 1.0))
+        node.callers.stop()
+        self._hand_over()
+
+    def _hand_over(self):
+        ledger = self._node.guard.ledger
+        successor = self._choose_successor()
+        if successor is None or not len(ledger):
+            return
+        ledger.freeze(successor.boot_id)
+        entries = len(ledger)
+        accepted = all(
+            self._send(successor, handover) for handover in ledger.export_handovers()
+        )
+        self._node.log.record(
+            "handover", successor=successor.vm, entries=entries, accepted=accepted
+        )
+        if accepted:
+            self._node.fleet.set_state("leaving", successor.boot_id)
+            self._clock.sleep(LINGER_S)
+
+    def _choose_successor(self):
+        own = self._node.fleet.membership.own
+        members = {m.vm: m for m in self._node.fleet.get_fit_members()}
+        members.pop(own.vm, None)
+        near = [vm for vm, member in members.items() if member.zone == own.zone]
+        ranked = rank_members(own.vm, near or members)
+        return members[ranked[0]] if ranked else None
+
+    def _send(self, successor, handover):
+        for _ in range(HANDOVER_ATTEMPTS):
+            deadline = self._clock.monotonic() + HANDOVER_TIMEOUT_S
+            try:
+                reply = self._node.fleet.network.request(
+                    successor.peer_address, handover, deadline
+                )
+            except PeerError:
+                continue
+            return isinstance(reply, HandoverReply) and reply.accepted
+        return False
--- a/src/lavendermast/forwarding.py
+++ b/src/lavendermast/forwarding.py
@@ -4,6 +4,7 @@
 
 from lavendermast.exceptions import RequestError
 from lavendermast.framing import remove_hop_headers
+from lavendermast.logs import digest_text
 from lavendermast.models import Outcome, Server
 from lavendermast.upstream import Upstream, add_length
 
@@ -49,14 +50,16 @@
 
     :param find_owner: function of a token that returns the caller address of the
         process that owns it or took it over, or ``None``.
+    :param record_event: called as ``record_event(event, **fields)``, or ``None``.
     """
 
-    def __init__(self, upstream, find_owner):
+    def __init__(self, upstream, find_owner, record_event=None):
         self._upstream = upstream
         self._find_owner = find_owner
+        self._record_event = record_event
 
     @classmethod
-    def from_config(cls, config, clock, vm, find_owner):
+    def from_config(cls, config, clock, vm, find_owner, record_event=None):
         """Return a forwarder for the VM of this name."""
 
         def build_headers(request, server):
@@ -72,7 +75,12 @@
             headers.append(("Lavendermast-Request", request.id))
             return add_length(headers, request)
 
-        return cls(Upstream.from_config(config, clock, build_headers), find_owner)
+        upstream = Upstream.from_config(config, clock, build_headers)
+        return cls(upstream, find_owner, record_event)
+
+    def apply_config(self, config):
+        """Use the limits of another configuration from now on."""
+        self._upstream.apply_config(config)
 
     def forward(self, request, token, deadline, cancelled=None):
         """
@@ -86,6 +94,14 @@
         address = self._find_owner(token)
         if address is None:
             return Reply(Outcome.UNKNOWN, "owner-unknown", 504)
+        if self._record_event:
+            self._record_event(
+                "forwarded",
+                request=request.id,
+                key=digest_text(request.key.encode()),
+                owner=token.vm,
+                address=address,
+            )
         owner = Server(token.vm, "", "", "", address)
         try:
             result = self._upstream.send(request, owner, deadline, cancelled)
--- a/src/lavendermast/gateway.py
+++ b/src/lavendermast/gateway.py
@@ -7,6 +7,7 @@
 
 from lavendermast.dispatch import Reply
 from lavendermast.exceptions import LavendermastError, RequestError
+from lavendermast.logs import DIGEST_CHARACTERS, digest_text
 from lavendermast.models import Outcome
 from lavendermast.requests import KEY_HEADER, REQUEST_HEADER, RequestReader
 
@@ -14,7 +15,6 @@
 REASON_HEADER = "Lavendermast-Reason"
 VM_HEADER = "Lavendermast-Vm"
 ADDRESSES_PATH = "/.well-known/lavendermast/addresses"
-_KEY_DIGEST_CHARACTERS = 16
 
 
 def get_status_line(status):
@@ -27,11 +27,6 @@
     return f"{status} {http.client.responses.get(status, 'Unknown')}"
 
 
-def digest_text(data):
-    """Return the first characters of the SHA-256 of bytes, for the decision log."""
-    return hashlib.sha256(data).hexdigest()[:_KEY_DIGEST_CHARACTERS]
-
-
 class Gateway:
     """
     Answers callers.
@@ -155,7 +150,7 @@
             reply.stream.close()
             if not complete:
                 reply.outcome, reply.reason = Outcome.UNKNOWN, "answer-cut"
-            text = digest.hexdigest()[:_KEY_DIGEST_CHARACTERS]
+            text = digest.hexdigest()[:DIGEST_CHARACTERS]
             self._log_request(reply, head, size, text)
 
     def _answer_addresses(self, environ, start_response, request_id):
--- /dev/null
+++ b/src/lavendermast/idempotency.py
@@ -0,0 +1,110 @@
+"""Runs requests that must not run twice, under the caller's key."""
+
+from lavendermast.dispatch import Reply
+from lavendermast.exceptions import RequestError
+from lavendermast.forwarding import Forwarder
+from lavendermast.ledger import Ledger
+from lavendermast.logs import digest_text
+from lavendermast.models import Outcome
+from lavendermast.submissions import Submissions
+from lavendermast.tokens import TokenIssuer, TokenVerifier
+
+TOKEN_HEADER = "Lavendermast-Token"
+RETRY_AFTER_S = 1
+
+
+class IdempotencyGuard:
+    """
+    Decides between the ledger, its owner elsewhere and a plain submission.
+
+    :param dispatcher: sends requests to servers.
+    :param find_owner: callable from a token to the owner's caller address or ``None``.
+    """
+
+    def __init__(self, settings, boot_id, dispatcher, find_owner, **tools):
+        self._settings = settings
+        self._boot_id = boot_id
+        self._dispatcher = dispatcher
+        self._find_owner = find_owner
+        self._clock = tools["clock"]
+        self._record_event = tools["record_event"]
+        self._submissions = None
+        self._forwarder = None
+        self._verifier = TokenVerifier.from_settings(settings)
+        self.ledger = None
+        self.issuer = None
+
+    def apply_config(self, config):
+        """Use the limits of a configuration; the first one creates the ledger."""
+        if self.ledger is None:
+            self._create(config)
+            return
+        self.ledger.apply_config(config)
+        self.issuer.apply_config(config)
+        self._forwarder.apply_config(config)
+
+    def reload_keys(self, settings):
+        """Sign and verify tokens with other fleet keys from now on."""
+        keys = {key.id: key.secret.encode() for key in settings.fleet_keys}
+        self._verifier.replace_keys(keys)
+        signing = settings.fleet_keys[0]
+        if self.issuer is not None:
+            self.issuer.replace_key(signing.id, signing.secret.encode())
+
+    def run(self, request, route_name, route, cancelled):
+        """
+        Return the reply to a non-idempotent request.
+
+        :raises RequestError: when it is refused and certainly not run.
+        """
+        if request.key:
+            return self._run_keyed(request, route_name, route, cancelled)
+        if route.key == "required":
+            token = self.issuer.issue(self.ledger.get_unix_ms())
+            detail = f"append a dot and a part of your own to {TOKEN_HEADER}"
+            raise RequestError(
+                428, "key-required", detail, headers=[(TOKEN_HEADER, token)]
+            )
+        return self._dispatcher.run(request, route_name, route, cancelled)
+
+    def _create(self, config):
+        self.ledger = Ledger.from_config(config, self._clock, self._boot_id)
+        self.issuer = TokenIssuer.from_config(config, self._settings, self._boot_id)
+        self._forwarder = Forwarder.from_config(
+            config,
+            self._clock,
+            self._settings.vm,
+            self._find_owner,
+            self._record_event,
+        )
+        self._submissions = Submissions(self.ledger, self._verifier, self._forwarder)
+
+    def _run_keyed(self, request, route_name, route, cancelled):
+        last = None
+
+        def run():
+            nonlocal last
+            last = self._dispatcher.run_attempts(
+                request, route_name, route, cancelled, keyed=True
+            )
+            return last.result
+
+        found = self._submissions.submit(request, run, cancelled)
+        if last is None:
+            self._record_event(
+                "duplicate" if found.outcome is Outcome.ANSWERED else "key_refused",
+                request=request.id,
+                key=digest_text(request.key.encode()),
+                action=found.reason,
+            )
+        return Reply(
+            found.status,
+            found.outcome,
+            found.reason,
+            list(found.headers),
+            found.body,
+            found.stream,
+            server=last.result.server if last else "",
+            attempts=last.attempts if last else 0,
+            retry_after=RETRY_AFTER_S if found.outcome is Outcome.NOT_RUN else 0,
+        )
--- a/src/lavendermast/logs.py
+++ b/src/lavendermast/logs.py
@@ -1,6 +1,7 @@
 """Structured logs: one line of key=value pairs an event."""
 
 import collections
+import hashlib
 import json
 import pathlib
 import sys
@@ -11,6 +12,7 @@
 #: Lines held while the writer is behind; older ones are dropped and counted.
 MAX_PENDING_EVENTS = 100_000
 FLUSH_INTERVAL_S = 0.05
+DIGEST_CHARACTERS = 16
 _PLAIN = frozenset(
     "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789-_.:/,*@+"
 )
@@ -48,6 +50,11 @@
     return " ".join(f"{key}={format_value(value)}" for key, value in fields.items())
 
 
+def digest_text(data):
+    """Return the first characters of the SHA-256 of bytes, for the decision log."""
+    return hashlib.sha256(data).hexdigest()[:DIGEST_CHARACTERS]
+
+
 class EventLog:
     """
     Queues events on the request's path and writes them from its own task.
--- a/src/lavendermast/node.py
+++ b/src/lavendermast/node.py
@@ -1,6 +1,7 @@
 """One VM of the fleet, composed from its parts."""
 
 import json
+import os
 
 import attrs
 import eventlet
@@ -10,12 +11,17 @@
 from lavendermast.callers import CallerWatch
 from lavendermast.clock import SystemClock
 from lavendermast.dispatch import Dispatcher
+from lavendermast.drain import Drainer
+from lavendermast.exceptions import RequestError
 from lavendermast.fleet import FleetAgent
 from lavendermast.gateway import Gateway
+from lavendermast.idempotency import IdempotencyGuard
 from lavendermast.judging import ServerWatch
 from lavendermast.listeners import HttpListener
 from lavendermast.logs import EventLog
+from lavendermast.messages_model import Handover, HandoverReply
 from lavendermast.metrics import MetricsBoard
+from lavendermast.owners import OwnerTable
 from lavendermast.policy import Policy
 from lavendermast.retries import RetryKeeper
 from lavendermast.services import ServicePools
@@ -56,6 +62,15 @@
         self.dispatcher = Dispatcher(
             self.policy, self.pools, self.upstream, self.retries, record_event
         )
+        self.owners = OwnerTable(self.fleet.membership, self.clock)
+        self.guard = IdempotencyGuard(
+            settings,
+            own.boot_id,
+            self.dispatcher,
+            self.owners.find_owner,
+            clock=self.clock,
+            record_event=record_event,
+        )
         self.watch = ServerWatch(
             self.identity,
             self.pools,
@@ -69,6 +84,7 @@
         self.gateway = self._make_gateway(record_event)
         self.callers = HttpListener(settings.caller_address, self.gateway)
         self.admin = HttpListener(settings.admin_address, self._make_admin())
+        self.fleet.network.register(Handover, self._handle_handover)
         self.fleet.documents.on_accept.append(self._apply_document)
         self.fleet.on_ready.append(self._serve)
         self.fleet.membership.on_change.append(self._apply_member)
@@ -90,17 +106,19 @@
         :param reason: why, for the log.
         """
         self.log.record("leaving", reason=reason, config_version=self.policy.version)
-        self.callers.stop()
+        Drainer(self).drain()
         self._end(reason, 0)
 
     def abort(self):
-        """End at once and log the requests that this cuts."""
+        """End the process at once and log the requests that this aborts."""
         self._end("second signal", len(self.gateway.in_flight))
+        os._exit(1)
 
     def reload_keys(self, path):
         """Read the fleet keys of the process settings again."""
         self.settings = load_process_settings(path)
         self.fleet.reload_keys(self.settings)
+        self.guard.reload_keys(self.settings)
 
     def get_document_age(self, name):
         """Return the seconds since a document's version in force was accepted."""
@@ -119,10 +137,10 @@
         self.log.close()
 
     def _make_gateway(self, record_event):
-        address_book = AddressBook(
+        self.address_book = AddressBook(
             self.policy,
             self.fleet.get_fit_members,
-            lambda now: ("", 0),
+            lambda: self.guard.issuer,
             lambda: self.fleet.membership.own,
             self.clock,
             record_event,
@@ -130,7 +148,7 @@
         return Gateway(
             self.policy,
             self._run_request,
-            address_book,
+            self.address_book,
             self.identity,
             self.clock,
             record_event,
@@ -145,9 +163,21 @@
         )
 
     def _run_request(self, request, route_name, route, environ):
+        self._check_set(route)
         cancellation = Cancellation()
         with CallerWatch(environ["eventlet.input"].get_socket(), cancellation):
-            return self.dispatcher.run(request, route_name, route, cancellation)
+            if route.idempotent:
+                request.key = ""
+                return self.dispatcher.run(request, route_name, route, cancellation)
+            return self.guard.run(request, route_name, route, cancellation)
+
+    def _check_set(self, route):
+        """Refuse a request for a service that other VMs serve."""
+        if self.identity.vm in self.policy.get_service_set(route.service):
+            return
+        addresses = self.address_book.answer(route.service, self.identity.zone, "")
+        text = ",".join(item["address"] for item in addresses["addresses"])
+        raise RequestError(421, "wrong-vm", text)
 
     def _apply_document(self, stored):
         value = json.loads(stored.content)
@@ -164,11 +194,18 @@
         self.upstream.apply_config(config)
         self.retries.apply_config(config)
         self.pools.apply_config(config)
+        self.guard.apply_config(config)
 
     def _serve(self, reason):
         self.policy.ready = True
         self.log.record("ready", config_version=self.policy.version, reason=reason)
 
+    def _handle_handover(self, envelope, address):
+        ledger = self.guard.ledger
+        accepted = ledger is not None and ledger.import_handover(envelope.body)
+        return HandoverReply(accepted=accepted)
+
     def _apply_member(self, update, previous):
+        self.owners.note_update(update)
         self.policy.invalidate_sets()
         self.watch.invalidate()
--- /dev/null
+++ b/src/lavendermast/owners.py
@@ -0,0 +1,56 @@
+"""Finds the process that owns an idempotency token."""
+
+#: Continuations are kept for longer than any token is remembered by default.
+KEEP_S = 3600.0
+MAX_CONTINUATIONS = 10_000
+
+
+class OwnerTable:
+    """
+    Follows ledgers that were handed over in graceful stops.
+
+    :param membership: the member table.
+    """
+
+    def __init__(self, membership, clock):
+        self._membership = membership
+        self._clock = clock
+        self._continued = {}
+
+    def note_update(self, update):
+        """Remember that another process continues a member's ledger."""
+        if not update.continued_by:
+            return
+        now = self._clock.monotonic()
+        if len(self._continued) >= MAX_CONTINUATIONS:
+            self._continued = {
+                boot_id: item
+                for boot_id, item in self._continued.items()
+                if item[1] > now
+            }
+        self._continued[update.boot_id] = (update.continued_by, now + KEEP_S)
+
+    def find_owner(self, token):
+        """Return the caller address of a token's owner, ``None`` if it is not known."""
+        member = self._membership.get_member(token.vm)
+        boot_id = token.boot_id
+        if (
+            member is not None
+            and member.boot_id == boot_id
+            and not self._is_gone(member)
+        ):
+            return member.caller_address
+        seen = set()
+        while boot_id in self._continued and boot_id not in seen:
+            seen.add(boot_id)
+            boot_id = self._continued[boot_id][0]
+        if boot_id == token.boot_id:
+            return None
+        for member in self._membership.get_members():
+            if member.boot_id == boot_id:
+                return member.caller_address
+        return None
+
+    @staticmethod
+    def _is_gone(member):
+        return member.state == "dead" or member.continued_by
--- a/src/lavendermast/tokens.py
+++ b/src/lavendermast/tokens.py
@@ -85,6 +85,11 @@
         accept_ms = config.tokens.accept_ms
         return cls(settings.vm, boot_id, accept_ms, key.id, key.secret.encode())
 
+    @property
+    def accept_ms(self):
+        """Time in which a new key is accepted, in milliseconds."""
+        return self._accept_ms
+
     def apply_config(self, config):
         """Use the lifetime of another configuration from now on."""
         self._accept_ms = config.tokens.accept_ms
@@ -96,9 +101,13 @@
 
     def issue(self, now_unix_ms):
         """Return the text of a new token; the time is the ledger's."""
+        return self.issue_for(self._vm, self._boot_id, now_unix_ms)
+
+    def issue_for(self, vm, boot_id, now_unix_ms):
+        """Return the text of a token that names another process of the fleet."""
         accept_until = now_unix_ms + self._accept_ms
-        head = _HEAD.pack(FORMAT_VERSION, self._key_id, self._boot_id, accept_until)
-        payload = head + self._vm.encode()
+        head = _HEAD.pack(FORMAT_VERSION, self._key_id, boot_id, accept_until)
+        payload = head + vm.encode()
         data = payload + _compute_tag(self._secret, payload)
         return base64.urlsafe_b64encode(data).rstrip(b"=").decode()
 
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -123,7 +123,7 @@
 
 def test_whole_chunked_response_is_joined_and_the_connection_reused(start, monkeypatch):
     """Guards reuse in the daemon too, where monkey patching removes select.poll."""
-    monkeypatch.delattr("select.poll")
+    monkeypatch.delattr("select.poll", raising=False)
     body = b"3;a=b\r\nabc\r\n2\r\nde\r\n0\r\nX-Trailer: 1\r\n\r\n"
     server = start(b"HTTP/1.1 100 Continue\r\n\r\n" + CHUNKED + body, OK_RESPONSE)
     upstream = make_upstream()
