--- /dev/null
+++ b/bench/checks.py
@@ -0,0 +1,60 @@
+"""Compares what callers saw with what the backend servers ran."""
+
+import collections
+
+import attrs
+
+
+@attrs.define
+class Verdicts:
+    """Counts of broken promises with an example of each."""
+
+    counts: collections.Counter = attrs.Factory(collections.Counter)
+    examples: dict = attrs.Factory(dict)
+
+    def add(self, kind, example):
+        """Count one broken promise."""
+        self.counts[kind] += 1
+        self.examples.setdefault(kind, example)
+
+
+def collect_runs(fleet):
+    """Return how often each request id and each key ran, over all servers."""
+    by_request = collections.Counter()
+    by_key = collections.Counter()
+    for server in fleet.servers:
+        for request_id, key, *_ in fleet.get_executions(server["name"])["runs"]:
+            by_request[request_id] += 1
+            if key:
+                by_key[key] += 1
+    return by_request, by_key
+
+
+def check_records(records, by_request, by_key):
+    """
+    Return the promises that were broken.
+
+    :param records: callers' records as ``bench.load`` writes them.
+    """
+    verdicts = Verdicts()
+    for key, count in by_key.items():
+        if count > 1:
+            verdicts.add("second_run", (key, count))
+    for record in records:
+        if record["check"] in ("cut", "foreign"):
+            verdicts.add(f"{record['check']}_answer", record)
+        if record["outcome"] == "none":
+            verdicts.add("no_outcome", record)
+        if record["outcome"] != "not-run":
+            continue
+        ran = by_key[record["key"]] if record["key"] else by_request[record["request"]]
+        if ran:
+            verdicts.add("false_not_run", record)
+    return verdicts
+
+
+def count_outcomes(records):
+    """Return the number of records by outcome and reason."""
+    return collections.Counter(
+        f"{record['outcome']}/{record['reason']}" for record in records
+    )
--- a/bench/experiment.py
+++ b/bench/experiment.py
@@ -150,7 +150,7 @@
         if "server" in step:
             self._fleet.control_server(step["server"], **step["faults"])
         elif "signal" in step:
-            self._fleet.signal_vm(step["vm"], getattr(signal, step["signal"]))
+            self._fleet.signal_vm(step["vm"], getattr(signal, "SIG" + step["signal"]))
         elif "restart" in step:
             self._fleet.start_vm(step["vm"])
         elif "store" in step:
