Read small chunks without copies and let closed idle connections go

Cause: each small chunk copied the rest of the buffer, a fast stream never yielded to other requests, and sockets of servers without further requests stayed open.

Change: the reader keeps an offset, the stream yields before each read, and Upstream.close_idle is to be called from a timer.

Conclusion: a property test reads chunked bodies under any packet boundaries.

--- a/src/lavendermast/framing.py
+++ b/src/lavendermast/framing.py
@@ -56,6 +56,7 @@
         self._sock = sock
         self._method = method
         self._buffer = b""
+        self._start = 0  # consumed bytes of the buffer
         self._chunked = False
         self._left = 0
         self.length = None
@@ -96,7 +97,7 @@
     @property
     def reusable(self):
         """Whether the connection is exactly at the end of this response."""
-        return self.finished and self.persistent and not self._buffer
+        return self.finished and self.persistent and not self._count_buffered()
 
     def read_piece(self):
         """
@@ -112,9 +113,10 @@
         if self._left == 0:
             self._finish()
             return b""
-        if not self._buffer:
+        if not self._count_buffered():
             self._receive()
-        piece, self._buffer = self._buffer[: self._left], self._buffer[self._left :]
+        piece = self._buffer[self._start : self._start + self._left]
+        self._start += len(piece)
         self._left -= len(piece)
         if self._left == 0 and self._chunked:
             self._expect_line_end()
@@ -122,24 +124,27 @@
 
     def _finish(self):
         self.finished = True
-        if self._buffer:
+        if self._count_buffered():
             raise FramingError("bytes after the body")
 
+    def _count_buffered(self):
+        return len(self._buffer) - self._start
+
     def _receive(self):
         data = self._sock.recv(READ_BYTES)
         if not data:
             raise TruncatedResponseError("connection ended")
-        self._buffer = self._buffer + data if self._buffer else data
+        # Consumed bytes go only here, so that many small chunks cost no copies.
+        self._buffer = self._buffer[self._start :] + data
+        self._start = 0
 
     def _read_head(self):
-        end = self._buffer.find(b"\r\n\r\n")
-        while end < 0:
-            if len(self._buffer) > MAX_HEAD_BYTES:
+        while (end := self._buffer.find(b"\r\n\r\n", self._start)) < 0:
+            if self._count_buffered() > MAX_HEAD_BYTES:
                 raise FramingError("header section too long")
             self._receive()
-            end = self._buffer.find(b"\r\n\r\n")
-        lines = self._buffer[:end].split(b"\r\n")
-        self._buffer = self._buffer[end + 4 :]
+        lines = self._buffer[self._start : end].split(b"\r\n")
+        self._start = end + 4
         match = _STATUS_LINE.fullmatch(lines[0])
         if match is None:
             raise FramingError("malformed status line")
@@ -182,20 +187,19 @@
                 raise FramingError("trailer too long")
 
     def _expect_line_end(self):
-        while len(self._buffer) < 2:
+        while self._count_buffered() < 2:
             self._receive()
-        if self._buffer[:2] != b"\r\n":
+        if not self._buffer.startswith(b"\r\n", self._start):
             raise FramingError("chunk longer than its size")
-        self._buffer = self._buffer[2:]
+        self._start += 2
 
     def _read_line(self):
-        end = self._buffer.find(b"\r\n")
-        while end < 0:
-            if len(self._buffer) > MAX_CHUNK_LINE_BYTES:
+        while (end := self._buffer.find(b"\r\n", self._start)) < 0:
+            if self._count_buffered() > MAX_CHUNK_LINE_BYTES:
                 raise FramingError("chunk line too long")
             self._receive()
-            end = self._buffer.find(b"\r\n")
-        line, self._buffer = self._buffer[:end], self._buffer[end + 2 :]
+        line = self._buffer[self._start : end]
+        self._start = end + 2
         return line
 
 
--- a/src/lavendermast/upstream.py
+++ b/src/lavendermast/upstream.py
@@ -85,6 +85,9 @@
             return self._pieces.popleft()
         if self.status is not None:
             raise StopIteration
+        # A read that finds data does not yield, and a fast server would hold up
+        # every short request.
+        eventlet.sleep(0)
         piece = self._read()
         if piece:
             return piece
@@ -220,6 +223,20 @@
         for connection in self._idle.pop(name, ()):
             connection.close()
 
+    def close_idle(self):
+        """Close connections that are idle for long or closed by the server."""
+        oldest = self._clock.monotonic() - MAX_IDLE_S
+        for name, idle in list(self._idle.items()):
+            kept = collections.deque()
+            for connection in idle:
+                if connection.idle_since > oldest and connection.is_quiet():
+                    kept.append(connection)
+                else:
+                    connection.close()
+            self._idle[name] = kept
+            if not kept:
+                del self._idle[name]
+
     def release(self, attempt, response):
         """Keep the connection for reuse, or close it when it is out of step."""
         connection = attempt.connection
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -3,9 +3,11 @@
 import eventlet
 import pytest
 from eventlet.green import socket
+from hypothesis import given, strategies as st
 
 from lavendermast.clock import SystemClock
 from lavendermast.exceptions import FramingError, RequestError, TruncatedResponseError
+from lavendermast.framing import ServerResponse
 from lavendermast.models import AttemptStatus, CallerRequest, Server
 from lavendermast.upstream import Cancellation, Upstream
 
@@ -188,6 +190,16 @@
     assert len(server.connections) == 2
 
 
+def test_closed_idle_connections_are_let_go(start):
+    """Guards against sockets that pile up for servers without further requests."""
+    server = start(answer_and_close(OK_RESPONSE))
+    upstream = make_upstream()
+    send(upstream, server)
+    eventlet.sleep(0.02)
+    upstream.close_idle()
+    assert not upstream._idle
+
+
 def test_long_idle_connection_is_kept_for_repeatable_requests_only(start):
     class LaterClock(SystemClock):
         offset = 0.0
@@ -311,3 +323,22 @@
     with pytest.raises(RequestError):
         send(make_upstream(), server, headers=[header])
     assert server.received == []
+
+
+@given(st.lists(st.binary(min_size=1, max_size=40), max_size=6), st.data())
+def test_chunked_body_is_whole_however_the_bytes_arrive(chunks, data):
+    """Guards R2: boundaries of packets must not change what is read."""
+    wire = CHUNKED + b"".join(b"%x\r\n%b\r\n" % (len(c), c) for c in chunks)
+    wire += b"0\r\n\r\n"
+    cuts = data.draw(st.sets(st.integers(1, len(wire) - 1), max_size=8))
+    ends = [*sorted(cuts), len(wire)]
+    packets = [wire[a:b] for a, b in zip([0, *ends], ends, strict=False)]
+
+    class Socket:
+        def recv(self, size):
+            return packets.pop(0) if packets else b""
+
+    response = ServerResponse(Socket(), "GET")
+    response.begin()
+    body = b"".join(iter(response.read_piece, b""))
+    assert (body, response.reusable, packets) == (b"".join(chunks), True, [])
