Compare slow servers within their region, keep evidence over settings changes

Cause: in a common slowdown the servers with a short link pass the latency limit first, so they were reduced although nothing set them apart. Change: a slow finding must also hold against the same region; settings replace the observations only when the thresholds differ.

--- a/src/lavendermast/health.py
+++ b/src/lavendermast/health.py
@@ -75,6 +75,7 @@
         self.name = name
         self._clock = clock
         self._record_event = record_event
+        self._detection = None
         self._records = {}
         self._weights = {}
         self._notices = []
@@ -92,13 +93,17 @@
         return cls(name, service, clock, record_event)
 
     def replace_service(self, service):
-        """Apply changed settings; evidence in the windows is dropped."""
-        self._detection = service.detection
+        """Apply settings; changed thresholds drop the evidence in the windows."""
         self._budget = EjectionBudget.from_config(service)
-        self._observations = Observations(self.name, service.detection)
+        if service.detection != self._detection:
+            self._replace_detection(service.detection)
+        self._refresh_weights(self._clock.monotonic())
+
+    def _replace_detection(self, detection):
+        self._detection = detection
+        self._observations = Observations(self.name, detection)
         for record in self._records.values():
             self._observations.add_server(record.server)
-        self._refresh_weights(self._clock.monotonic())
 
     def replace_servers(self, servers):
         """
--- a/src/lavendermast/observations.py
+++ b/src/lavendermast/observations.py
@@ -1,5 +1,7 @@
 """Attempts of this VM at one service's servers, as evidence for and against them."""
 
+import collections
+
 import attrs
 
 from .messages_model import EvidenceEntry
@@ -72,7 +74,7 @@
         self._servers = {}
         self._routes = {}
         self._in_flight = {}
-        self._totals = (-1.0, [])
+        self._totals = (-1.0, {})
         self._recent = SlidingCounts(self._window_s)
         self._next_refresh = 0.0
 
@@ -138,20 +140,31 @@
         # likely somewhere among the fleet's many pairs of VM and server.
         if bad < self._detection.min_samples:
             return None
-        totals = self._sum_counts(now)
+        finding = self._compare(own, bad, None, now)
+        if not finding or finding.cause != "slow":
+            return finding
+        # A common slowdown passes the limit first where the link is short.
+        region = self._servers[server_name].server.region
+        in_region = self._compare(own, bad, region, now)
+        return in_region if sum(self._sum_counts(now)[region]) > sum(own) else finding
+
+    def _compare(self, own, bad, region, now):
+        totals = self._sum_counts(now)[region]
         others = [max(0, a - b) for a, b in zip(totals, own, strict=True)]
         if not is_beyond_chance(bad, sum(own), others):
             return None
         return find_cause(own, others, self._detection)
 
     def _sum_counts(self, now):
+        """Return the counts by region, and of all under ``None``."""
         moment, totals = self._totals
         if moment != now:
-            totals = [0] * len(KINDS)
+            totals = collections.defaultdict(lambda: [0] * len(KINDS))
             for observed in self._servers.values():
                 observed.counts.expire(now)
-                for kind, count in enumerate(observed.counts.totals):
-                    totals[kind] += count
+                for region in (observed.server.region, None):
+                    for kind, count in enumerate(observed.counts.totals):
+                        totals[region][kind] += count
             self._totals = (now, totals)
         return totals
 
