Look only at servers with failures while all weights are full

Change: observations name the suspects; the full pass runs only while a weight is below 1. Sliding windows expire when they grow. Conclusion: the cost no longer grows with quiet servers.

--- a/src/lavendermast/health.py
+++ b/src/lavendermast/health.py
@@ -79,6 +79,7 @@
         self._records = {}
         self._weights = {}
         self._notices = []
+        self._steady = False
         self._last_advance = clock.monotonic()
         self.replace_service(service)
 
@@ -168,6 +169,10 @@
         self._check_gap(now)
         self._last_advance = now
         self._observations.advance(now)
+        for server_name in list(self._observations.suspects):
+            self._judge(self._records[server_name], now)
+        if self._steady:
+            return
         for record in list(self._records.values()):
             self._advance_record(record, now)
         self._refresh_weights(now)
@@ -240,13 +245,16 @@
             return
         if record.cold_until and now >= record.cold_until:
             self._start_ramp(record, now)
+        if not record.listed and now - record.unlisted_since > self._max_hold_s:
+            del self._records[record.name], self._weights[record.name]
+            self._observations.remove_server(record.name)
+
+    def _judge(self, record, now):
         finding = self._observations.find_cause(record.name, now)
         if finding:
             confirmed = not finding.may_be_link
             self._hold(record, finding.score, finding.cause, "local", confirmed, now)
-        elif not record.listed and now - record.unlisted_since > self._max_hold_s:
-            del self._records[record.name], self._weights[record.name]
-            self._observations.remove_server(record.name)
+            self._steady = False
 
     @property
     def _max_hold_s(self):
@@ -327,6 +335,7 @@
             self._set_ejected(record, record in ejected, allowed - len(ejected))
         for record in self._records.values():
             self._weights[record.name] = self._compute_weight(record, now)
+        self._steady = all(weight == 1.0 for weight in self._weights.values())
 
     def _set_ejected(self, record, ejected, budget_left):
         if ejected and not record.ejected:
--- a/src/lavendermast/observations.py
+++ b/src/lavendermast/observations.py
@@ -65,12 +65,16 @@
 
     :param name: the service.
     :param detection: its thresholds.
+
+    ``suspects`` names the servers with any bad attempt; there are few, and only they
+    need a look at every step.
     """
 
     def __init__(self, name, detection):
         self._name = name
         self._detection = detection
         self._window_s = detection.window_ms / 1000
+        self.suspects = set()
         self._servers = {}
         self._routes = {}
         self._in_flight = {}
@@ -90,6 +94,7 @@
     def remove_server(self, server_name):
         """Stop observing a server."""
         self._servers.pop(server_name, None)
+        self.suspects.discard(server_name)
 
     def start(self, server_name, route_name, now):
         """Return a handle for an attempt that is being sent now."""
@@ -138,6 +143,8 @@
         bad = sum(own) - own[OK]
         # Failed attempts are counted, not all: two failures of five by chance are
         # likely somewhere among the fleet's many pairs of VM and server.
+        if not bad:
+            self.suspects.discard(server_name)
         if bad < self._detection.min_samples:
             return None
         finding = self._compare(own, bad, None, now)
@@ -171,6 +178,7 @@
     def clear_server(self, server_name):
         """Drop the evidence on one server; the judges still receive it."""
         self._servers[server_name].counts.clear()
+        self.suspects.discard(server_name)
 
     def void(self):
         """Drop all evidence, attempts in flight included, after a pause."""
@@ -178,6 +186,7 @@
             attempt.void = True
         self._recent.clear()
         self._routes = {}
+        self.suspects.clear()
         for observed in self._servers.values():
             observed.counts.clear()
             observed.unreported = [0] * len(KINDS)
@@ -211,6 +220,8 @@
         return route
 
     def _count(self, observed, kind, now):
+        if kind != OK:
+            self.suspects.add(observed.server.name)
         observed.counts.add(kind, now)
         observed.unreported[kind] += 1
         self._recent.add(kind, now)
--- a/src/lavendermast/samples.py
+++ b/src/lavendermast/samples.py
@@ -125,6 +125,7 @@
         """Count attempts of one kind that ended now."""
         index = int(now / self._slice_s)
         if not self._slices or self._slices[-1][0] != index:
+            self.expire(now)
             self._slices.append((index, [0] * len(KINDS)))
         self._slices[-1][1][kind] += count
         self.totals[kind] += count
