--- a/src/lavendermast/health.py
+++ b/src/lavendermast/health.py
@@ -75,9 +75,11 @@
         self.name = name
         self._clock = clock
         self._record_event = record_event
+        self._detection = None
         self._records = {}
         self._weights = {}
         self._notices = []
+        self._steady = False
         self._last_advance = clock.monotonic()
         self.replace_service(service)
 
@@ -92,13 +94,17 @@
         return cls(name, service, clock, record_event)
 
     def replace_service(self, service):
-        """Apply changed settings; evidence in the windows is dropped."""
-        self._detection = service.detection
+        """Apply settings; changed thresholds drop the evidence in the windows."""
         self._budget = EjectionBudget.from_config(service)
-        self._observations = Observations(self.name, service.detection)
+        if service.detection != self._detection:
+            self._replace_detection(service.detection)
+        self._refresh_weights(self._clock.monotonic())
+
+    def _replace_detection(self, detection):
+        self._detection = detection
+        self._observations = Observations(self.name, detection)
         for record in self._records.values():
             self._observations.add_server(record.server)
-        self._refresh_weights(self._clock.monotonic())
 
     def replace_servers(self, servers):
         """
@@ -163,6 +169,10 @@
         self._check_gap(now)
         self._last_advance = now
         self._observations.advance(now)
+        for server_name in list(self._observations.suspects):
+            self._judge(self._records[server_name], now)
+        if self._steady:
+            return
         for record in list(self._records.values()):
             self._advance_record(record, now)
         self._refresh_weights(now)
@@ -235,13 +245,16 @@
             return
         if record.cold_until and now >= record.cold_until:
             self._start_ramp(record, now)
+        if not record.listed and now - record.unlisted_since > self._max_hold_s:
+            del self._records[record.name], self._weights[record.name]
+            self._observations.remove_server(record.name)
+
+    def _judge(self, record, now):
         finding = self._observations.find_cause(record.name, now)
         if finding:
             confirmed = not finding.may_be_link
             self._hold(record, finding.score, finding.cause, "local", confirmed, now)
-        elif not record.listed and now - record.unlisted_since > self._max_hold_s:
-            del self._records[record.name], self._weights[record.name]
-            self._observations.remove_server(record.name)
+            self._steady = False
 
     @property
     def _max_hold_s(self):
@@ -322,6 +335,7 @@
             self._set_ejected(record, record in ejected, allowed - len(ejected))
         for record in self._records.values():
             self._weights[record.name] = self._compute_weight(record, now)
+        self._steady = all(weight == 1.0 for weight in self._weights.values())
 
     def _set_ejected(self, record, ejected, budget_left):
         if ejected and not record.ejected:
--- a/src/lavendermast/observations.py
+++ b/src/lavendermast/observations.py
@@ -1,5 +1,7 @@
 """Attempts of this VM at one service's servers, as evidence for and against them."""
 
+import collections
+
 import attrs
 
 from .messages_model import EvidenceEntry
@@ -63,16 +65,20 @@
 
     :param name: the service.
     :param detection: its thresholds.
+
+    ``suspects`` names the servers with any bad attempt; there are few, and only they
+    need a look at every step.
     """
 
     def __init__(self, name, detection):
         self._name = name
         self._detection = detection
         self._window_s = detection.window_ms / 1000
+        self.suspects = set()
         self._servers = {}
         self._routes = {}
         self._in_flight = {}
-        self._totals = (-1.0, [])
+        self._totals = (-1.0, {})
         self._recent = SlidingCounts(self._window_s)
         self._next_refresh = 0.0
 
@@ -88,6 +94,7 @@
     def remove_server(self, server_name):
         """Stop observing a server."""
         self._servers.pop(server_name, None)
+        self.suspects.discard(server_name)
 
     def start(self, server_name, route_name, now):
         """Return a handle for an attempt that is being sent now."""
@@ -136,28 +143,42 @@
         bad = sum(own) - own[OK]
         # Failed attempts are counted, not all: two failures of five by chance are
         # likely somewhere among the fleet's many pairs of VM and server.
+        if not bad:
+            self.suspects.discard(server_name)
         if bad < self._detection.min_samples:
             return None
-        totals = self._sum_counts(now)
+        finding = self._compare(own, bad, None, now)
+        if not finding or finding.cause != "slow":
+            return finding
+        # A common slowdown passes the limit first where the link is short.
+        region = self._servers[server_name].server.region
+        in_region = self._compare(own, bad, region, now)
+        return in_region if sum(self._sum_counts(now)[region]) > sum(own) else finding
+
+    def _compare(self, own, bad, region, now):
+        totals = self._sum_counts(now)[region]
         others = [max(0, a - b) for a, b in zip(totals, own, strict=True)]
         if not is_beyond_chance(bad, sum(own), others):
             return None
         return find_cause(own, others, self._detection)
 
     def _sum_counts(self, now):
+        """Return the counts by region, and of all under ``None``."""
         moment, totals = self._totals
         if moment != now:
-            totals = [0] * len(KINDS)
+            totals = collections.defaultdict(lambda: [0] * len(KINDS))
             for observed in self._servers.values():
                 observed.counts.expire(now)
-                for kind, count in enumerate(observed.counts.totals):
-                    totals[kind] += count
+                for region in (observed.server.region, None):
+                    for kind, count in enumerate(observed.counts.totals):
+                        totals[region][kind] += count
             self._totals = (now, totals)
         return totals
 
     def clear_server(self, server_name):
         """Drop the evidence on one server; the judges still receive it."""
         self._servers[server_name].counts.clear()
+        self.suspects.discard(server_name)
 
     def void(self):
         """Drop all evidence, attempts in flight included, after a pause."""
@@ -165,6 +186,7 @@
             attempt.void = True
         self._recent.clear()
         self._routes = {}
+        self.suspects.clear()
         for observed in self._servers.values():
             observed.counts.clear()
             observed.unreported = [0] * len(KINDS)
@@ -198,6 +220,8 @@
         return route
 
     def _count(self, observed, kind, now):
+        if kind != OK:
+            self.suspects.add(observed.server.name)
         observed.counts.add(kind, now)
         observed.unreported[kind] += 1
         self._recent.add(kind, now)
