--- a/src/lavendermast/documents.py
+++ b/src/lavendermast/documents.py
@@ -58,8 +58,8 @@
     True
     """
     # The window must hold the old value as well as the new one. The hash table must
-    # have a place for each position of the old value: with the level's own table the
-    # delta of a 4.7 MB value with two changed entries takes 745 KB, with this one 514 B.
+    # have a place for each position of the old value: the delta of a 4.7 MB value with
+    # two changed entries takes 745 KB with the level's own table and 514 B with this.
     window_log = (len(base) + len(content)).bit_length()
     options = {"window_log": min(max(window_log, MIN_WINDOW_LOG), MAX_WINDOW_LOG)}
     if base:
