Test pauses during an indirect check and a late network

Change: timers run before sockets are read after a pause, the pause falls into an indirect check, and one test delays the network of the woken VM. Conclusion: both rules of the pause handling are guarded.

--- a/tests/memory_network.py
+++ b/tests/memory_network.py
@@ -97,11 +97,11 @@
         heapq.heappush(self._queue, (at, next(self._order), address, call))
 
     def pause(self, vm, seconds):
-        address = self.members[vm].own.peer_address
-        self.paused[address] = []
+        self.paused[address := self.members[vm].own.peer_address] = []
         self.run(seconds)
-        for _, _, _, call in self.paused.pop(address):
-            self.schedule(0, address, *call)
+        events = sorted(self.paused.pop(address), key=lambda e: e[3][0] != self.tick)
+        for event in events:  # timers run before sockets are read
+            self.schedule(0, address, *event[3])
 
     def kill(self, vm):
         self.transports.pop(self.members[vm].own.peer_address)
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -79,13 +79,30 @@
 def test_paused_vm_suspects_nobody_and_rejoins(seconds):
     """Guards against late timers that count queued acks as missing."""
     fleet = Fleet(SIZE)
+    membership, detector = fleet.members["vm-5"], fleet.vms["vm-5"].detector
+    pair = (membership.own.peer_address, membership.get_successors()[0].peer_address)
+    fleet.block_rules.append(lambda *path: path == pair)
     fleet.run(3)
+    while not any(check.indirect for check in detector._checks.values()):
+        fleet.run(0.01)
     fleet.pause("vm-5", seconds)
     fleet.run(12)
     assert {e[3]["member"] for e in find_marks(fleet)} <= {"vm-5"}
     assert_all_alive(fleet)
 
 
+def test_woken_vm_raises_no_suspicion_while_its_network_catches_up():
+    fleet = Fleet(SIZE)
+    fleet.run(3)
+    fleet.pause("vm-5", 30)
+    address = fleet.members["vm-5"].own.peer_address
+    fleet.block_rules.append(lambda source, target: target == address)
+    fleet.run(1.3)
+    fleet.block_rules.clear()
+    fleet.run(5)
+    assert {e[3]["member"] for e in find_marks(fleet)} == {"vm-5"}
+
+
 def test_replaced_vm_takes_the_place_of_the_old_boot():
     """Guards against late updates about a boot that no longer exists."""
     fleet = Fleet(SIZE)
