Bound what a replaced or started VM keeps

Cause: a replaced process reported its replacement with each message, the start rule kept responses after the start, and updates without an address replaced each other. Change: one report for each new boot, responses only while starting, no address rule for an empty address. Before: the table of responses grew with each new name. After: it ends with the start.

--- a/src/lavendermast/lifecycle.py
+++ b/src/lavendermast/lifecycle.py
@@ -83,7 +83,8 @@
 
     def note_response(self, vm, versions):
         """Note that a peer responded with its document versions."""
-        self._responses[vm] = versions
+        if self._membership.own.state == "starting":
+            self._responses[vm] = versions
 
     def contact_peers(self):
         """Ping peers that have not responded; call it every 0.5 s until ready."""
--- a/src/lavendermast/membership.py
+++ b/src/lavendermast/membership.py
@@ -41,6 +41,7 @@
         self._record_event = record_event
         self.seeds = tuple(seed for seed in seeds if seed != own.peer_address)
         self._listed = {}
+        self._replaced_by = 0
 
     @classmethod
     def from_settings(cls, settings, clock, random, record_event):
@@ -186,7 +187,8 @@
             # The previous process ran on a host whose clock was ahead.
             self._set_own("clock", boot_time=update.boot_time + 1)
             result.changed.append(self.own)
-        else:
+        elif update.boot_id != self._replaced_by:
+            self._replaced_by = update.boot_id
             self._record(update, self.own.state, "replaced")
             for callback in self.on_replaced:
                 callback(update)
@@ -229,7 +231,7 @@
     def _settle_address(self, update, cause):
         """Keep only the newest process of an address; the others are dead."""
         holder = self._addresses.get(update.peer_address)
-        if update.state == "dead" or holder == update.vm:
+        if update.state == "dead" or holder == update.vm or not update.peer_address:
             return update, cause
         other = self.get_member(holder) if holder else None
         if other is not None and other.peer_address == update.peer_address:
