Correct the ends of ejections for clock differences in reports

Cause: the report page showed ejections that ended later than they did: their start was corrected for the VM's clock and their end was not.

Change: both are corrected, with a test. Legends stand beside the plots, and the page's time starts at the corrected start. bench.incident_logs runs by itself.

Conclusion: plots and stories use one clock.

--- a/bench/incident_logs.py
+++ b/bench/incident_logs.py
@@ -1,5 +1,6 @@
 """Generates decision logs and callers' logs of a fleet, from a seed."""
 
+import argparse
 import hashlib
 import json
 import pathlib
@@ -211,3 +212,21 @@
         generator.forwarded,
         generator.lines,
     )
+
+
+def main():
+    """Write logs into a directory that exists."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("directory", type=pathlib.Path)
+    parser.add_argument("--lines", type=int, default=1000)
+    parser.add_argument("--vms", type=int, default=3)
+    parser.add_argument("--seed", type=int, default=1)
+    arguments = parser.parse_args()
+    made = generate_logs(
+        arguments.directory, arguments.lines, arguments.vms, arguments.seed
+    )
+    print(f"{made.lines} lines, callers' log {made.callers.name}")
+
+
+if __name__ == "__main__":
+    main()
--- a/src/lavendermast/incident.py
+++ b/src/lavendermast/incident.py
@@ -157,6 +157,12 @@
                     )
         self.offsets = self._clocks.estimate(self.coverage)
 
+    def get_span(self):
+        """Return the first and last time in the logs, corrected; ``None`` if empty."""
+        pairs = [(item, self.offsets[vm].seconds) for vm, item in self.coverage.items()]
+        first = min((item.first - ahead for item, ahead in pairs), default=None)
+        return first, max((item.last - ahead for item, ahead in pairs), default=None)
+
     def list_missing_vms(self):
         """Return members that the logs name without a log of their own."""
         return sorted(self.timeline.members - set(self.coverage))
--- a/src/lavendermast/incident_output.py
+++ b/src/lavendermast/incident_output.py
@@ -76,7 +76,9 @@
     ]
     for row in logs["vms"]:
         clock = "clock difference not known"
-        if row["clock_error_s"] is not None:
+        if row["clock_error_s"] == 0:
+            clock = "clock is the reference"
+        elif row["clock_error_s"] is not None:
             clock = (
                 f"clock {row['clock_ahead_s'] * 1000:+.1f} ms "
                 f"(error up to {row['clock_error_s'] * 1000:.1f} ms, "
--- a/src/lavendermast/report.py
+++ b/src/lavendermast/report.py
@@ -19,6 +19,8 @@
 #: The page lists this many issues and stories; text and JSON output list all.
 MAX_ISSUES = 1_000
 MAX_STORIES = 50
+#: The plot of ejections shows the services with the most; more are not legible.
+MAX_SERVICES = 8
 _STYLE = """
 body { font-family: sans-serif; max-width: 60em; margin: 2em auto; color: #222; }
 pre { background: #f4f4f4; padding: 0.6em; overflow-x: auto; }
@@ -53,7 +55,8 @@
     axes.set_title(title)
     axes.set_ylabel(label)
     axes.set_xlabel("seconds from the start")
-    axes.legend(loc="upper right", fontsize="small")
+    axes.yaxis.set_major_formatter("{x:g}")
+    figure.legend(loc="outside right upper", fontsize="small")
     stream = io.BytesIO()
     figure.savefig(stream, format="png")
     return stream.getvalue()
@@ -67,6 +70,7 @@
     for label in labels:
         rates = [series.steps[step][label] / series.width for step in steps]
         axes.plot(times, rates, label=label, drawstyle="steps-post", marker=".")
+    axes.set_ylim(bottom=0)
     return bool(steps)
 
 
@@ -77,7 +81,7 @@
     for share in (0.5, 0.99):
         values = [compute_percentile(series.steps[step], share) for step in steps]
         axes.plot(times, values, label=f"{share:.0%} of requests", marker=".")
-    axes.set_yscale("log")
+    axes.set_ylim(bottom=0)
     return bool(steps)
 
 
@@ -103,8 +107,10 @@
                 allowed[item.vm] = len(servers) + item.budget_left
         else:
             held[item.vm].discard(number)
-        vm = max(held, key=lambda name: (len(held[name]), name))
-        count = len({ejections[other].server for other in held[vm]})
+            if not held[item.vm]:
+                del held[item.vm]
+        vm = max(held, key=lambda name: (len(held[name]), name), default=item.vm)
+        count = len({ejections[other].server for other in held.get(vm, ())})
         rows.append((moment, count, allowed.get(vm)))
     return rows
 
@@ -114,7 +120,10 @@
     services = collections.defaultdict(list)
     for item in ejections:
         services[item.service].append(item)
-    for service, items in sorted(services.items()):
+    axes.set_ylim(bottom=0)
+    most = sorted(services, key=lambda name: (-len(services[name]), name))
+    for service in most[:MAX_SERVICES]:
+        items = services[service]
         rows = compute_ejected(items)
         times = [row[0] - start for row in rows]
         (line,) = axes.plot(
@@ -150,7 +159,7 @@
 
 def render_plots(incident):
     """Return (title, PNG or ``None``) of each plot of the page."""
-    start = min((item.first for item in incident.coverage.values()), default=0.0)
+    start = incident.get_span()[0] or 0.0
     timeline = incident.timeline
     plots = (
         ("Outcomes told", "requests/s", draw_outcomes, incident.outcomes),
@@ -224,6 +233,5 @@
 
 
 def _format_span(incident):
-    first = min((item.first for item in incident.coverage.values()), default=None)
-    last = max((item.last for item in incident.coverage.values()), default=None)
+    first, last = incident.get_span()
     return f"{format_time(first)} to {format_time(last)}"
--- a/src/lavendermast/timeline.py
+++ b/src/lavendermast/timeline.py
@@ -121,6 +121,7 @@
 
     def __init__(self):
         self._events = []
+        self._offsets = {}
         self._ejections = collections.defaultdict(list)
         self._longest = collections.defaultdict(float)
         self.versions = collections.defaultdict(list)
@@ -140,6 +141,7 @@
             (moment - offsets[vm].seconds, vm, fields)
             for moment, vm, fields in self._events
         ]
+        self._offsets = offsets
         self._events.sort(key=lambda item: item[:2])
         open_ejections = {}
         for moment, vm, fields in self._events:
@@ -155,6 +157,8 @@
             before = open_ejections[key]
             self._keep(attrs.evolve(before, end=min(moment, before.end)))
         until = convert_time(get_number(fields, "until"))
+        if until is not None:
+            until -= self._offsets[vm].seconds
         open_ejections[key] = Ejection(
             moment,
             max(until, moment) if until is not None else math.inf,
--- a/tests/test_incident.py
+++ b/tests/test_incident.py
@@ -156,6 +156,15 @@
         assert abs(row["clock_ahead_s"] - actual) <= row["clock_error_s"] + 1e-5
 
 
+def test_ends_of_ejections_are_corrected_for_the_clock(made):
+    """Guards against an end on the VM's clock beside a corrected start."""
+    with Incident(made.logs) as incident:
+        ejections = incident.timeline.list_ejections()
+    assert ejections
+    for ejection in ejections:
+        assert ejection.end - ejection.start == pytest.approx(4, abs=0.001)
+
+
 def test_filters_select_stories(made):
     """Guards against a filter that lets other requests through."""
     everything = rebuild(made.logs, stories=True)["requests"]
