--- a/src/lavendermast/incident.py
+++ b/src/lavendermast/incident.py
@@ -124,13 +124,16 @@
                 self.counts.damaged += 1
             else:
                 self._spill.write(request, _LINE + line)
-                if event == "forwarded":
-                    owner = fields.get("owner")
+                if event == "forwarded" and fields.get("owner"):
+                    owner = fields["owner"]
+                    self.timeline.members.add(owner)
                     self._clocks.add_forwarded(request, vm, owner, moment)
 
     def _read_callers(self, paths):
         for line in iterate_lines(paths, self.caller_counts, self._progress):
             record = CallerRecord.from_json(line)
+            if record is not None and record.vm:
+                self.timeline.members.add(record.vm)
             if record is None:
                 self.caller_counts.damaged += 1
             elif record.request:
@@ -164,7 +167,7 @@
         return first, max((item.last - ahead for item, ahead in pairs), default=None)
 
     def list_missing_vms(self):
-        """Return members that the logs name without a log of their own."""
+        """Return VMs that logs or callers name and that have no log of their own."""
         return sorted(self.timeline.members - set(self.coverage))
 
     def iterate_stories(self, selection=None):
--- a/tests/test_incident.py
+++ b/tests/test_incident.py
@@ -142,6 +142,7 @@
     """Guards against reading a log that was not collected as a false account."""
     report = rebuild(made.logs[1:], [made.callers])
     assert report["clean"]
+    assert report["logs"]["missing_vms"] == ["vm0"]
     texts = [text for _, text in list_issues(report, "unknown")]
     assert "the log of vm0 is missing" in texts
     assert "forwarded to vm0, whose log is missing" in texts
