--- a/tests/test_incident.py
+++ b/tests/test_incident.py
@@ -9,6 +9,7 @@
 from hypothesis import given, strategies as st
 
 from bench.incident_logs import START, generate_logs
+from lavendermast.clockskew import ClockEstimator
 from lavendermast.incident import Filter, Incident
 from lavendermast.incident_output import write_json, write_text
 from lavendermast.loglines import CallerRecord, parse_line
@@ -142,6 +143,7 @@
     """Guards against reading a log that was not collected as a false account."""
     report = rebuild(made.logs[1:], [made.callers])
     assert report["clean"]
+    assert report["logs"]["missing_vms"] == ["vm0"]
     texts = [text for _, text in list_issues(report, "unknown")]
     assert "the log of vm0 is missing" in texts
     assert "forwarded to vm0, whose log is missing" in texts
@@ -156,6 +158,24 @@
         assert abs(row["clock_ahead_s"] - actual) <= row["clock_error_s"] + 1e-5
 
 
+def test_impossible_samples_give_no_clock_difference():
+    """Guards against a false line that moves a VM's clock with a small error."""
+    clocks = ClockEstimator()
+    clocks.add_forwarded("r1", "a", "b", 100.0)
+    clocks.add_request("r1", "a", 100.01, 0.01)
+    clocks.add_request("r1", "b", 107.0, 0.02)
+    assert clocks.estimate(["a", "b"])["b"].error is None
+
+
+def test_ends_of_ejections_are_corrected_for_the_clock(made):
+    """Guards against an end on the VM's clock beside a corrected start."""
+    with Incident(made.logs) as incident:
+        ejections = incident.timeline.list_ejections()
+    assert ejections
+    for ejection in ejections:
+        assert ejection.end - ejection.start == pytest.approx(4, abs=0.001)
+
+
 def test_filters_select_stories(made):
     """Guards against a filter that lets other requests through."""
     everything = rebuild(made.logs, stories=True)["requests"]
