--- a/bench/naive.py
+++ b/bench/naive.py
@@ -8,7 +8,8 @@
 
 import eventlet
 
-eventlet.monkey_patch()
+if __name__ == "__main__":  # the overload model imports RoundRobin only
+    eventlet.monkey_patch()
 
 import argparse  # noqa: E402
 import collections  # noqa: E402
--- a/src/lavendermast/admission.py
+++ b/src/lavendermast/admission.py
@@ -17,9 +17,11 @@
 #: Time for which waiters are present without a break that marks an overload, in
 #: seconds; a burst that the servers absorb is shorter.
 STANDING = 0.1
-#: Longest wait in an overload, in seconds. Refusals are due within 50 ms of arrival;
-#: the rest is for one tick and the answer.
-OVERLOAD_WAIT = 0.04
+#: Time from arrival until a refusal is due in an overload, in seconds.
+REFUSAL_BOUND = 0.05
+#: Longest wait in an overload, in seconds; the rest of the bound is for one tick and
+#: a shed answer from another region (20 ms).
+OVERLOAD_WAIT = 0.02
 #: Time for which the overload rule holds after the last sign of it, in seconds.
 OVERLOAD_HOLD = 1.0
 #: Part of the remaining time that the expected wait may take outside an overload; the
@@ -48,6 +50,8 @@
     The place of one request; a context manager that releases it.
 
     :param give_up_at: monotonic time after which a waiting request is refused.
+    :param refuse_by: time until which a refusal is in time; infinite outside an
+        overload. ``RequestFacts`` takes it.
     :param error: why it was refused.
     """
 
@@ -59,6 +63,7 @@
     notify: object = None
     state: TicketState = TicketState.WAITING
     granted_at: float = 0.0
+    refuse_by: float = math.inf
     error: RequestError | None = None
 
     def __enter__(self):
@@ -205,6 +210,8 @@
         if deadline <= now:
             raise RequestError(503, "deadline", retry_after=MIN_RETRY_AFTER)
         ticket = Ticket(self, customer, weight, deadline, deadline, notify)
+        if now < self._overload_until:
+            ticket.refuse_by = now + REFUSAL_BOUND
         if not self._waiting and self._permits < self._get_capacity():
             self._grant(ticket, now)
             self._rate.note_busy(now, self._permits >= self._get_capacity())
@@ -238,6 +245,9 @@
             self._permits -= 1
             if served:
                 self._rate.record(now, now - ticket.granted_at)
+            else:
+                # Shed answers drain the queue too, so it need not stand.
+                self._overload_until = now + OVERLOAD_HOLD
             self.advance()
 
     def advance(self):
--- a/src/lavendermast/retries.py
+++ b/src/lavendermast/retries.py
@@ -1,5 +1,7 @@
 """Retry budget, and what to tell a caller when an attempt failed."""
 
+import math
+
 import attrs
 
 from .models import AttemptStatus, Outcome
@@ -74,12 +76,15 @@
     :param keyed: whether it carries an idempotency key that this VM owns.
     :param deadline: monotonic time after which nothing is started.
     :param may_have_run: whether an earlier attempt or submission may have run.
+    :param refuse_by: monotonic time until which a refusal is in time, from the ticket;
+        infinite outside an overload.
     """
 
     idempotent: bool
     keyed: bool
     deadline: float
     may_have_run: bool = False
+    refuse_by: float = math.inf
 
 
 @attrs.frozen
@@ -163,6 +168,10 @@
             return "no-key"
         if attempts >= self._max_attempts:
             return "attempts"
-        if self._clock.monotonic() >= facts.deadline:
+        now = self._clock.monotonic()
+        if now >= facts.deadline:
             return "deadline"
+        # Another shed answer would take as long again and make the refusal late.
+        if not ran and now <= facts.refuse_by < now + result.latency:
+            return "refusal-due"
         return "" if self._budget.spend() else "budget"
