Cover the ledger faults that deliberate damage showed untested

Cause: four faults put into a scratch copy of the ledger passed all tests.

Change: tests for a doubled handover, a frozen successor and a longer remember_ms.

--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -8,6 +8,7 @@
 from lavendermast.exceptions import LedgerError
 from lavendermast.ledger import Action, Ledger
 from lavendermast.models import Outcome
+from lavendermast.settings_model import Config
 from lavendermast.tokens import TokenIssuer, read_token
 
 KEY = b"0123456789abcdef"
@@ -177,3 +178,42 @@
     assert begin(old, key).outcome is Outcome.NOT_RUN
     hand_over(old, new)
     assert begin(new, key).outcome is Outcome.NOT_RUN
+
+
+def test_doubled_handover_does_not_lower_the_mark_of_refused_keys():
+    """Guards R3: a key refused for want of room must stay refused."""
+    clock = ManualClock()
+    old, new = Vm(clock, 1), Vm(clock, 2, capacity=1)
+    filler = new.make_key()
+    begin(new, filler)
+    new.ledger.mark_unknown(filler)
+    clock.advance(900.001)
+    key = old.make_key()
+    hand_over(old, new)
+    assert begin(new, key).reason == "ledger-full"
+    clock.advance(59.999)
+    hand_over(old, new)
+    assert begin(new, key).outcome is Outcome.NOT_RUN
+
+
+def test_frozen_ledger_takes_nothing_over():
+    """Guards R4: its own successor would not learn of these keys."""
+    clock = ManualClock()
+    old, new = Vm(clock, 1), Vm(clock, 2)
+    new.ledger.freeze(3)
+    assert hand_over(old, new) == [False]
+
+
+@pytest.mark.parametrize("used", [True, False])
+def test_key_of_a_dropped_entry_is_unknown_whatever_the_settings(used):
+    """Guards R3: a longer remember_ms must not turn a dropped key into not-run."""
+    vm = Vm(ManualClock())
+    key = vm.make_key()
+    if used:
+        begin(vm, key)
+        vm.ledger.mark_unknown(key)
+    vm.clock.advance(961)
+    assert begin(vm, key).reason == "forgotten"
+    longer = {"services": {}, "routes": {}, "tokens": {"remember_ms": 9_000_000}}
+    vm.ledger.apply_config(Config.from_config(longer))
+    assert (begin(vm, key).outcome is Outcome.UNKNOWN) == used
