Refuse a malformed path before sending

Cause: http.client reports a malformed path with an exception that is no ValueError, so Upstream.send let it escape.

Conclusion: six ways to split a request are refused with no byte sent.

--- a/src/lavendermast/upstream.py
+++ b/src/lavendermast/upstream.py
@@ -1,6 +1,7 @@
 """One attempt at one backend server over pooled connections."""
 
 import collections
+from http.client import InvalidURL
 
 import attrs
 import eventlet
@@ -258,7 +259,7 @@
                 attempt.connection.prepare(
                     request.method, target, headers, request.body
                 )
-            except (ValueError, UnicodeError) as error:
+            except (ValueError, InvalidURL) as error:
                 _close(attempt)
                 raise RequestError(400, "malformed-request", str(error)) from error
             if self._clock.monotonic() >= attempt.deadline:
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -70,9 +70,9 @@
     return Upstream(SystemClock(), buffer_bytes, {"stock": 4})
 
 
-def make_request(method="GET", key="", headers=(), body=b""):
+def make_request(method="GET", key="", headers=(), body=b"", path="/a"):
     return CallerRequest(
-        "r1", method, "/a", "x=1", list(headers), body, "c1", 0.0, 99, 0.0, key
+        "r1", method, path, "x=1", list(headers), body, "c1", 0.0, 99, 0.0, key
     )
 
 
@@ -316,12 +316,22 @@
     assert stream.status is AttemptStatus.CANCELLED
 
 
-@pytest.mark.parametrize("header", [("A", "1\r\nB: 2"), ("A: b", "1"), ("", "1")])
-def test_header_that_would_split_the_request_is_refused(start, header):
-    """Guards against request smuggling through a header of the caller."""
+@pytest.mark.parametrize(
+    "fields",
+    [
+        {"headers": [("A", "1\r\nB: 2")]},
+        {"headers": [("A: b", "1")]},
+        {"headers": [("", "1")]},
+        {"path": "/a HTTP/1.1\r\nB: 2"},
+        {"path": "/\u20ac"},
+        {"method": "GET /"},
+    ],
+)
+def test_request_that_would_split_is_refused(start, fields):
+    """Guards against request smuggling by a caller."""
     server = start(OK_RESPONSE)
     with pytest.raises(RequestError):
-        send(make_upstream(), server, headers=[header])
+        send(make_upstream(), server, **fields)
     assert server.received == []
 
 
