Give no verdict on healthy servers at the onset of a load spike

Change: a troubled service reports good attempts as promptly as bad ones; a slow finding needs others below a third of its share and stands a quarter of a window; a well-served zone is judged by attempts, relative to all zones.

--- a/src/lavendermast/evidence.py
+++ b/src/lavendermast/evidence.py
@@ -23,6 +23,9 @@
 REPEAT_S = 1.0
 #: Bounds a judge's work while 44 VMs each report failures 4 times a second.
 EVALUATE_INTERVAL_S = 0.05
+#: Share of the window for which a slow finding must stand: when load rises, servers
+#: slow down at slightly different times.
+SLOW_STANDING_SHARE = 0.25
 #: ``advance`` comes every 100 ms; a longer gap means that the process was paused.
 GAP_S = 1.0
 #: Failed probes in a row that count as evidence, since one may be lost by the link.
@@ -141,6 +144,7 @@
     dirty: bool = False
     evaluated: float = float("-inf")
     issued: float = float("-inf")
+    slow_since: float | None = None
     cold: bool = False
     drained: float | None = None
 
@@ -312,7 +316,8 @@
                 continue
             case.evaluated = now
             finding, zones, witnesses = self._find_cause(key, case, now)
-            if not finding or now - case.issued < REPEAT_S:
+            standing = self._is_standing(key, case, finding, now)
+            if not standing or now - case.issued < REPEAT_S:
                 continue
             case.issued = now
             verdict = self._issue(
@@ -321,6 +326,14 @@
             verdicts.append(verdict)
         return verdicts
 
+    def _is_standing(self, key, case, finding, now):
+        if not finding or finding.cause != "slow":
+            case.slow_since = None
+            return bool(finding)
+        if case.slow_since is None:
+            case.slow_since = now
+        return now - case.slow_since >= self._get_window_s(key) * SLOW_STANDING_SHARE
+
     def _find_cause(self, key, case, now):
         view = self._services[key[0]]
         detection = view.settings.detection
@@ -342,11 +355,12 @@
         if len(sick) < wanted or witnesses < 2:
             return None, 0, 0
         # Two of several zones are bad by chance more often than all together.
-        if not merge_zones(zones.values()).find_certain_cause(detection):
+        merged = merge_zones(zones.values())
+        if not merged.find_certain_cause(detection):
             return None, 0, 0
         finding = max(sick.values(), key=lambda f: (not f.may_be_link, f.score))
         own_zone = zones.get(view.servers[key[1]].zone)
-        if finding.may_be_link and own_zone and own_zone.contradicts(detection):
+        if finding.may_be_link and own_zone and own_zone.contradicts(merged):
             return None, 0, 0
         return finding, len(sick), witnesses
 
--- a/src/lavendermast/observations.py
+++ b/src/lavendermast/observations.py
@@ -24,6 +24,9 @@
 OWN_WINDOWS = 5
 #: References change little within a fraction of the window.
 REFRESHES_PER_WINDOW = 8
+#: From this share of bad attempts on, good ones are reported as promptly. Otherwise,
+#: in a common slowdown, each server would look worse than the service.
+TROUBLED_SHARE = 0.1
 
 _KIND_BY_STATUS = {
     AttemptStatus.OK: OK,
@@ -197,6 +200,9 @@
 
         :param include_quiet: whether servers without a failure are included.
         """
+        recent = self._recent.totals
+        if sum(recent) - recent[OK] >= TROUBLED_SHARE * sum(recent):
+            include_quiet = True
         entries = []
         for name, observed in self._servers.items():
             counts = observed.unreported
--- a/src/lavendermast/samples.py
+++ b/src/lavendermast/samples.py
@@ -16,6 +16,9 @@
 TOGETHER_SHARE = 0.5
 #: See ``is_beyond_chance``.
 CHANCE_DEVIATIONS = 4
+#: The same for slow answers, stricter: in a common slowdown the references lag, and
+#: servers pass their limits at slightly different times.
+SLOW_TOGETHER_SHARE = 1 / 3
 #: Time slices per window; an attempt leaves the window at most one slice early.
 SLICES = 8
 #: Peers needed for a latency reference; one peer may itself be unhealthy.
@@ -72,7 +75,7 @@
         if own[ERRORS] >= detection.error_share * total:
             return Finding("errors", score)
         return Finding("cut" if own[CUT] > own[TIMEOUTS] else "timeouts", score)
-    if bad >= SLOW_SHARE and others_bad < TOGETHER_SHARE * bad:
+    if bad >= SLOW_SHARE and others_bad < SLOW_TOGETHER_SHARE * bad:
         return Finding("slow", score)
     return None
 
--- a/src/lavendermast/witnesses.py
+++ b/src/lavendermast/witnesses.py
@@ -4,7 +4,14 @@
 
 import attrs
 
-from .samples import KINDS, OK, SlidingCounts, find_cause, is_beyond_chance
+from .samples import (
+    KINDS,
+    OK,
+    TOGETHER_SHARE,
+    SlidingCounts,
+    find_cause,
+    is_beyond_chance,
+)
 
 #: Attempts a zone needs before its share is looked at.
 MIN_ZONE_SAMPLES = 2
@@ -59,10 +66,12 @@
         )
         return find_cause(self.own, self.others, detection) if beyond_chance else None
 
-    def contradicts(self, detection):
-        """Whether the zone's VMs are well served by the server."""
-        good = self.own[OK] > (1 - detection.error_share) * sum(self.own)
-        return self.samples >= MIN_ZONE_SAMPLES and good
+    def contradicts(self, merged):
+        """Whether this zone's attempts went clearly better than all zones'."""
+        return (
+            self.samples >= MIN_ZONE_SAMPLES
+            and self.bad * merged.samples < TOGETHER_SHARE * merged.bad * self.samples
+        )
 
 
 def merge_zones(zones):
