Compare refused forwarded requests with what their owner told

Change: sender and owner are compared for every outcome, except that a sender may tell unknown when the owner's response was lost. The case is a test.

--- a/src/lavendermast/story_checks.py
+++ b/src/lavendermast/story_checks.py
@@ -138,13 +138,17 @@
 
 def _compare_owner(sender, owner, report):
     """Check that a sender passed on what the key's owner told."""
-    if sender.fields.get("outcome") != "answered":
-        return
-    for name in ("outcome", "status", "bytes", "body_digest"):
-        passed, told = sender.fields.get(name), owner.fields.get(name)
-        if passed != told:
-            text = f"told {name} {passed}, but the owner {owner.vm} told {told}"
-            report("contradiction", text, sender.vm)
+    passed, told = sender.fields, owner.fields
+    same = all(passed.get(name) == told.get(name) for name in ("outcome", "reason"))
+    names = ["outcome"]
+    if same or passed.get("outcome") == "answered":
+        names += ["status", "bytes", "body_digest"]
+    elif passed.get("outcome") == "unknown":
+        return  # the owner's response may have been lost on its way
+    for name in names:
+        if passed.get(name) != told.get(name):
+            text = f"told {name} {passed.get(name)}, but the owner {owner.vm} told "
+            report("contradiction", text + str(told.get(name)), sender.vm)
 
 
 def _compare_caller(story, record, report):
--- a/tests/test_incident.py
+++ b/tests/test_incident.py
@@ -110,6 +110,23 @@
     assert found[0][1].startswith(field + ":")
 
 
+def test_false_line_of_an_owner_is_found(tmp_path):
+    """Guards against comparing answered requests only: seed 33 has a refused one."""
+    made = generate_logs(tmp_path, 400, vms=4, seed=33)
+
+    def falsify(lines):
+        return [
+            re.sub(r"body_digest=\S+", "body_digest=0", line)
+            if " request=vm2-55 " in line
+            else line
+            for line in lines
+        ]
+
+    paths = copy_logs(made.logs[1:2], tmp_path, falsify)
+    report = rebuild([*paths, *made.logs[2:], made.logs[0]], [made.callers])
+    assert [item[0] for item in list_issues(report, "contradiction")] == ["vm2-55"]
+
+
 def test_falsified_outcome_is_found_without_callers(made, tmp_path):
     """Guards against a false not-run that no caller's record uncovers."""
 
