Check a new bundle against the one in force

Change: the fleet agent passes the bundle in force to the check; the floor in status and metrics comes from the ejection budget.

--- a/src/lavendermast/fleet.py
+++ b/src/lavendermast/fleet.py
@@ -7,8 +7,9 @@
 
 from lavendermast.codec import FrameCodec
 from lavendermast.coordination import Coordination
+from lavendermast.exceptions import SettingsError
 from lavendermast.peers import PeerNetwork
-from lavendermast.settings import check_bundle
+from lavendermast.settings import parse_bundle
 from lavendermast.store import StoreClient, StoreReader, is_store_reader
 from lavendermast.vmlist import check_list
 
@@ -17,20 +18,6 @@
 VERSION_KEYS = {"config": "version", "vms": "revision"}
 
 
-def validate_document(name, content):
-    """
-    Return the findings of a document's content.
-
-    :param name: ``config`` or ``vms``.
-    :param content: bytes as the configuration service holds them.
-    """
-    if name == "config":
-        return check_bundle(content)
-    if name == "vms":
-        return check_list(json.loads(content))
-    return [f"unknown document {name}"]
-
-
 def read_version(name, content):
     """
     Return the version inside a document's content, or ``None`` if there is none.
@@ -66,13 +53,14 @@
             clock,
             random.SystemRandom(),
             record_event,
-            validate_document,
+            self._validate,
         )
         self.membership = self._parts.membership
         self.gossip = self._parts.gossip
         self.detector = self._parts.detector
         self.documents = self._parts.documents
         self.store = StoreClient.from_settings(settings)
+        self.bundle = None
         self.ready = False
         self.on_ready = []
         self._tasks = []
@@ -127,6 +115,19 @@
             }
         )
 
+    def _validate(self, name, content):
+        """Return the findings of a document's content."""
+        if name == "vms":
+            return check_list(json.loads(content))
+        if name != "config":
+            return [f"unknown document {name}"]
+        try:
+            # Only what differs from the bundle in force is checked in full.
+            parse_bundle(content, self.bundle)
+        except SettingsError as error:
+            return error.findings
+        return []
+
     def _run_start(self):
         """Ask peers until the start rule is met."""
         starter = self._parts.starter
--- a/src/lavendermast/node.py
+++ b/src/lavendermast/node.py
@@ -189,6 +189,7 @@
         self.watch.invalidate()
 
     def _apply_config(self, bundle):
+        self.fleet.bundle = bundle
         config = build_config(bundle, self.settings.site)
         self.policy.apply(config, bundle["version"])
         self.upstream.apply_config(config)
--- a/src/lavendermast/status.py
+++ b/src/lavendermast/status.py
@@ -1,7 +1,8 @@
 """What operators see of a running VM: status, explanations and metrics."""
 
 import collections
-import math
+
+from lavendermast.floors import EjectionBudget
 
 
 class StatusReporter:
@@ -89,7 +90,7 @@
     ]
     return {
         "servers": servers,
-        "floor": math.ceil(pool.service.floor * pool.service.expected_servers),
+        "floor": EjectionBudget.from_config(pool.service).keep,
         "available": sum(1 for server in servers if server["weight"] > 0),
     }
 
@@ -135,10 +136,7 @@
         "lavendermast_floor_servers",
         "Servers that ejection never goes below, by service.",
         lambda: [
-            (
-                {"service": pool.name},
-                math.ceil(pool.service.floor * pool.service.expected_servers),
-            )
+            ({"service": pool.name}, EjectionBudget.from_config(pool.service).keep)
             for pool in node.pools
         ],
     )
