--- a/bench/experiment.py
+++ b/bench/experiment.py
@@ -24,6 +24,7 @@
 
     :param steps: pairs of seconds and requests/s for the whole fleet.
     :param shares: share of requests by kind: ``short``, ``write`` and ``long``.
+    :param ask: whether callers ask the fleet for addresses.
     """
 
     steps: tuple
@@ -35,6 +36,7 @@
         lambda: {"short": SHORT_SHARE, "write": WRITE_SHARE, "long": LONG_SHARE}
     )
     services: tuple = ()
+    ask: bool = True
 
 
 def get_kind(route):
@@ -87,6 +89,7 @@
                 "seed": load.seed * 100 + number,
                 "callers": max(1, load.callers // load.generators),
                 "repeat_share": load.repeat_share,
+                "ask": load.ask,
                 "output": str(output),
             }
             process = subprocess.Popen(
--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -41,7 +41,7 @@
     def __init__(self, deployment, vm_count, change_base=None, **options):
         self.deployment = deployment
         self.base = layouts.load_base(deployment)
-        self.overlays = layouts.load_overlays(deployment)
+        self.overlays = options.get("overlays", layouts.load_overlays(deployment))
         if change_base:
             change_base(self.base)
         self.version = 1
@@ -207,8 +207,9 @@
         return True
 
     def read_errors(self, name):
-        """Return the end of a daemon's standard error."""
-        return (self.folder / f"{name}.stderr").read_text()[-2000:]
+        """Return the ends of a daemon's standard error and decision log."""
+        paths = (self.folder / f"{name}.stderr", self.get_log(name))
+        return "".join(path.read_text()[-1000:] for path in paths if path.exists())
 
     def get_status(self, name):
         """Return the status mapping of a daemon."""
--- a/bench/load.py
+++ b/bench/load.py
@@ -2,7 +2,7 @@
 
 Reads a plan as one JSON line on standard input and writes records as JSON lines:
 `{"addresses": [...], "zones": [...], "routes": {...}, "steps": [[seconds, rate], ...],
-"seed": 1, "callers": 50, "repeat_share": 0.0, "output": "FILE"}`.
+"seed": 1, "callers": 50, "repeat_share": 0.0, "ask": true, "output": "FILE"}`.
 """
 
 import hashlib
@@ -96,7 +96,7 @@
 
     def _get_address(self, caller):
         now = time.time()
-        if caller.use_until <= now:
+        if self._plan.get("ask", True) and caller.use_until <= now:
             self._refresh(caller)
         if not caller.addresses:
             return self._random.choice(self._plan["addresses"])
