Count only shed requests as a sign of overload

Cause: a waiter that was killed or a caller that left would have put the queue into its overload rule for 1 s. Change: AdmissionQueue.release takes refused, set for requests that end as not-run after shed answers.

--- a/bench/overload_vms.py
+++ b/bench/overload_vms.py
@@ -105,7 +105,7 @@
             self._end(request, ticket, result.status is AttemptStatus.OK)
 
     def _end(self, request, ticket, answered):
-        self.queues[request["work"]].release(ticket, served=answered)
+        self.queues[request["work"]].release(ticket, answered, not answered)
         self.model.finish(request, answered)
 
 
--- a/src/lavendermast/admission.py
+++ b/src/lavendermast/admission.py
@@ -229,13 +229,15 @@
         self._append(ticket, now)
         return ticket
 
-    def release(self, ticket, served=True):
+    def release(self, ticket, served=True, refused=False):
         """
         Give up a place, whether granted or still waiting; once is enough.
 
         :param ticket: the place.
         :param served: whether a server worked on the request; refused attempts do not
             count as completions.
+        :param refused: whether it ends as not-run because servers shed it, which is a
+            sign of overload; a caller that left is none.
         """
         now = self._clock.monotonic()
         if ticket.state is TicketState.WAITING:
@@ -245,7 +247,7 @@
             self._permits -= 1
             if served:
                 self._rate.record(now, now - ticket.granted_at)
-            else:
+            elif refused:
                 # Shed answers drain the queue too, so it need not stand.
                 self._overload_until = now + OVERLOAD_HOLD
             self.advance()
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -164,5 +164,8 @@
     harness = Harness(1)
     assert harness.enter().refuse_by == float("inf")
     harness.capacity = 2
-    harness.queue.release(harness.enter(), served=False)
+    harness.queue.release(harness.enter(), served=False)  # the caller left
+    assert harness.enter().refuse_by == float("inf")
+    harness.capacity = 3
+    harness.queue.release(harness.enter(), served=False, refused=True)
     assert harness.enter().refuse_by == pytest.approx(0.05)
