--- a/src/lavendermast/limits.py
+++ b/src/lavendermast/limits.py
@@ -2,13 +2,13 @@
 
 from .models import AttemptStatus
 
-#: A request may be started whenever nothing is in flight, so the limit below one acts
-#: only through longer pauses; a twentieth of a request keeps 48 VMs near 2 in all.
+#: A request may be started whenever nothing is in flight, so a limit below one acts
+#: only through the pause, which is the mean latency divided by the limit.
 MIN_LIMIT = 0.05
 #: Share of the limit that a shed answer or timeout leaves.
 DECREASE = 0.5
-#: Bounds of the pause after a shed answer, in seconds. The upper one keeps a VM that
-#: lost many races from starving; a shed answer costs a server little.
+#: Bounds of the pause after a shed answer, in seconds, before jitter. A pause of up to
+#: 0.5 s filled 90.5% of the slots in a spike instead of 92.0% (docs/admission.md).
 MIN_PAUSE = 0.005
 MAX_PAUSE = 0.1
 #: Weight of the newest latency in the moving average.
