Ignore draining verdicts issued before a server returned

Cause: gossip may deliver a draining verdict for 30 s; a server that restarted within that time would have been marked as leaving again, until its next news. Change: draining verdicts older than the server's return are ignored, as sick ones already were. Before: the extended test fails. After: 61 tests pass.

--- a/src/lavendermast/health.py
+++ b/src/lavendermast/health.py
@@ -189,7 +189,9 @@
             if verdict.issued_at > record.returned_unix_ms:
                 self._hold(record, verdict.score, "verdict", "verdict", True, now)
         elif verdict.health == "draining":
-            self.mark_leaving(verdict.server, "health")
+            # Gossip may still carry what was said before the server returned.
+            if verdict.issued_at > record.returned_unix_ms:
+                self.mark_leaving(verdict.server, "health")
         elif verdict.health == "cold":
             until = now + (verdict.valid_until - now_ms) / 1000
             record.cold_until = min(until, now + MAX_COLD_S)
@@ -322,6 +324,7 @@
     def _end_leaving(self, record, now):
         if record.leaving:
             record.leaving = ""
+            record.returned_unix_ms = self._clock.get_unix_ms()
             self._observations.clear_server(record.name)
             self._start_ramp(record, now)
 
--- a/tests/test_health.py
+++ b/tests/test_health.py
@@ -202,6 +202,7 @@
     replaced = build_server(1, address="127.0.0.2")
     fixture.tracker.replace_servers([fixture.servers[0], replaced])
     fixture.send_verdict("s0", "recovering")
+    fixture.send_verdict("s0", "draining", age_ms=1000)
     assert fixture.get_weights()[:3] == [RAMP_START, RAMP_START, 0]
 
 
