--- a/bench/membership_cost.py
+++ b/bench/membership_cost.py
@@ -115,6 +115,8 @@
         rows.append((size, *cost))
         numbers = " ".join(f"{value:.2f}" for value in (*cost, *worst))
         print(size, numbers, flush=True)
+    if len(rows) < 2:
+        return
     for index, name in enumerate(("messages/s", "bytes/s", "cpu_ms/s"), 1):
         slope = fit_slope([(row[0], row[index]) for row in rows])
         print(f"slope of {name} by VM: {slope:.4f}")
