Leave a caller's own timeout alone in peer requests

Cause: a request turned a timeout set by its caller into a peer error, which would have let work go on after that deadline. Change: only the request's own timeout becomes a peer error; a test for it and one for the correction of a sender of outdated updates. Conclusion: deadlines set by callers hold through peer requests.

--- a/src/lavendermast/peers.py
+++ b/src/lavendermast/peers.py
@@ -197,16 +197,16 @@
         if seconds <= 0:
             raise PeerError(f"{address}: the deadline has passed")
         frame = self._codec.encode(self.make_envelope(body, self._clock))
+        timeout = eventlet.Timeout(seconds)
         try:
-            with (
-                eventlet.Timeout(seconds),
-                eventlet.connect(parse_address(address)) as c,
-            ):
-                write_frame(c, frame)
+            with timeout, eventlet.connect(parse_address(address)) as connection:
+                write_frame(connection, frame)
                 self.counts.add("sent", body, len(frame))
-                reply = read_frame(c)
+                reply = read_frame(connection)
             envelope = self._codec.decode(reply)
         except eventlet.Timeout as error:
+            if error is not timeout:  # The caller's own timeout.
+                raise
             raise PeerError(f"{address}: no reply within {seconds:.1f} s") from error
         except (OSError, ValueError, MessageError) as error:
             raise PeerError(f"{address}: {error}") from error
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -211,3 +211,18 @@
     membership.set_listed({"new": "10.9.9.9:1"})
     assert membership.find_refusal(stranger, "10.9.9.9:1") is None
     assert membership.find_refusal(Envelope("vm-1", 1, 0, ping), "") == "unknown_boot"
+
+
+def test_outdated_update_is_ignored_and_its_sender_corrected():
+    fleet = Fleet(3)
+    first, second = fleet.members["vm-0"], fleet.members["vm-1"]
+    outdated = attrs.evolve(second.own, state="suspect")
+    current = second.raise_incarnation("test")
+    first.merge([current])
+    gossip = fleet.vms["vm-2"].gossip
+    gossip.announce([outdated])
+    assert first.merge([outdated]).corrections == [current]
+    fleet.vms["vm-2"].membership.merge([outdated])
+    fleet.run(0.1)
+    for membership in fleet.members.values():
+        assert membership.get_member("vm-1").state == "alive"
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -102,6 +102,8 @@
         with pytest.raises(PeerError):
             deadline = network._clock.monotonic() + wait
             network.request(address, SyncMembers(), deadline)
+    with pytest.raises(eventlet.Timeout), eventlet.Timeout(0.05):
+        network.request(address, SyncMembers(), deadline + 60)
 
 
 @pytest.mark.parametrize("length", [1, 20, 63, 200])
