Correct outdated updates after the introduction time in a test

Change: the test waits until VMs no longer introduce themselves. Conclusion: the correction is guarded.

--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -215,6 +215,7 @@
 
 def test_outdated_update_is_ignored_and_its_sender_corrected():
     fleet = Fleet(3)
+    fleet.run(11)  # until the VMs no longer introduce themselves
     first, second = fleet.members["vm-0"], fleet.members["vm-1"]
     outdated = attrs.evolve(second.own, state="suspect")
     current = second.raise_incarnation("test")
