Treat all zones of a region alike when choosing servers

Cause: a server was called from its own zone alone, so no second zone could witness against it and a server ten times slower was never ejected. Change: the near tier is the region; idle connections are closed on a timer; thresholds change without losing evidence; the ticket's refusal time reaches the retry policy; probes keep a connection to each server.

--- a/src/lavendermast/balancer.py
+++ b/src/lavendermast/balancer.py
@@ -90,7 +90,7 @@
     >>> from lavendermast.settings_model import Route, Service
     >>> service = Service.from_config({"expected_servers": 1, "floor": 0.5})
     >>> balancer = TwoChoiceBalancer.from_config(
-    ...     "stock", service, ManualClock(), random.Random(1), lambda name: 1, "a", "r"
+    ...     "stock", service, ManualClock(), random.Random(1), lambda name: 1, "r"
     ... )
     >>> balancer.replace_servers([Server("s1", "stock", "r", "a", "127.0.0.1:80")])
     >>> route = Route.from_config(
@@ -100,12 +100,11 @@
     's1'
     """
 
-    def __init__(self, service, clock, random, get_weight, own_zone, own_region):
+    def __init__(self, service, clock, random, get_weight, own_region):
         self._service = service
         self._clock = clock
         self._random = random
         self._get_weight = get_weight
-        self._own_zone = own_zone
         self._own_region = own_region
         self._long_count = 0
         self._service_name = ""
@@ -122,7 +121,6 @@
         clock,
         random,
         get_weight,
-        own_zone,
         own_region,
         has_long_routes=True,
     ):
@@ -134,12 +132,11 @@
         :param clock: source of time.
         :param random: ``random.Random`` for draws.
         :param get_weight: function from a server's name to its weight, 0 to 1.
-        :param own_zone: zone of this VM.
         :param own_region: region of this VM.
         :param has_long_routes: whether a route of the service has long work.
         :return: the balancer.
         """
-        balancer = cls(service, clock, random, get_weight, own_zone, own_region)
+        balancer = cls(service, clock, random, get_weight, own_region)
         balancer._service_name = service_name
         if has_long_routes:
             # The rounding keeps 0.25 * 12 and the like from becoming 4 by an error
@@ -267,14 +264,12 @@
         return total
 
     def _make_tiers(self, states):
-        tiers = {"zone": [], "region": [], "far": []}
+        # All zones of the region are one tier: a server that only VMs of its own zone
+        # call has no witness in a second zone, and no verdict on it is possible.
+        tiers = {"region": [], "far": []}
         for state in states:
-            if state.server.region != self._own_region:
-                tiers["far"].append(state)
-            elif state.server.zone != self._own_zone:
-                tiers["region"].append(state)
-            else:
-                tiers["zone"].append(state)
+            near = state.server.region == self._own_region
+            tiers["region" if near else "far"].append(state)
         return tuple((name, tier) for name, tier in tiers.items() if tier)
 
     def _is_full(self, choice, now):
--- a/src/lavendermast/dispatch.py
+++ b/src/lavendermast/dispatch.py
@@ -99,14 +99,21 @@
         queue = pool.queues[route.work]
         ticket = queue.acquire(request, request.customer, self._get_weight(request))
         self._retries.add_request()
-        result = None
+        facts = RequestFacts(
+            route.idempotent, keyed, request.deadline, refuse_by=ticket.refuse_by
+        )
+        last = None
         try:
-            last = self._try_servers(request, route_name, route, cancelled, keyed)
-            result = last.result
+            last = self._try_servers(request, route_name, route, facts, cancelled)
         finally:
-            if result is None or result.stream is None:
-                served = result is not None and result.status is AttemptStatus.OK
-                queue.release(ticket, served=served)
+            if last is None or last.result.stream is None:
+                status = last.result.status if last else None
+                queue.release(
+                    ticket,
+                    served=status is AttemptStatus.OK,
+                    refused=status is AttemptStatus.SHED,
+                )
+        result = last.result
         if result.stream is not None:
             result.stream = TrackedStream(
                 result.stream, lambda status: queue.release(ticket)
@@ -117,9 +124,8 @@
         customer = self._policy.config.customers.get(request.customer)
         return customer.weight if customer else DEFAULT_WEIGHT
 
-    def _try_servers(self, request, route_name, route, cancelled, keyed):
+    def _try_servers(self, request, route_name, route, facts, cancelled):
         pool = self._pools.get(route.service)
-        facts = RequestFacts(route.idempotent, keyed, request.deadline)
         tried = []
         last = None
         while True:
--- a/src/lavendermast/forwarding.py
+++ b/src/lavendermast/forwarding.py
@@ -82,6 +82,10 @@
         """Use the limits of another configuration from now on."""
         self._upstream.apply_config(config)
 
+    def close_idle(self):
+        """Close connections to other VMs that are idle for long."""
+        self._upstream.close_idle()
+
     def forward(self, request, token, deadline, cancelled=None):
         """
         Return the owner's reply, or an ``unknown`` one.
--- a/src/lavendermast/idempotency.py
+++ b/src/lavendermast/idempotency.py
@@ -51,6 +51,11 @@
         if self.issuer is not None:
             self.issuer.replace_key(signing.id, signing.secret.encode())
 
+    def close_idle(self):
+        """Close idle connections to other VMs."""
+        if self._forwarder is not None:
+            self._forwarder.close_idle()
+
     def run(self, request, route_name, route, cancelled):
         """
         Return the reply to a non-idempotent request.
--- a/src/lavendermast/node.py
+++ b/src/lavendermast/node.py
@@ -29,6 +29,8 @@
 from lavendermast.status import StatusReporter, add_metrics
 from lavendermast.upstream import Cancellation, Upstream
 
+CLOSE_IDLE_INTERVAL_S = 5.0
+
 
 @attrs.frozen
 class Identity:
@@ -98,6 +100,7 @@
         self.admin.start()
         self.callers.start()
         self._tasks.append(eventlet.spawn(self.watch.run))
+        self._tasks.append(eventlet.spawn(self._close_idle))
 
     def stop(self, reason):
         """
@@ -162,6 +165,12 @@
             board, reporter.get_status, reporter.explain, lambda: self.policy.ready
         )
 
+    def _close_idle(self):
+        while True:
+            self.clock.sleep(CLOSE_IDLE_INTERVAL_S)
+            self.upstream.close_idle()
+            self.guard.close_idle()
+
     def _run_request(self, request, route_name, route, environ):
         self._check_set(route)
         cancellation = Cancellation()
--- a/src/lavendermast/probes.py
+++ b/src/lavendermast/probes.py
@@ -9,6 +9,8 @@
 #: 3 judges, 25 ms each: 1.5% of one slot of a server.
 PROBE_INTERVAL_S = 5.0
 PROBE_TIMEOUT_S = 1.0
+#: A new connection costs a server 1 ms, so one is kept to each probed server.
+MAX_PROBED_SERVERS = 1_000
 HEALTH_PATH = "/health"
 _STATES = frozenset({"ok", "cold", "draining"})
 
@@ -37,7 +39,9 @@
     :return: takes a ``Server`` and returns the endpoint's JSON value; raises
         ``urllib3.exceptions.HTTPError`` or ``ValueError``.
     """
-    pool = urllib3.PoolManager(timeout=timeout, retries=False)
+    pool = urllib3.PoolManager(
+        num_pools=MAX_PROBED_SERVERS, timeout=timeout, retries=False
+    )
 
     def fetch(server):
         response = pool.request("GET", f"http://{server.address}{HEALTH_PATH}")
--- a/src/lavendermast/services.py
+++ b/src/lavendermast/services.py
@@ -37,7 +37,6 @@
             clock,
             random.Random(f"{settings.vm}/{name}"),
             tracker.get_weight,
-            settings.zone,
             settings.region,
             has_long_routes=any(
                 route.service == name and route.work == "long"
@@ -50,6 +49,13 @@
         }
         return cls(name, service, tracker, balancer, queues)
 
+    def differs_in_thresholds_only(self, service):
+        """Return whether other settings change nothing but floor and detection."""
+        same = attrs.evolve(
+            self.service, floor=service.floor, detection=service.detection
+        )
+        return same == service != self.service
+
     def replace_servers(self, servers):
         """
         Take over the servers of the VM list.
@@ -117,7 +123,10 @@
         pools = {}
         for name, service in config.services.items():
             pool = self._pools.get(name)
-            if pool is None or pool.service != service:
+            if pool is not None and pool.differs_in_thresholds_only(service):
+                pool.service = service
+                pool.tracker.replace_service(service)
+            elif pool is None or pool.service != service:
                 pool = ServicePool.from_config(
                     name, config, self._settings, self._clock, self._record_event
                 )
