Compare the incident account with callers' records after a run under faults

Cause: bench.truth never called the reconstruction, and the log named forwarded requests duplicates, with reasons in place of the documented actions. A request whose attempts did not run was logged with 0 attempts when no server was left.

Change: the run ends with the account of all logs, and a VM stops gracefully in each turn. duplicate lines carry joined, replayed or refused; the last attempt is kept.

--- a/bench/truth.py
+++ b/bench/truth.py
@@ -4,9 +4,15 @@
 """
 
 import argparse
+import collections
+import functools
 import json
+import pathlib
+import re
+import shutil
 import subprocess
 import sys
+import time
 
 from bench.checks import check_records, collect_runs, count_outcomes
 from bench.experiment import Load, print_table, run_load
@@ -14,7 +20,10 @@
 
 RATE = 500
 HOLD_MS = 2000
-SETTLE_S = 5
+#: Time for the last lines to reach the logs.
+SETTLE_S = 2
+COMPARED = "callers' records compared"
+KINDS = ("disagreement", "contradiction", "unknown")
 
 
 def shorten_hold(base):
@@ -22,6 +31,12 @@
     base.setdefault("addresses", {})["hold_ms"] = HOLD_MS
 
 
+def restart(fleet, name):
+    """Start a VM again whose graceful stop has begun."""
+    fleet.wait_exit(name)
+    fleet.start_vm(name)
+
+
 def make_steps(fleet, seconds):
     """Return a fault script that repeats every 20 s: servers, VMs and the store."""
     servers = [server["name"] for server in fleet.servers]
@@ -33,6 +48,7 @@
         sick = [servers[(7 * turn + 5 * k) % len(servers)] for k in range(4)]
         vm = names[turn % len(names)]
         other = names[(turn + len(names) // 2) % len(names)]
+        third = names[(turn + len(names) // 4) % len(names)]
         faults = ({"errors": 0.5}, {"cut": 0.5}, {"drop_after_run": 0.5}, {"slow": 10})
         for server, fault in zip(sick, faults, strict=True):
             steps.append({"at": start + 1, "server": server, "faults": fault})
@@ -45,21 +61,48 @@
             {"at": start + 6, "store": {"down": True}},
             {"at": start + 12, "store": {"down": False}},
             {"at": start + 8, "server": sick[0], "faults": {"hang": 0.2}},
+            {"at": start + 2, "vm": third, "signal": "TERM"},
+            {"at": start + 17, "call": functools.partial(restart, fleet, third)},
         ]
     return steps
 
 
-def run_incident(fleet, paths, folder):
+def write_callers(fleet, records):
+    """Write the callers' records with VM names in place of addresses."""
+    names = {vm.caller_address: vm.name for vm in fleet.vms}
+    path = fleet.folder / "callers.jsonl"
+    with path.open("w") as output:
+        for record in records:
+            row = {**record, "vm": names[record["vm"]]}
+            output.write(json.dumps(row) + "\n")
+    return path
+
+
+def run_incident(logs, callers):
     """Return the account of the decision logs, compared with the callers' records."""
-    merged = folder / "callers.jsonl"
-    with merged.open("w") as output:
-        for path in paths:
-            output.write(path.read_text())
-    command = [sys.executable, "-m", "lavendermast.cli", "incident"]
-    command += [*map(str, fleet.get_logs()), "--callers", str(merged)]
-    command += ["--format", "json"]
+    command = [sys.executable, "-W", "ignore", "-m", "lavendermast.cli", "incident"]
+    command += [*map(str, logs), "--callers", str(callers), "--format", "json"]
     done = subprocess.run(command, capture_output=True, text=True)
-    return json.loads(done.stdout), done.returncode
+    if done.returncode not in (0, 1):
+        raise RuntimeError(done.stderr)
+    return json.loads(done.stdout)
+
+
+def count_issues(report):
+    """Return rows of what the account found, and whether it matches."""
+    issues = [issue for item in report["requests"] for issue in item["issues"]]
+    issues += report["fleet_issues"]
+    counts = collections.Counter(issue["kind"] for issue in issues)
+    rows = [("requests compared", report["summary"].get(COMPARED, 0))]
+    rows += [(kind, counts[kind]) for kind in KINDS]
+    for kind in KINDS:
+        texts = collections.Counter(
+            re.sub(r"\d+", "N", issue["text"])
+            for issue in issues
+            if issue["kind"] == kind
+        )
+        rows += [(f"  {text}", count) for text, count in texts.most_common(12)]
+    return rows, not (counts["disagreement"] or counts["contradiction"])
 
 
 def main():
@@ -70,6 +113,7 @@
     parser.add_argument("--vms", type=int, default=12)
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--rate", type=int, default=RATE)
+    parser.add_argument("--keep", type=pathlib.Path, help="keep the logs here")
     options = parser.parse_args()
     seconds = options.requests / options.rate
     load = Load(
@@ -84,13 +128,22 @@
     ) as fleet:
         records, _ = run_load(fleet, load, make_steps(fleet, seconds))
         verdicts = check_records(records, *collect_runs(fleet))
+        time.sleep(SETTLE_S)
+        callers = write_callers(fleet, records)
+        report = run_incident(fleet.get_logs(), callers)
+        if options.keep:
+            options.keep.mkdir(parents=True, exist_ok=True)
+            for path in [callers, *fleet.get_logs()]:
+                shutil.copy(path, options.keep)
     print_table(count_outcomes(records).most_common(), ["outcome/reason", "requests"])
     kinds = ("second_run", "false_not_run", "cut_answer", "foreign_answer")
     rows = [(kind, verdicts.counts[kind], 0) for kind in (*kinds, "no_outcome")]
     print_table([("requests", len(records), ""), *rows], ["check", "found", "target"])
     for kind, example in verdicts.examples.items():
         print(kind, example)
-    sys.exit(1 if verdicts.counts else 0)
+    rows, matches = count_issues(report)
+    print_table(rows, ["account", "found"])
+    sys.exit(0 if matches and not verdicts.counts else 1)
 
 
 if __name__ == "__main__":
--- a/src/lavendermast/dispatch.py
+++ b/src/lavendermast/dispatch.py
@@ -125,7 +125,7 @@
         while True:
             choice = pool.balancer.choose(route, tried)
             if choice is None:
-                return give_up(facts, last)
+                return give_up(last)
             tried.append(choice.server.name)
             self._log_decision(request, route_name, route, choice, len(tried))
             result = self._attempt(request, route_name, route, pool, choice, cancelled)
@@ -187,13 +187,13 @@
         )
 
 
-def give_up(facts, last):
+def give_up(last):
     """
     Return the last attempt of a request for which no server is left.
 
-    :raises RequestError: when the request certainly did not run.
+    :raises RequestError: when there was no attempt.
     """
-    if not facts.may_have_run:
+    if last is None:
         raise RequestError(503, "no-server", retry_after=RETRY_AFTER_S)
     return attrs.evolve(last, decision=attrs.evolve(last.decision, retry=False))
 
--- a/src/lavendermast/forwarding.py
+++ b/src/lavendermast/forwarding.py
@@ -29,6 +29,7 @@
     What the caller of a keyed request is told.
 
     :param stream: a long body, or ``None``.
+    :param action: ``joined``, ``replayed`` or ``refused`` when the key arrived again.
     """
 
     outcome: Outcome
@@ -37,6 +38,7 @@
     headers: list = attrs.Factory(list)
     body: bytes = b""
     stream: object = None
+    action: str = ""
 
 
 def is_forwarded(request):
--- a/src/lavendermast/idempotency.py
+++ b/src/lavendermast/idempotency.py
@@ -90,12 +90,12 @@
             return last.result
 
         found = self._submissions.submit(request, run, cancelled)
-        if last is None:
+        if found.action:
             self._record_event(
-                "duplicate" if found.outcome is Outcome.ANSWERED else "key_refused",
+                "duplicate",
                 request=request.id,
                 key=digest_text(request.key.encode()),
-                action=found.reason,
+                action=found.action,
             )
         return Reply(
             found.status,
--- a/src/lavendermast/incident.py
+++ b/src/lavendermast/incident.py
@@ -18,7 +18,7 @@
 )
 from .spill import Spill
 from .stories import Issue, Line, Story
-from .story_checks import check_story
+from .story_checks import OUTCOMES, check_story
 from .timeline import Coverage, Series, Timeline, get_latency_label
 
 _REQUEST_ID = re.compile(r" request=([^ \"]+)")
@@ -205,6 +205,9 @@
     def _count(self, story):
         self.totals["requests"] += 1
         self.totals["callers' records"] += len(story.callers)
+        if story.told is not None:
+            compared = sum(record.outcome in OUTCOMES for record in story.callers)
+            self.totals["callers' records compared"] += compared
         for kind in {issue.kind for issue in story.issues}:
             self.totals[f"requests with {kind}"] += 1
         runs, key = story.count_possible_runs(), story.get_field("key")
--- a/src/lavendermast/ledger.py
+++ b/src/lavendermast/ledger.py
@@ -31,6 +31,7 @@
     The decision on one submission.
 
     :param status: HTTP status of a refusal or of the stored response.
+    :param entry: the key's entry; ``None`` when the key is refused unseen.
     """
 
     action: Action
@@ -124,7 +125,7 @@
         self.sweep()
         entry = self._entries.get(key)
         if entry is not None:
-            return _admit_repeat(entry, request_digest)
+            return attrs.evolve(_admit_repeat(entry, request_digest), entry=entry)
         owned = self._owned.get(token.boot_id)
         if owned is None:
             return _refuse(Outcome.UNKNOWN, "other-boot", 504)
@@ -143,7 +144,8 @@
                 return admission
             remaining = deadline - self._clock.monotonic()
             if remaining <= 0:
-                return _refuse(Outcome.UNKNOWN, "in-flight", 504)
+                refusal = _refuse(Outcome.UNKNOWN, "in-flight", 504)
+                return attrs.evolve(refusal, entry=admission.entry)
             admission.entry.settled.wait(timeout=remaining)
 
     def finish(self, key, status, headers, body):
--- a/src/lavendermast/story_checks.py
+++ b/src/lavendermast/story_checks.py
@@ -6,7 +6,7 @@
 from .models import Outcome
 from .stories import Issue, may_have_run
 
-_OUTCOMES = frozenset(outcome.value for outcome in Outcome)
+OUTCOMES = frozenset(outcome.value for outcome in Outcome)
 _ANSWERING = frozenset({"ok", "error"})
 KEY_DIGEST_LENGTH = 16
 
@@ -57,7 +57,7 @@
     if len(ends) > 1:
         report("contradiction", f"{len(ends)} request lines on one VM differ", vm)
     outcome = end.get("outcome")
-    if outcome not in _OUTCOMES:
+    if outcome not in OUTCOMES:
         report("contradiction", f"outcome {outcome} is none that the fleet tells", vm)
     # The attempts of a forwarded or joined request belong to another line.
     elsewhere = story.select("forwarded", vm) or story.select("duplicate", vm)
@@ -158,7 +158,7 @@
     if story.told is None:
         return
     told, vm = story.told.fields, story.told.vm
-    if record.outcome not in _OUTCOMES:
+    if record.outcome not in OUTCOMES:
         text = (
             f"the caller received no complete response, so the outcome "
             f"{told.get('outcome')} is not confirmed"
--- a/src/lavendermast/submissions.py
+++ b/src/lavendermast/submissions.py
@@ -47,15 +47,23 @@
         if not self._ledger.owns(token.boot_id):
             return self._forwarder.forward(request, token, request.deadline, cancelled)
         digest = compute_digest(request)
-        admission = self._ledger.join(request.key, digest, token, request.deadline)
+        admission = self._ledger.begin(request.key, digest, token)
+        joined = admission.action is Action.JOIN
+        if joined:
+            admission = self._ledger.join(request.key, digest, token, request.deadline)
         if admission.action is Action.RUN:
             return self._run(request.key, run)
+        action = ""
+        if admission.entry is not None:
+            replay = "joined" if joined else "replayed"
+            action = replay if admission.action is Action.REPLAY else "refused"
         return Reply(
             admission.outcome,
             admission.reason,
             admission.status,
             list(admission.headers),
             admission.body,
+            action=action,
         )
 
     def _run(self, key, run):
