Log long answers as told, and serve callers while leaving

Cause: TrackedStream had no status, so a stream tracked twice failed at its end: every long answer was logged as unknown, its connection was closed and its place in the queue was never released. A leaving VM was outside its own service sets and refused callers as wrong-vm at once, also repeats of keys that had run.

Change: TrackedStream passes the status on; a leaving VM counts itself in its sets; a keyed request is checked against the service set only when it would run here. The test cluster writes real logs, since the logs that it read before were always empty.

--- a/src/lavendermast/dispatch.py
+++ b/src/lavendermast/dispatch.py
@@ -50,6 +50,11 @@
         self.length = getattr(stream, "length", None)
         self._finish = finish
 
+    @property
+    def status(self):
+        """AttemptStatus once the body has ended, ``None`` before."""
+        return self._stream.status
+
     def __iter__(self):
         try:
             yield from self._stream
--- a/src/lavendermast/exceptions.py
+++ b/src/lavendermast/exceptions.py
@@ -1,5 +1,7 @@
 """Exceptions raised by lavendermast."""
 
+import json
+
 from lavendermast.models import Outcome
 
 
@@ -68,6 +70,10 @@
         self.headers = options.get("headers", ())
         super().__init__(f"{status} {reason} {detail}".strip())
 
+    def make_body(self):
+        """Return the JSON body that tells a caller why."""
+        return json.dumps({"reason": self.reason, "detail": self.detail}).encode()
+
 
 class UpstreamError(LavendermastError):
     """A backend server's response could not be used."""
--- a/src/lavendermast/gateway.py
+++ b/src/lavendermast/gateway.py
@@ -81,14 +81,13 @@
         return found
 
     def _refuse(self, error):
-        body = json.dumps({"reason": error.reason, "detail": error.detail}).encode()
         headers = [("Content-Type", "application/json"), *error.headers]
         return Reply(
             error.status,
             error.outcome,
             error.reason,
             headers,
-            body,
+            error.make_body(),
             retry_after=error.retry_after,
         )
 
--- a/src/lavendermast/idempotency.py
+++ b/src/lavendermast/idempotency.py
@@ -19,6 +19,8 @@
 
     :param dispatcher: sends requests to servers.
     :param find_owner: callable from a token to the owner's caller address or ``None``.
+    :param tools: ``clock``, ``record_event`` and ``check_route``, which raises
+        ``RequestError`` when another VM serves the route.
     """
 
     def __init__(self, settings, boot_id, dispatcher, find_owner, **tools):
@@ -28,6 +30,7 @@
         self._find_owner = find_owner
         self._clock = tools["clock"]
         self._record_event = tools["record_event"]
+        self._check_route = tools["check_route"]
         self._submissions = None
         self._forwarder = None
         self._verifier = TokenVerifier.from_settings(settings)
@@ -84,6 +87,7 @@
 
         def run():
             nonlocal last
+            self._check_route(route)
             last = self._dispatcher.run_attempts(
                 request, route_name, route, cancelled, keyed=True
             )
--- a/src/lavendermast/node.py
+++ b/src/lavendermast/node.py
@@ -55,7 +55,7 @@
         self.fleet = FleetAgent(settings, self.clock, record_event)
         own = self.fleet.membership.own
         self.identity = Identity(own.vm, own.zone, own.region, own.boot_id)
-        self.policy = Policy(self.fleet.get_live_members)
+        self.policy = Policy(self._get_serving_members)
         self.pools = ServicePools(settings, self.clock, record_event)
         self.retries = RetryKeeper(self.clock)
         self.upstream = Upstream(self.clock, 0, {})
@@ -70,6 +70,7 @@
             self.owners.find_owner,
             clock=self.clock,
             record_event=record_event,
+            check_route=self._check_set,
         )
         self.watch = ServerWatch(
             self.identity,
@@ -163,7 +164,8 @@
         )
 
     def _run_request(self, request, route_name, route, environ):
-        self._check_set(route)
+        if route.idempotent or not request.key:
+            self._check_set(route)
         cancellation = Cancellation()
         with CallerWatch(environ["eventlet.input"].get_socket(), cancellation):
             if route.idempotent:
@@ -171,6 +173,13 @@
                 return self.dispatcher.run(request, route_name, route, cancellation)
             return self.guard.run(request, route_name, route, cancellation)
 
+    def _get_serving_members(self):
+        """Return the members that serve callers by this VM's view."""
+        members = self.fleet.get_live_members()
+        own = self.fleet.membership.own
+        # Callers may hold the address of a leaving VM until it stops.
+        return [*members, own] if own.state == "leaving" else members
+
     def _check_set(self, route):
         """Refuse a request for a service that other VMs serve."""
         if self.identity.vm in self.policy.get_service_set(route.service):
--- a/src/lavendermast/submissions.py
+++ b/src/lavendermast/submissions.py
@@ -71,7 +71,10 @@
             result = run()
         except RequestError as error:
             self._ledger.release(key)
-            return Reply(Outcome.NOT_RUN, error.reason, error.status)
+            headers = [("Content-Type", "application/json"), *error.headers]
+            return Reply(
+                Outcome.NOT_RUN, error.reason, error.status, headers, error.make_body()
+            )
         except BaseException:
             self._ledger.mark_unknown(key)
             raise
--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -2,12 +2,14 @@
 
 import io
 import json
+import pathlib
+import tempfile
 
 import eventlet
 import eventlet.wsgi
 from eventlet.green import socket
 
-from lavendermast.logs import EventLog
+from lavendermast.loglines import parse_line
 from lavendermast.node import Node
 from lavendermast.settings_model import ProcessSettings
 from standins.backend import BackendServer, Work, serve_backend
@@ -58,6 +60,8 @@
     """Nodes, backend servers and the store, all green threads of this process."""
 
     def __init__(self, count):
+        self._folder = tempfile.TemporaryDirectory()
+        self.folder = pathlib.Path(self._folder.name)
         self.backends = {}
         self.store = PlatformStore()
         sock, self.store_address = listen()
@@ -72,9 +76,6 @@
         self.publish("config", {"version": 1, "base": BASE, "overlays": {}})
         self.nodes = [Node(item) for item in settings]
         for node in self.nodes:
-            node.log.close()
-            node.output = io.StringIO()
-            node.log = EventLog(node.output, {"vm": node.identity.vm}, node.clock)
             node.start()
         self.wait(lambda: all(node.policy.ready for node in self.nodes))
 
@@ -124,6 +125,12 @@
         sock.close()
         return answer
 
+    def read_log(self, number, event):
+        """Return the lines of one event in a node's log, as dicts."""
+        self.nodes[number].log.flush()
+        lines = (self.folder / f"vm-{number}.log").read_text().splitlines()
+        return [row for row in map(parse_line, lines) if row["event"] == event]
+
     def stop(self):
         """End everything."""
         for node in self.nodes:
@@ -132,6 +139,7 @@
             node._end("test", 0)
         for task in self.tasks:
             task.kill()
+        self._folder.cleanup()
 
     def _start_backend(self, service, number):
         name = f"{service}-{number}"
@@ -161,7 +169,7 @@
                 "admin_address": take_address(),
                 "store_address": self.store_address,
                 "fleet_keys": [{"id": 1, "secret": "test-fleet-secret"}],
-                "log_path": "/dev/null",
+                "log_path": str(self.folder / f"vm-{number}.log"),
             }
         )
 
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from lavendermast.logs import digest_text
 from tests.cluster import Cluster, parse
 
 
@@ -43,6 +44,17 @@
     assert headers["content-length"] == "50000"
 
 
+def test_log_says_what_the_caller_of_a_long_answer_saw(cluster):
+    """Guards R8 and the queue's slots: the end of a long body was not noticed."""
+    headers = [("Lavendermast-Request", "long-answer")]
+    cluster.request("GET", "/stock/big", headers)
+    rows = cluster.read_log(0, "request")
+    (row,) = [row for row in rows if row["request"] == "long-answer"]
+    assert (row["outcome"], row["bytes"]) == ("answered", "50000")
+    queues = cluster.nodes[0].pools.get("stock").queues
+    assert [queue.permits for queue in queues.values()] == [0, 0]
+
+
 def test_cut_long_answer_ends_before_its_length(cluster):
     """Guards R2: a piece must not look whole, also not to an HTTP/1.0 caller."""
     for backend in cluster.backends.values():
@@ -130,6 +142,10 @@
     assert first[2] == second[2]
     assert second[1]["lavendermast-reason"] == "replayed"
     assert count_runs(cluster, key) == 1
+    key = digest_text(key.encode())
+    rows = [cluster.read_log(number, "duplicate") for number in (0, 1)]
+    rows = [[row["action"] for row in part if row["key"] == key] for part in rows]
+    assert rows == [["replayed"], []]
 
 
 def test_key_of_a_process_that_is_gone_is_unknown(cluster):
@@ -140,6 +156,29 @@
     assert (status, headers["lavendermast-outcome"]) == (504, "unknown")
 
 
+def test_key_that_ran_is_never_not_run_at_a_vm_outside_the_set(cluster, monkeypatch):
+    """Guards R3: a repeat was refused as wrong-vm before its key was looked at."""
+    node = cluster.nodes[0]
+    key, fresh = (get_token(cluster) + part for part in (".moved", ".fresh"))
+    assert post(cluster, key)[0] == 200
+    monkeypatch.setattr(node.policy, "get_service_set", lambda name: ["vm-9"])
+    assert post(cluster, key)[1]["lavendermast-outcome"] == "answered"
+    status, headers, body = post(cluster, fresh)
+    assert (status, headers["lavendermast-outcome"]) == (421, "not-run")
+    assert json.loads(body)["reason"] == "wrong-vm"
+    assert count_runs(cluster, fresh) == 0
+
+
+def test_leaving_vm_serves_callers_that_hold_its_address(cluster):
+    """Guards R6: a graceful stop refused callers until they asked again."""
+    fleet = cluster.nodes[2].fleet
+    fleet.set_state("leaving")
+    try:
+        assert cluster.request("GET", "/stock/1", number=2)[0] == 200
+    finally:
+        fleet.set_state("alive")
+
+
 def test_server_that_sheds_is_left_for_another(cluster):
     cluster.backends["stock-1"].faults.draining = True
     try:
@@ -161,15 +200,13 @@
     cluster.publish("config", {**value, "version": 8, "base": {"routes": 1}})
     cluster.publish("config", {**value, "version": 9})
     cluster.wait(lambda: all(node.policy.version == 9 for node in cluster.nodes))
-    for node in cluster.nodes:
-        node.log.flush()
+    for number in range(len(cluster.nodes)):
         accepted = [
-            line.split("version=")[1].split()[0]
-            for line in node.output.getvalue().splitlines()
-            if "event=config_accepted" in line and "document=config" in line
+            row["version"]
+            for row in cluster.read_log(number, "config_accepted")
+            if row["document"] == "config"
         ]
-        assert accepted == sorted(accepted, key=int)
-        assert "8" not in accepted
+        assert accepted == ["1", "7", "9"]
 
 
 def test_status_and_metrics_describe_the_vm(cluster):
