Follow ledger handovers and torn lines in the reconstruction

Cause: a forwarded line names the VM of the token, so the request line of a successor was never compared; a line cut by kill -9 joins the next process's first line and hid both. A VM that was not ready told not-run without having looked at the key.

Change: accepted handovers before the forward name the VMs that may have received it; the line behind a torn one is read; a response that did not reach the sender is unknown; a keyed request refused before its key was looked at is told unknown.

--- a/src/lavendermast/gateway.py
+++ b/src/lavendermast/gateway.py
@@ -64,7 +64,7 @@
             )
             reply = self._run_request(request, route_name, route, environ)
         except RequestError as error:
-            reply = self._refuse(error)
+            reply = self._refuse(error, environ, route)
         finally:
             self.in_flight.pop(request_id, None)
         head = (environ, request_id, request, route_name, route, started)
@@ -80,11 +80,16 @@
             raise RequestError(404, "no-route", "no route matches")
         return found
 
-    def _refuse(self, error):
+    def _refuse(self, error, environ, route):
+        outcome = error.outcome
+        if route is None or not route.idempotent:
+            # The key was not looked at, and an earlier submission may have run.
+            keyed = environ.get("HTTP_LAVENDERMAST_KEY") and error.reason != "bad-key"
+            outcome = Outcome.UNKNOWN if keyed else outcome
         headers = [("Content-Type", "application/json"), *error.headers]
         return Reply(
             error.status,
-            error.outcome,
+            outcome,
             error.reason,
             headers,
             error.make_body(),
--- a/src/lavendermast/incident.py
+++ b/src/lavendermast/incident.py
@@ -15,6 +15,7 @@
     get_number,
     iterate_lines,
     parse_line,
+    split_torn,
 )
 from .spill import Spill
 from .stories import Issue, Line, Story
@@ -110,6 +111,9 @@
     def _read_logs(self, paths):
         for line in iterate_lines(paths, self.counts, self._progress):
             fields = parse_line(line)
+            if fields is None and (line := split_torn(line)):
+                self.counts.torn += 1
+                fields = parse_line(line)
             if fields is None:
                 self.counts.damaged += 1
                 continue
--- a/src/lavendermast/incident_output.py
+++ b/src/lavendermast/incident_output.py
@@ -155,6 +155,11 @@
         f"  {(moment - start) * 1000:+9.1f} ms  {vm}  {text}"
         for moment, vm, text in rows
     ]
+    for item in story.handovers:
+        lines.append(
+            f"  {item.vm} handed its ledger of {item.entries} keys over to "
+            f"{item.successor} at {format_time(item.time)}"
+        )
     for item in story.ejections:
         lines.append(
             f"  in force on {item.vm}: {item.server} ejected from "
--- a/src/lavendermast/loglines.py
+++ b/src/lavendermast/loglines.py
@@ -11,6 +11,8 @@
 
 _PAIR = re.compile(r'([a-z_]+)=("(?:[^"\\]|\\.)*"|[^ "]*)(?: |$)')
 _TIME = re.compile(r"\d{1,12}(\.\d{1,9})?")
+#: The start of a line, which follows a line cut by the end of a process.
+_START = re.compile(r"(?<!^)ts=\d{1,12}\.\d{6} event=")
 _REQUIRED = ("ts", "event", "vm", "zone")
 #: Events that tell a part of one request's story.
 REQUEST_EVENTS = frozenset({"decision", "attempt", "request", "forwarded", "duplicate"})
@@ -33,13 +35,17 @@
     """
     if '"' not in line:
         try:
-            fields = dict([pair.split("=", 1) for pair in line.split(" ")])
+            pairs = [pair.split("=", 1) for pair in line.split(" ")]
+            fields = dict(pairs)
         except ValueError:
             return None
     else:
-        fields = _parse_quoted(line)
-        if fields is None:
+        pairs = _parse_quoted(line)
+        if pairs is None:
             return None
+        fields = dict(pairs)
+    if len(fields) != len(pairs):
+        return None  # a key that stands twice shows that two lines were joined
     if tuple(fields)[:4] != _REQUIRED:
         return None
     if not _TIME.fullmatch(fields["ts"]):
@@ -49,16 +55,30 @@
     return fields
 
 
+def split_torn(line):
+    """
+    Return the whole line behind a torn one, or an empty string.
+
+    A killed process leaves a line without its end, and the next one on the same VM
+    appends to it.
+
+    >>> split_torn("ts=1.500000 event=request bytes=2ts=2.500000 event=started vm=a")
+    'ts=2.500000 event=started vm=a'
+    """
+    starts = [match.start() for match in _START.finditer(line)]
+    return line[starts[-1] :] if starts else ""
+
+
 def _parse_quoted(line):
     pairs = _PAIR.findall(line)
     # Text between two pairs means that the line is damaged.
     if sum(len(key) + len(value) + 2 for key, value in pairs) != len(line) + 1:
         return None
     try:
-        return {
-            key: json.loads(value) if value[:1] == '"' else value
+        return [
+            (key, json.loads(value) if value[:1] == '"' else value)
             for key, value in pairs
-        }
+        ]
     except ValueError:
         return None
 
--- a/src/lavendermast/stories.py
+++ b/src/lavendermast/stories.py
@@ -48,6 +48,7 @@
     :param lines: its lines of all VMs in the order of corrected time.
     :param told: the ``request`` line of the VM that answered the caller.
     :param ejections: ejections in force when a server was chosen.
+    :param handovers: by which the key moved from its token's VM to a successor.
     """
 
     request: str
@@ -55,6 +56,7 @@
     callers: list
     told: Line | None = None
     ejections: list = attrs.Factory(list)
+    handovers: list = attrs.Factory(list)
     issues: list = attrs.Factory(list)
 
     @classmethod
@@ -69,6 +71,9 @@
             for ejection in timeline.find_ejections(line.vm, service, line.time):
                 seen.setdefault(ejection)
         story.ejections = list(seen)
+        for line in story.select("forwarded"):
+            moved = timeline.find_handovers(line.fields.get("owner"), line.time)
+            story.handovers += [item for item in moved if item not in story.handovers]
         return story
 
     def select(self, event, vm=None):
@@ -86,6 +91,13 @@
         told = [line for line in ends if line.vm in vms]
         return min(told, key=get_arrival, default=None)
 
+    def list_owners(self, forwarded):
+        """Return the VMs that may have received a forwarded request."""
+        owners = [forwarded.fields.get("owner")]
+        owners += [item.successor for item in self.handovers]
+        # A VM that started again forwards the keys of its earlier process.
+        return [vm for vm in dict.fromkeys(owners) if vm != forwarded.vm]
+
     def get_field(self, name):
         """Return a field of the told line, or of the first line that has it."""
         lines = [self.told] if self.told else []
--- a/src/lavendermast/story_checks.py
+++ b/src/lavendermast/story_checks.py
@@ -122,18 +122,19 @@
 
 def _check_forwards(story, coverage, report):
     for line in story.select("forwarded"):
-        owner = line.fields.get("owner")
-        if owner not in coverage:
-            text = f"forwarded to {owner}, whose log is missing"
-            report("unknown", text, line.vm)
-            continue
-        ends = story.select("request", owner)
-        if not ends:
-            text = f"forwarded to {owner}, whose log has no request line for it"
-            report("unknown", text, line.vm)
-            continue
+        owners = story.list_owners(line)
+        ends = [end for vm in owners for end in story.select("request", vm)]
         for sender in story.select("request", line.vm):
-            _compare_owner(sender, ends[0], report)
+            for end in ends:
+                _compare_owner(sender, end, report)
+        if ends:
+            continue
+        missing = [vm for vm in owners if vm not in coverage]
+        text = f"forwarded to {' or '.join(missing or owners)}, whose log "
+        text += "is missing" if missing else "has no request line for it"
+        if not owners:
+            text = "forwarded to a successor, but the handover line is missing"
+        report("unknown", text, line.vm)
 
 
 def _compare_owner(sender, owner, report):
@@ -144,7 +145,9 @@
     if same or passed.get("outcome") == "answered":
         names += ["status", "bytes", "body_digest"]
     elif passed.get("outcome") == "unknown":
-        return  # the owner's response may have been lost on its way
+        text = f"the outcome {told.get('outcome')} of the owner {owner.vm} did not "
+        report("unknown", text + f"reach {sender.vm}", owner.vm)
+        return
     for name in names:
         if passed.get(name) != told.get(name):
             text = f"told {name} {passed.get(name)}, but the owner {owner.vm} told "
--- a/src/lavendermast/timeline.py
+++ b/src/lavendermast/timeline.py
@@ -13,6 +13,8 @@
 #: A longer silence in a VM's log is listed as a gap.
 GAP_S = 10.0
 _SLOT_S = GAP_S / 2
+#: Clocks differ, and the handover is logged before its announcement.
+HANDOVER_MARGIN_S = 1.0
 #: Slots whose presence is kept as the bits of one integer.
 _BLOCK = 1024
 MAX_POINTS = 2_000
@@ -80,6 +82,17 @@
     budget_left: float | None
 
 
+@attrs.frozen(order=True)
+class Handover:
+    """A ledger that a leaving VM passed to its successor."""
+
+    time: float
+    vm: str
+    successor: str
+    entries: str
+    accepted: bool
+
+
 class Series:
     """Counts by time and label in a bounded number of equal steps."""
 
@@ -137,6 +150,7 @@
         self._ejections = collections.defaultdict(list)
         self._longest = collections.defaultdict(float)
         self.versions = collections.defaultdict(list)
+        self.handovers = []
         self.members = set()
         self.findings = []
 
@@ -208,6 +222,15 @@
             )
         versions.append((moment, int(version), fields.get("digest") or ""))
 
+    def _hand_over(self, moment, vm, fields, open_ejections):
+        successor = fields.get("successor")
+        if successor:
+            accepted = fields.get("accepted") == "true"
+            entries = fields.get("entries") or "-"
+            item = Handover(moment, vm, successor, entries, accepted)
+            self.handovers.append(item)
+            self.members.add(successor)
+
     def _keep(self, ejection):
         key = (ejection.vm, ejection.service)
         self._ejections[key].append(ejection)
@@ -223,6 +246,7 @@
         "started": _stop,
         "stopped": _stop,
         "config_accepted": _accept,
+        "handover": _hand_over,
     }
 
     def find_ejections(self, vm, service, moment):
@@ -244,6 +268,20 @@
         """Return all ejections, sorted by their start."""
         return sorted(item for items in self._ejections.values() for item in items)
 
+    def find_handovers(self, vm, moment):
+        """
+        Return the accepted handovers by which a VM's keys moved on until a time.
+
+        A VM may have handed over several ledgers, one for each of its processes.
+        """
+        found, owners = [], {vm}
+        for item in self.handovers:
+            in_time = item.time <= moment + HANDOVER_MARGIN_S
+            if item.accepted and in_time and item.vm in owners:
+                found.append(item)
+                owners.add(item.successor)
+        return found
+
     def find_version(self, vm, moment):
         """Return the configuration version in force on a VM, or ``None``."""
         versions = self.versions.get(vm, ())
@@ -263,4 +301,7 @@
     "document",
     "version",
     "digest",
+    "successor",
+    "entries",
+    "accepted",
 )
