--- a/src/lavendermast/dispatch.py
+++ b/src/lavendermast/dispatch.py
@@ -50,6 +50,11 @@
         self.length = getattr(stream, "length", None)
         self._finish = finish
 
+    @property
+    def status(self):
+        """AttemptStatus once the body has ended, ``None`` before."""
+        return self._stream.status
+
     def __iter__(self):
         try:
             yield from self._stream
@@ -131,7 +136,7 @@
         while True:
             choice = pool.balancer.choose(route, tried)
             if choice is None:
-                return give_up(facts, last)
+                return give_up(last)
             tried.append(choice.server.name)
             self._log_decision(request, route_name, route, choice, len(tried))
             result = self._attempt(request, route_name, route, pool, choice, cancelled)
@@ -193,13 +198,13 @@
         )
 
 
-def give_up(facts, last):
+def give_up(last):
     """
     Return the last attempt of a request for which no server is left.
 
-    :raises RequestError: when the request certainly did not run.
+    :raises RequestError: when there was no attempt.
     """
-    if not facts.may_have_run:
+    if last is None:
         raise RequestError(503, "no-server", retry_after=RETRY_AFTER_S)
     return attrs.evolve(last, decision=attrs.evolve(last.decision, retry=False))
 
--- a/src/lavendermast/incident.py
+++ b/src/lavendermast/incident.py
@@ -15,10 +15,11 @@
     get_number,
     iterate_lines,
     parse_line,
+    split_torn,
 )
 from .spill import Spill
 from .stories import Issue, Line, Story
-from .story_checks import check_story
+from .story_checks import OUTCOMES, check_story
 from .timeline import Coverage, Series, Timeline, get_latency_label
 
 _REQUEST_ID = re.compile(r" request=([^ \"]+)")
@@ -110,6 +111,9 @@
     def _read_logs(self, paths):
         for line in iterate_lines(paths, self.counts, self._progress):
             fields = parse_line(line)
+            if fields is None and (line := split_torn(line)):
+                self.counts.torn += 1
+                fields = parse_line(line)
             if fields is None:
                 self.counts.damaged += 1
                 continue
@@ -205,6 +209,9 @@
     def _count(self, story):
         self.totals["requests"] += 1
         self.totals["callers' records"] += len(story.callers)
+        if story.told is not None:
+            compared = sum(record.outcome in OUTCOMES for record in story.callers)
+            self.totals["callers' records compared"] += compared
         for kind in {issue.kind for issue in story.issues}:
             self.totals[f"requests with {kind}"] += 1
         runs, key = story.count_possible_runs(), story.get_field("key")
