Check route classes, share turns of unlisted customers, reload keys safely

Cause: a route's class was never compared with its times; a caller could gain turns by inventing customer names; an invalid settings file at SIGHUP raised in the main task; a HEAD answer lost its length; a server could set our headers. Change: ClassCheck, one turn for unlisted customers, keys_reloaded and keys_rejected events, aborted requests logged, Content-Length kept for HEAD.

--- /dev/null
+++ b/src/lavendermast/classes.py
@@ -0,0 +1,70 @@
+"""Checks a route's class of work against the times that are observed."""
+
+import collections
+import statistics
+
+#: Attempts kept for each route.
+SAMPLES = 50
+#: A short route this many times slower than the service's other short routes is long.
+LONG_FACTOR = 8.0
+CHECK_INTERVAL_S = 60.0
+
+
+class ClassCheck:
+    """
+    Compares the routes of one service with each other.
+
+    :param record_event: called as ``record_event(event, **fields)``.
+
+    >>> from lavendermast.clock import ManualClock
+    >>> clock, found = ManualClock(), []
+    >>> check = ClassCheck(clock, lambda event, **fields: found.append(fields["route"]))
+    >>> for _ in range(50):
+    ...     check.record("look-up", "short", 0.02)
+    ...     check.record("bundle", "short", 0.9)
+    >>> clock.advance(60)
+    >>> check.record("look-up", "short", 0.02)
+    >>> found
+    ['bundle']
+    """
+
+    def __init__(self, clock, record_event):
+        self._clock = clock
+        self._record_event = record_event
+        self._times = {}
+        self._next_check = clock.monotonic() + CHECK_INTERVAL_S
+
+    def record(self, route_name, work, seconds):
+        """Note the time of a whole answer."""
+        times = self._times.get((route_name, work))
+        if times is None:
+            times = self._times[route_name, work] = collections.deque(maxlen=SAMPLES)
+        times.append(seconds)
+        now = self._clock.monotonic()
+        if now >= self._next_check:
+            self._next_check = now + CHECK_INTERVAL_S
+            self._check()
+
+    def _check(self):
+        medians = {
+            key: statistics.median(times)
+            for key, times in self._times.items()
+            if len(times) == SAMPLES
+        }
+        short = {name: m for (name, work), m in medians.items() if work == "short"}
+        for (name, work), median in medians.items():
+            others = [value for key, value in short.items() if key != name]
+            if others and self._contradicts(work, median, min(others)):
+                self._record_event(
+                    "class_mismatch",
+                    route=name,
+                    work=work,
+                    observed_ms=round(median * 1000, 1),
+                    median_ms=round(min(others) * 1000, 1),
+                )
+
+    @staticmethod
+    def _contradicts(work, median, short_median):
+        if work == "short":
+            return median > LONG_FACTOR * short_median
+        return median < short_median
--- a/src/lavendermast/daemon.py
+++ b/src/lavendermast/daemon.py
@@ -30,7 +30,14 @@
     except SettingsError as error:
         print(error, file=sys.stderr)
         sys.exit(2)
-    node = Node(checked)
+    try:
+        node = Node(checked)
+    except OSError as error:
+        print(
+            f"cannot listen: {error}; check the addresses in {settings}",
+            file=sys.stderr,
+        )
+        sys.exit(1)
     stop_requested = eventlet.event.Event()
 
     def handle_signal(number, frame):
@@ -41,7 +48,10 @@
 
     for number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(number, handle_signal)
-    signal.signal(signal.SIGHUP, lambda number, frame: node.reload_keys(settings))
+    signal.signal(
+        signal.SIGHUP,
+        lambda number, frame: eventlet.spawn_n(node.reload_keys, settings),
+    )
     node.start()
     node.stop(stop_requested.wait())
 
--- a/src/lavendermast/dispatch.py
+++ b/src/lavendermast/dispatch.py
@@ -8,6 +8,8 @@
 
 RETRY_AFTER_S = 1
 DEFAULT_WEIGHT = 1
+UNLISTED_CUSTOMER = ""
+OWN_PREFIX = "lavendermast-"
 
 
 @attrs.define
@@ -102,7 +104,7 @@
         """Return the last attempt, as ``run`` does its reply."""
         pool = self._pools.get(route.service)
         queue = pool.queues[route.work]
-        ticket = queue.acquire(request, request.customer, self._get_weight(request))
+        ticket = queue.acquire(request, *self._get_share(request))
         self._retries.add_request()
         facts = RequestFacts(
             route.idempotent, keyed, request.deadline, refuse_by=ticket.refuse_by
@@ -125,9 +127,13 @@
             )
         return last
 
-    def _get_weight(self, request):
+    def _get_share(self, request):
+        """Return the customer in whose turn a request waits, and its weight."""
         customer = self._policy.config.customers.get(request.customer)
-        return customer.weight if customer else DEFAULT_WEIGHT
+        if customer is None:
+            # Unlisted names share one turn, so that inventing names gains nothing.
+            return UNLISTED_CUSTOMER, DEFAULT_WEIGHT
+        return request.customer, customer.weight
 
     def _try_servers(self, request, route_name, route, facts, cancelled):
         pool = self._pools.get(route.service)
@@ -155,6 +161,8 @@
         def finish(result):
             pool.balancer.finish(name, route.work, result)
             pool.tracker.finish_attempt(handle, result)
+            if result.status is AttemptStatus.OK:
+                pool.classes.record(route_name, route.work, result.latency)
 
         try:
             result = self._upstream.send(
@@ -163,6 +171,7 @@
         except BaseException:
             finish(AttemptResult(name, AttemptStatus.CANCELLED))
             raise
+        result.headers = remove_own_headers(result.headers)
         if result.stream is not None:
             result.stream = TrackedStream(
                 result.stream,
@@ -198,6 +207,16 @@
         )
 
 
+def remove_own_headers(headers):
+    """
+    Return a server's headers without those that only the fleet may set.
+
+    >>> remove_own_headers([("Lavendermast-Outcome", "not-run"), ("ETag", "a")])
+    [('ETag', 'a')]
+    """
+    return [item for item in headers if not item[0].lower().startswith(OWN_PREFIX)]
+
+
 def give_up(last):
     """
     Return the last attempt of a request for which no server is left.
--- a/src/lavendermast/gateway.py
+++ b/src/lavendermast/gateway.py
@@ -27,6 +27,15 @@
     return f"{status} {http.client.responses.get(status, 'Unknown')}"
 
 
+def get_length(reply, environ):
+    """Return the Content-Length of a buffered answer; to HEAD, what GET would give."""
+    if environ["REQUEST_METHOD"] == "HEAD":
+        for name, value in reply.headers:
+            if name.lower() == "content-length":
+                return value
+    return str(len(reply.body))
+
+
 class Gateway:
     """
     Answers callers.
@@ -113,7 +122,7 @@
             headers.append(("Connection", "close"))
         if reply.stream is not None:
             return self._stream(reply, head, headers, start_response)
-        headers.append(("Content-Length", str(len(reply.body))))
+        headers.append(("Content-Length", get_length(reply, environ)))
         start_response(get_status_line(reply.status), headers)
         self._log_request(reply, head, len(reply.body), digest_text(reply.body))
         return [reply.body]
--- a/src/lavendermast/node.py
+++ b/src/lavendermast/node.py
@@ -12,7 +12,7 @@
 from lavendermast.clock import SystemClock
 from lavendermast.dispatch import Dispatcher
 from lavendermast.drain import Drainer
-from lavendermast.exceptions import RequestError
+from lavendermast.exceptions import RequestError, SettingsError
 from lavendermast.fleet import FleetAgent
 from lavendermast.gateway import Gateway
 from lavendermast.idempotency import IdempotencyGuard
@@ -115,14 +115,22 @@
 
     def abort(self):
         """End the process at once and log the requests that this aborts."""
+        for request_id in self.gateway.in_flight:
+            self.log.record("aborted", request=request_id)
         self._end("second signal", len(self.gateway.in_flight))
         os._exit(1)
 
     def reload_keys(self, path):
-        """Read the fleet keys of the process settings again."""
-        self.settings = load_process_settings(path)
-        self.fleet.reload_keys(self.settings)
-        self.guard.reload_keys(self.settings)
+        """Read the fleet keys of the process settings again; keep them if invalid."""
+        try:
+            settings = load_process_settings(path)
+        except SettingsError as error:
+            self.log.record("keys_rejected", findings=str(error))
+            return
+        self.settings = settings
+        self.fleet.reload_keys(settings)
+        self.guard.reload_keys(settings)
+        self.log.record("keys_reloaded", signing=settings.fleet_keys[0].id)
 
     def get_document_age(self, name):
         """Return the seconds since a document's version in force was accepted."""
--- a/src/lavendermast/services.py
+++ b/src/lavendermast/services.py
@@ -6,6 +6,7 @@
 
 from lavendermast.admission import AdmissionQueue
 from lavendermast.balancer import TwoChoiceBalancer
+from lavendermast.classes import ClassCheck
 from lavendermast.health import HealthTracker
 from lavendermast.models import Server, ServerState
 
@@ -16,6 +17,7 @@
     Servers of one service with their health and load.
 
     :param queues: admission queues by class of work.
+    :param classes: checks the routes' classes of work.
     :param listed: servers of the VM list by name.
     """
 
@@ -24,6 +26,7 @@
     tracker: object
     balancer: object
     queues: dict
+    classes: object
     listed: dict = attrs.Factory(dict)
 
     @classmethod
@@ -47,7 +50,8 @@
             work: AdmissionQueue.from_config(config.limits, balancer, work, clock)
             for work in ("short", "long")
         }
-        return cls(name, service, tracker, balancer, queues)
+        classes = ClassCheck(clock, record_event)
+        return cls(name, service, tracker, balancer, queues, classes)
 
     def differs_in_thresholds_only(self, service):
         """Return whether other settings change nothing but floor and detection."""
--- a/standins/backend.py
+++ b/standins/backend.py
@@ -152,6 +152,9 @@
         if roll() < self.faults.errors:
             return self._answer(start_response, "500 Internal Server Error", b"{}")
         content = self._make_body(environ, body, work.body_bytes)
+        if environ["REQUEST_METHOD"] == "HEAD":
+            self._start(start_response, "200 OK", len(content))
+            return []
         if roll() < self.faults.cut:
             return self._answer_cut(start_response, content)
         return self._answer(start_response, "200 OK", content)
--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -29,6 +29,12 @@
             "service": "stock",
             "idempotent": True,
         },
+        "look-up-head": {
+            "method": "HEAD",
+            "path": "/stock/*",
+            "service": "stock",
+            "idempotent": True,
+        },
         "order": {
             "method": "POST",
             "path": "/orders",
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -2,6 +2,7 @@
 
 import json
 
+import attrs
 import pytest
 
 from lavendermast.logs import digest_text
@@ -217,3 +218,28 @@
     assert status["ready"] and len(status["members"]) == 3
     text = b"".join(board({"PATH_INFO": "/metrics"}, lambda *args: None))
     assert b"lavendermast_requests_total" in text
+
+
+def test_head_keeps_the_length_that_get_would_have(cluster):
+    status, headers, body = cluster.request("HEAD", "/stock/9")
+    assert (status, body) == (200, b"")
+    assert int(headers["content-length"]) > 0
+
+
+def test_fleet_keys_are_replaced_without_a_restart(cluster, tmp_path):
+    """Guards against a stop of the fleet for a key change."""
+    node = cluster.nodes[0]
+    settings = attrs.asdict(node.settings)
+    settings["fleet_keys"] = [
+        {"id": 2, "secret": "another-fleet-secret"},
+        *settings["fleet_keys"],
+    ]
+    path = tmp_path / "vm.json"
+    path.write_text(json.dumps(settings))
+    old_token = get_token(cluster)
+    node.reload_keys(path)
+    assert post(cluster, get_token(cluster) + ".new")[0] == 200
+    assert post(cluster, old_token + ".old")[0] == 200
+    path.write_text("{}")
+    node.reload_keys(path)
+    assert node.settings.fleet_keys[0].id == 2
