--- a/standins/backend.py
+++ b/standins/backend.py
@@ -72,6 +72,7 @@
         self.waiting = 0
         self.free = eventlet.semaphore.Semaphore(slots)
         self.executions = []
+        self.refusals = []
         self.counts = {"requests": 0, "shed": 0, "probes": 0, "cancelled": 0}
 
     def __call__(self, environ, start_response):
@@ -92,7 +93,12 @@
 
     def _dump(self):
         return json.dumps(
-            {"server": self.name, "counts": self.counts, "runs": self.executions}
+            {
+                "server": self.name,
+                "counts": self.counts,
+                "runs": self.executions,
+                "refusals": self.refusals,
+            }
         ).encode()
 
     def _answer_health(self, start_response):
@@ -198,6 +204,7 @@
 
     def _refuse(self, start_response, state):
         self.counts["shed"] += 1
+        self.refusals.append(time.time())
         self._start(start_response, "503 Service Unavailable", 0, state)
         return [b""]
 
