Check the requests under one key against each other and falsify log lines

Cause: a request that was replayed or refused was checked alone, so a not-run beside a run of the same key stayed unseen; and nothing measured that a changed line is found.

A key on an idempotent route has no effect and is no longer logged.

--- a/bench/truth.py
+++ b/bench/truth.py
@@ -16,6 +16,7 @@
 
 from bench.checks import check_records, collect_runs, count_outcomes
 from bench.experiment import Load, print_table, run_load
+from bench.falsify import run_trials
 from bench.fleet import LocalFleet
 
 RATE = 500
@@ -131,6 +132,13 @@
         time.sleep(SETTLE_S)
         callers = write_callers(fleet, records)
         report = run_incident(fleet.get_logs(), callers)
+        trials = run_trials(
+            fleet.get_logs(),
+            callers,
+            {item["request"] for item in report["requests"]},
+            fleet.folder / "falsified",
+            options.seed,
+        )
         if options.keep:
             options.keep.mkdir(parents=True, exist_ok=True)
             for path in [callers, *fleet.get_logs()]:
@@ -143,6 +151,12 @@
         print(kind, example)
     rows, matches = count_issues(report)
     print_table(rows, ["account", "found"])
+    found = sum(trial[2] for trial in trials)
+    print(f"falsified lines found: {found} of {len(trials)}")
+    for trial in trials:
+        if not trial[2]:
+            print("not found, or not alone:", *trial)
+    matches = matches and found == len(trials)
     sys.exit(0 if matches and not verdicts.counts else 1)
 
 
--- a/src/lavendermast/cli.py
+++ b/src/lavendermast/cli.py
@@ -4,9 +4,11 @@
 import contextlib
 import datetime
 import enum
+import hashlib
 import json
 import os
 import pathlib
+import re
 import sys
 import urllib.parse
 
@@ -19,6 +21,8 @@
 from .settings import encode_bundle, load_bundle, merge_site
 from .settings_checks import fill_defaults
 
+DIGEST_CHARACTERS = 16
+_DIGEST = re.compile(r"[0-9a-f]{16}")
 ADMIN_TIMEOUT_S = 3.0
 #: VMs asked at once, so that a few missing ones do not add up their timeouts.
 MAX_REQUESTS = 16
@@ -243,6 +247,18 @@
     return moment.timestamp()
 
 
+def read_key(text):
+    """
+    Return a key's digest as the logs write it; ``None`` for an empty text.
+
+    >>> read_key("a" * 16), read_key("token.part")
+    ('aaaaaaaaaaaaaaaa', '80a124875f21bbfc')
+    """
+    if not text or _DIGEST.fullmatch(text):
+        return text or None
+    return hashlib.sha256(text.encode()).hexdigest()[:DIGEST_CHARACTERS]
+
+
 def incident(
     *log: str,
     callers: list[str] = (),
@@ -250,6 +266,7 @@
     customer: str = "",
     service: str = "",
     server: str = "",
+    key: str = "",
     since: str = "",
     until: str = "",
     stories: bool = False,
@@ -267,6 +284,8 @@
     :param customer: report this customer's requests only.
     :param service: report this service's requests only.
     :param server: report requests that this server took part in only.
+    :param key: report the requests under this idempotency key as one story; the key
+        itself or its digest in the logs.
     :param since: start of a time span, Unix seconds or ISO 8601 in UTC.
     :param until: end of a time span, Unix seconds or ISO 8601 in UTC.
     :param stories: write every selected request's whole story.
@@ -285,6 +304,7 @@
         server=server or None,
         since=parse_time(since),
         until=parse_time(until),
+        key=read_key(key),
     )
     write = {
         Format.text: incident_output.write_text,
--- a/src/lavendermast/gateway.py
+++ b/src/lavendermast/gateway.py
@@ -188,7 +188,10 @@
             route=route_name,
             service=route.service if route else None,
             customer=request.customer if request else None,
-            key=digest_text(key.encode()) if key else None,
+            # On an idempotent route a key has no effect, and runs may repeat.
+            key=digest_text(key.encode())
+            if key and not (route and route.idempotent)
+            else None,
             outcome=reply.outcome.value,
             reason=reply.reason,
             status=reply.status,
--- a/src/lavendermast/incident.py
+++ b/src/lavendermast/incident.py
@@ -2,11 +2,13 @@
 
 import collections
 import itertools
+import json
 import re
 
 import attrs
 
 from .clockskew import ClockEstimator
+from .key_checks import check_uses, describe_use
 from .loglines import (
     REQUEST_EVENTS,
     CallerRecord,
@@ -27,6 +29,10 @@
 _LINE = "L "
 
 
+def _get_use_order(use):
+    return use["key"], use["request"]
+
+
 @attrs.frozen
 class Filter:
     """
@@ -34,6 +40,7 @@
 
     :param since: start of a time span, in Unix seconds.
     :param until: end of a time span, in Unix seconds.
+    :param key: digest of an idempotency key, as the log writes it.
     """
 
     request: str | None = None
@@ -42,12 +49,13 @@
     server: str | None = None
     since: float | None = None
     until: float | None = None
+    key: str | None = None
 
     def accepts(self, story):
         """Return whether a story is reported."""
         if self.request is not None and story.request != self.request:
             return False
-        for name in ("customer", "service"):
+        for name in ("customer", "service", "key"):
             wanted = getattr(self, name)
             if wanted is not None and story.get_field(name) != wanted:
                 return False
@@ -214,9 +222,9 @@
             self.totals["callers' records compared"] += compared
         for kind in {issue.kind for issue in story.issues}:
             self.totals[f"requests with {kind}"] += 1
-        runs, key = story.count_possible_runs(), story.get_field("key")
-        if key and runs:
-            self._keys.write(key, f"{key} {runs} {story.request}")
+        use = describe_use(story)
+        if use:
+            self._keys.write(story.get_field("key"), use)
         if story.told is None:
             self.totals["outcome not in the logs"] += 1
             return
@@ -231,19 +239,14 @@
         """
         Yield issues that no single request shows.
 
-        Call it after the stories were iterated. It names keys that several requests
-        ran with, versions that reverted, and callers' records without request id.
+        Call it after the stories were iterated. It names keys whose requests contradict
+        each other, versions that reverted, and callers' records without request id.
         """
         self._keys.finish()
         for bucket in self._keys.iterate_buckets():
-            rows = sorted(row.split(" ", 2) for row in bucket)
-            for key, group in itertools.groupby(rows, key=lambda row: row[0]):
-                group = list(group)
-                if len(group) > 1:
-                    runs = sum(int(row[1]) for row in group)
-                    requests = ", ".join(row[2] for row in group)
-                    text = f"key {key} may have run {runs} times, in {requests}"
-                    yield Issue("contradiction", group[0][2], "", text)
+            uses = sorted(map(json.loads, bucket), key=_get_use_order)
+            for _, group in itertools.groupby(uses, key=lambda use: use["key"]):
+                yield from check_uses(list(group), self.timeline)
         for text in self.timeline.findings:
             yield Issue("contradiction", "", "", text)
         for record in self._unnamed:
--- a/src/lavendermast/incident_output.py
+++ b/src/lavendermast/incident_output.py
@@ -4,6 +4,8 @@
 import json
 import math
 
+import attrs
+
 from .stories import get_arrival, get_deadline
 
 MAX_GAPS = 5
@@ -140,20 +142,10 @@
     for name in ("method", "path", "service", "customer", "key"):
         if story.get_field(name):
             head += f", {name} {story.get_field(name)}"
-    lines = [head]
-    rows = []
-    for line in story.select("request"):
-        deadline = format_time(get_deadline(line))
-        version = timeline.find_version(line.vm, get_arrival(line))
-        text = f"received, deadline {deadline}, configuration {version or 'not known'}"
-        rows.append((get_arrival(line), line.vm, text))
-    for line in story.lines:
-        rows.append((line.time, line.vm, _DESCRIBERS[line.event](line.fields)))
-    rows.sort(key=lambda row: row[0])
-    lines.append(f"  starts {format_time(start)}")
+    lines = [head, f"  starts {format_time(start)}"]
     lines += [
         f"  {(moment - start) * 1000:+9.1f} ms  {vm}  {text}"
-        for moment, vm, text in rows
+        for moment, vm, text in _list_rows(story, timeline)
     ]
     for item in story.handovers:
         lines.append(
@@ -175,6 +167,54 @@
     return lines + [format_issue(issue, "  ") for issue in story.issues]
 
 
+def _list_rows(story, timeline):
+    """Return (time, VM, text) of all that a story's lines say, in order."""
+    rows = []
+    for line in story.select("request"):
+        deadline = format_time(get_deadline(line))
+        version = timeline.find_version(line.vm, get_arrival(line))
+        text = f"received, deadline {deadline}, configuration {version or 'not known'}"
+        rows.append((get_arrival(line), line.vm, text))
+    for line in story.lines:
+        rows.append((line.time, line.vm, _DESCRIBERS[line.event](line.fields)))
+    rows.sort(key=lambda row: row[0])
+    return rows
+
+
+def format_key(key, stories, timeline):
+    """Return all requests under one key as one story, with the handovers of its VMs."""
+    rows = [
+        (moment, vm, f"{story.request}  {text}")
+        for story in stories
+        for moment, vm, text in _list_rows(story, timeline)
+    ]
+    rows.sort(key=lambda row: row[0])
+    if not rows:
+        return []
+    start, end = rows[0][0], rows[-1][0]
+    moved = {
+        item
+        for vm in {row[1] for row in rows}
+        for item in timeline.find_handovers(vm, end)
+        if item.time >= start
+    }
+    rows += [
+        (
+            item.time,
+            item.vm,
+            f"handed its ledger of {item.entries} keys over to {item.successor}",
+        )
+        for item in moved
+    ]
+    rows.sort(key=lambda row: row[0])
+    lines = [f"key {key}, {len(stories)} requests", f"  starts {format_time(start)}"]
+    lines += [
+        f"  {(moment - start) * 1000:+9.1f} ms  {vm}  {text}"
+        for moment, vm, text in rows
+    ]
+    return [escape_text(line) for line in lines]
+
+
 def format_issue(issue, indent=""):
     """Return an issue as a line of text."""
     place = " ".join(part for part in (issue.request, issue.vm) if part)
@@ -188,7 +228,7 @@
     :param with_stories: whether to write every selected story or issues only.
     :return: whether the account is free of disagreements and contradictions.
     """
-    clean = True
+    clean, under_key = True, []
     for line in format_logs(incident):
         stream.write(line + "\n")
     stream.write("\n")
@@ -197,7 +237,11 @@
         if with_stories:
             lines = [*format_story(story, incident.timeline), ""]
         stream.writelines(line + "\n" for line in lines)
+        if selection.key:
+            under_key.append(story)
         clean = clean and not has_fault(story.issues)
+    for line in format_key(selection.key, under_key, incident.timeline):
+        stream.write(line + "\n")
     fleet = list(incident.iterate_fleet_issues())
     stream.writelines(format_issue(issue) + "\n" for issue in fleet)
     stream.write("\nsummary\n")
@@ -225,6 +269,7 @@
         "request": story.request,
         "start": story.get_start(),
         "issues": [_export_issue(issue) for issue in story.issues],
+        "handovers": [attrs.asdict(item) for item in story.handovers],
     }
     if with_lines:
         result["lines"] = [
