--- /dev/null
+++ b/tests/test_account.py
@@ -0,0 +1,191 @@
+"""Tests that logs of several processes make one account of a request and of a key."""
+
+import io
+import json
+
+import pytest
+
+from lavendermast.incident import Filter, Incident
+from lavendermast.incident_output import write_json, write_text
+from lavendermast.logs import digest_text, format_event
+from tests.cluster import Cluster
+
+START = 1_700_000_000.0
+KEY = "aaaaaaaaaaaaaaaa"
+ANSWER = {"outcome": "answered", "status": 200, "bytes": 2, "body_digest": "b1"}
+UNKNOWN = {"outcome": "unknown", "reason": "owner-cut", "status": 504}
+HANDOVER = {"successor": "b", "entries": 3, "accepted": True}
+
+
+def write_log(folder, rows):
+    """Write rows of (seconds, VM, event, fields), one file for each VM."""
+    paths = {folder / f"{row[1]}.log" for row in rows}
+    for path in paths:
+        lines = [
+            format_event(
+                {
+                    "ts": f"{START + at:.6f}",
+                    "event": event,
+                    "vm": vm,
+                    "zone": "z",
+                    **rest,
+                }
+            )
+            for at, vm, event, rest in rows
+            if vm == path.stem
+        ]
+        path.write_text("".join(line + "\n" for line in lines))
+    return sorted(paths)
+
+
+def make_run(at, vm, request):
+    """Return the lines of a keyed request that ran."""
+    both = {"request": request, "attempt": 1, "server": "s1"}
+    end = {"request": request, "key": KEY, "attempts": 1, "server": "s1", **ANSWER}
+    return [
+        (at, vm, "decision", both),
+        (at, vm, "attempt", {**both, "status": "ok", "http_status": 200}),
+        (at, vm, "request", end),
+    ]
+
+
+def make_replay(at, vm, request, **told):
+    """Return the lines of a repeat that a VM answered from its ledger."""
+    head = {"request": request, "key": KEY}
+    return [
+        (at, vm, "duplicate", {**head, "action": "replayed"}),
+        (at, vm, "request", {**head, "attempts": 0, **ANSWER, **told}),
+    ]
+
+
+def list_issues(logs):
+    """Return (kind, text) of all issues."""
+    stream = io.StringIO()
+    with Incident(logs) as incident:
+        write_json(incident, Filter(), stream, False)
+    report = json.loads(stream.getvalue())
+    rows = [issue for item in report["requests"] for issue in item["issues"]]
+    rows += report["fleet_issues"]
+    return [(row["kind"], row["text"]) for row in rows]
+
+
+def forward(at, vm, request, owner, told):
+    """Return the lines of the VM that forwards a request."""
+    head = {"request": request, "key": KEY}
+    return [
+        (at, vm, "forwarded", {**head, "owner": owner, "address": "127.0.0.1:1"}),
+        (at + 0.2, vm, "request", {**head, "attempts": 0, **told}),
+    ]
+
+
+def test_successors_answer_is_compared_with_what_the_sender_told(tmp_path):
+    """Guards against a false line of a successor, which the token does not name."""
+    rows = make_run(0, "a", "r1") + [(1, "a", "handover", HANDOVER)]
+    rows += forward(2, "c", "r2", "a", ANSWER)
+    logs = write_log(tmp_path, rows + make_replay(2.1, "b", "r2"))
+    assert list_issues(logs) == []
+    logs = write_log(tmp_path, rows + make_replay(2.1, "b", "r2", body_digest="b2"))
+    text = "told body_digest b1, but the owner b told b2"
+    assert ("contradiction", text) in list_issues(logs)
+
+
+def test_vm_that_started_again_forwards_keys_of_its_earlier_process(tmp_path):
+    """Guards against comparing a sender with itself."""
+    rows = make_run(0, "a", "r1") + [(1, "a", "handover", HANDOVER)]
+    rows += forward(2, "a", "r2", "a", ANSWER)
+    rows += make_replay(2.1, "b", "r2", status=201)
+    assert ("contradiction", "told status 200, but the owner b told 201") in (
+        list_issues(write_log(tmp_path, rows))
+    )
+
+
+def test_refused_handover_continues_no_key(tmp_path):
+    """Guards against a replay that no handover explains."""
+    refused = {**HANDOVER, "accepted": False}
+    rows = make_run(0, "a", "r1") + [(1, "a", "handover", refused)]
+    ((kind, text),) = list_issues(write_log(tmp_path, rows + make_replay(2, "b", "r2")))
+    assert kind == "unknown"
+    assert "no handover to b" in text
+
+
+def test_not_run_beside_a_run_of_the_key_is_found(tmp_path):
+    """Guards R3: each of the two requests is in order by itself."""
+    told = {"request": "r2", "key": KEY, "outcome": "not-run", "attempts": 0}
+    rows = [*make_run(0, "a", "r1"), (1, "b", "request", told)]
+    text = f"told not-run, but key {KEY} may have run in r1"
+    assert list_issues(write_log(tmp_path, rows)) == [("contradiction", text)]
+
+
+def test_lost_response_of_an_owner_is_unknown(tmp_path):
+    """Guards against calling an outcome confirmed that never arrived."""
+    rows = make_run(0.1, "a", "r1") + forward(0, "c", "r1", "a", UNKNOWN)
+    ((kind, text),) = list_issues(write_log(tmp_path, rows))
+    assert (kind, text) == (
+        "unknown",
+        "the outcome answered of the owner a did not reach c",
+    )
+
+
+def test_key_is_one_story_across_a_handover(tmp_path):
+    """Guards against a story that ends where the first process ended."""
+    rows = make_run(0, "a", "r1") + [(1, "a", "handover", HANDOVER)]
+    logs = write_log(tmp_path, rows + make_replay(2, "b", "r2"))
+    stream = io.StringIO()
+    with Incident(logs) as incident:
+        write_text(incident, Filter(key=KEY), stream, False)
+    text = stream.getvalue()
+    assert f"key {KEY}, 2 requests" in text
+    ran = text.index("r1  attempt 1 on s1")
+    moved = text.index("a  handed its ledger of 3 keys over to b")
+    assert ran < moved < text.index("r2  duplicate of a key: replayed")
+
+
+@pytest.mark.parametrize("cut", [5, 40, 75])
+def test_line_behind_a_torn_one_is_read(tmp_path, cut):
+    """Guards against a half line of a killed process that hides the next line."""
+    (path,) = write_log(tmp_path, make_run(0, "a", "r1") + make_run(1, "a", "r2"))
+    lines = path.read_text().splitlines(keepends=True)
+    lines[2] = lines[2][:cut]
+    path.write_text("".join(lines))
+    with Incident([path]) as incident:
+        assert (incident.counts.torn, incident.counts.damaged) == (1, 0)
+        stories = {story.request: story for story in incident.iterate_stories()}
+    assert stories["r1"].told is None
+    assert len(stories["r2"].lines) == 3
+
+
+@pytest.fixture(scope="module")
+def cluster():
+    made = Cluster(2)
+    yield made
+    made.stop()
+
+
+def test_attempts_of_a_refused_request_are_logged(cluster, monkeypatch):
+    """Guards R8: a request that every server shed was logged with 0 attempts."""
+    for name in ("stock-1", "stock-2"):
+        monkeypatch.setattr(cluster.backends[name], "queue", -100)
+    headers = [("Lavendermast-Request", "shed-by-all")]
+    status, headers, _ = cluster.request("GET", "/stock/1", headers)
+    assert (status, headers["lavendermast-outcome"]) == (503, "not-run")
+    attempts = cluster.read_log(0, "attempt")
+    (row,) = cluster.read_log(0, "request")
+    assert row["attempts"] == str(len(attempts)) != "0"
+
+
+def test_vm_that_is_not_ready_says_nothing_about_a_key(cluster, monkeypatch):
+    """Guards R3: the key may have run at its owner."""
+    monkeypatch.setattr(cluster.nodes[1].policy, "ready", False)
+    for key, outcome in (("", "not-run"), ("token.x", "unknown")):
+        headers = [("Lavendermast-Key", key)] if key else []
+        answer = cluster.request("POST", "/orders", headers, b"x", number=1)
+        assert (answer[0], answer[1]["lavendermast-outcome"]) == (503, outcome)
+
+
+def test_key_without_effect_is_not_logged(cluster):
+    """Guards against a repeat of an idempotent request taken for a second run."""
+    headers = [("Lavendermast-Key", "token.y"), ("Lavendermast-Request", "with-key")]
+    cluster.request("GET", "/stock/1", headers, number=1)
+    rows = cluster.read_log(1, "request")
+    digest = digest_text(b"token.y")
+    assert [row["request"] for row in rows if row["key"] == digest] == []
