Make the plots of the report page legible and extend make run by an account

Cause: on the logs of a real run the plot of ejections ended at one server, rare outcomes and the median lay on the zero line, and the lines of all VMs' versions hid each other.

Change: logarithmic axes for outcomes and latency, one time axis for all plots, VMs counted by version, limits set after drawing. The demo prints the status table, then sets errors on a server and ends with the account of a request that met it.

The demo was not run yet at this commit.

--- a/bench/demo.py
+++ b/bench/demo.py
@@ -1,6 +1,8 @@
-"""What `make run` shows: a small fleet, a caller's request and its account."""
+"""What `make run` shows: a small fleet, a gray server and a request's account."""
 
 import json
+import subprocess
+import sys
 import time
 import urllib.error
 import urllib.request
@@ -10,6 +12,12 @@
 VMS = 6
 #: Callers keep address answers this long here, so that the stop is short to watch.
 HOLD_MS = 500
+SERVICE = "stock"
+#: A gray server fails each request after the work and passes its health checks.
+GRAY = {"errors": 1.0, "health_lag": 3600.0}
+MAX_REQUESTS = 500
+#: Time for the log's writer to catch up.
+SETTLE_S = 0.3
 
 
 def shorten_hold(base):
@@ -17,35 +25,101 @@
     base.setdefault("addresses", {})["hold_ms"] = HOLD_MS
 
 
+def find_look_up(base):
+    """Return name and path of an idempotent short route."""
+    return next(
+        (name, route["path"].replace("*", "42"))
+        for name, route in base["routes"].items()
+        if route["idempotent"] and route["service"] == SERVICE
+    )
+
+
+def send(address, path, number):
+    """Return a response's headers and the caller's record of it."""
+    request = urllib.request.Request(f"http://{address}{path}?n={number}")
+    sent_at = time.time()
+    try:
+        response = urllib.request.urlopen(request)
+    except urllib.error.HTTPError as error:
+        response = error
+    with response:
+        body = response.read()
+    record = {
+        "request": response.headers["Lavendermast-Request"],
+        "sent_at": sent_at,
+        "outcome": response.headers["Lavendermast-Outcome"],
+        "status": response.status,
+        "bytes": len(body),
+        "vm": response.headers["Lavendermast-Vm"],
+    }
+    return response.headers, record
+
+
+def show_request(fleet, address, path, route):
+    """Send one request and print the response and its decision lines."""
+    headers, record = send(address, path, "demo")
+    print(f"\nGET {path} (route {route}): {record['status']}")
+    for key, value in headers.items():
+        print(f"  {key}: {value}")
+    time.sleep(SETTLE_S)
+    for log in fleet.get_logs():
+        for line in log.read_text().splitlines():
+            if record["request"] in line:
+                print(line)
+
+
+def meet_gray_server(fleet, addresses, path):
+    """Return the record of a request that needed a second attempt, or ``None``."""
+    server = next(s["name"] for s in fleet.servers if s["service"] == SERVICE)
+    print(f"\n{server} now answers every request with 500 and stays healthy to probes")
+    fleet.control_server(server, **GRAY)
+    for number in range(MAX_REQUESTS):
+        _, record = send(addresses[number % len(addresses)], path, number)
+        time.sleep(0.02)
+        needle = f"request={record['request']} attempt=2 "
+        log = fleet.get_log(record["vm"])
+        if any(needle in line for line in log.read_text().splitlines()):
+            print(f"request {number + 1} needed a second attempt")
+            return record
+    return None
+
+
+def run_tool(*arguments):
+    """Run the command-line tool; its output goes to standard output."""
+    print("\n$ lavendermast", *arguments[:1], "...", *arguments[-2:], flush=True)
+    command = [sys.executable, "-W", "ignore", "-m", "lavendermast.cli"]
+    return subprocess.run([*command, *arguments]).returncode
+
+
+def show_account(fleet, record):
+    """Print the incident account of one request from the logs of all VMs."""
+    callers = fleet.folder / "callers.jsonl"
+    callers.write_text(json.dumps(record) + "\n")
+    time.sleep(SETTLE_S)
+    logs = map(str, fleet.get_logs())
+    files = [*logs, "--callers", str(callers)]
+    return run_tool("incident", *files, "--request", record["request"])
+
+
 def main():
-    """Start a fleet, send a request through it and print what happened."""
+    """Start a fleet, send requests through it and print what happened."""
     print(f"starting {VMS} daemons with stand-ins on loopback")
     with LocalFleet("mauritius", VMS, shorten_hold) as fleet:
-        vm = fleet.vms[0]
         answer = json.loads(
-            call(vm.caller_address, "/.well-known/lavendermast/addresses?service=stock")
+            call(
+                fleet.vms[0].caller_address,
+                f"/.well-known/lavendermast/addresses?service={SERVICE}",
+            )
         )
         print("addresses:", json.dumps(answer))
-        address = answer["addresses"][0]["address"]
-        name, route = next(
-            (name, route)
-            for name, route in fleet.base["routes"].items()
-            if route["idempotent"] and route["service"] == "stock"
-        )
-        path = route["path"].replace("*", "42")
-        with urllib.request.urlopen(f"http://{address}{path}?n=demo") as response:
-            print(f"GET {path} (route {name}): {response.status}")
-            for key, value in response.headers.items():
-                print(f"  {key}: {value}")
-            print("  " + response.read().decode().strip())
-            request_id = response.headers["Lavendermast-Request"]
-        time.sleep(0.3)
-        for path in fleet.get_logs():
-            for line in path.read_text().splitlines():
-                if request_id in line:
-                    print(line)
-        print(json.dumps(fleet.get_status(vm.name)["documents"], indent=1))
-        print("exit codes:", fleet.stop_all())
+        addresses = [item["address"] for item in answer["addresses"]]
+        route, path = find_look_up(fleet.base)
+        show_request(fleet, addresses[0], path, route)
+        run_tool("status", *(vm.admin_address for vm in fleet.vms))
+        record = meet_gray_server(fleet, addresses, path)
+        failed = record is None or show_account(fleet, record)
+        print("\nexit codes:", fleet.stop_all())
+    sys.exit(1 if failed else 0)
 
 
 if __name__ == "__main__":
--- a/src/lavendermast/report.py
+++ b/src/lavendermast/report.py
@@ -21,6 +21,7 @@
 MAX_STORIES = 50
 #: The plot of ejections shows the services with the most; more are not legible.
 MAX_SERVICES = 8
+MAX_VERSIONS = 8
 _STYLE = """
 body { font-family: sans-serif; max-width: 60em; margin: 2em auto; color: #222; }
 pre { background: #f4f4f4; padding: 0.6em; overflow-x: auto; }
@@ -41,22 +42,27 @@
     return Figure
 
 
-def render_plot(draw, title, label):
+def render_plot(draw, title, label, length):
     """
     Return a plot as PNG.
 
     :param draw: function that draws on the axes it is given.
+    :param length: seconds of the time axis, the same for all plots of a page.
     :return: bytes, or ``None`` when there was nothing to draw.
     """
-    figure = load_figure_class()(figsize=(9, 3.2), dpi=100, layout="constrained")
+    figure = load_figure_class()(figsize=(9, 3.4), dpi=100, layout="constrained")
     axes = figure.add_subplot()
     if not draw(axes):
         return None
     axes.set_title(title)
     axes.set_ylabel(label)
     axes.set_xlabel("seconds from the start")
+    axes.set_xlim(0, max(length, 1))
     axes.yaxis.set_major_formatter("{x:g}")
-    figure.legend(loc="outside right upper", fontsize="small")
+    axes.yaxis.set_minor_formatter("")
+    axes.grid(alpha=0.3)
+    # Below the axes, so that the time axes of all plots are equally wide.
+    figure.legend(loc="outside lower center", fontsize="small", ncols=4)
     stream = io.BytesIO()
     figure.savefig(stream, format="png")
     return stream.getvalue()
@@ -70,6 +76,8 @@
     for label in labels:
         rates = [series.steps[step][label] / series.width for step in steps]
         axes.plot(times, rates, label=label, drawstyle="steps-post", marker=".")
+    # Few requests are told anything but answered; a linear axis hides them.
+    axes.set_yscale("symlog", linthresh=1)
     axes.set_ylim(bottom=0)
     return bool(steps)
 
@@ -81,7 +89,8 @@
     for share in (0.5, 0.99):
         values = [compute_percentile(series.steps[step], share) for step in steps]
         axes.plot(times, values, label=f"{share:.0%} of requests", marker=".")
-    axes.set_ylim(bottom=0)
+    axes.set_yscale("log")
+    axes.yaxis.get_major_locator().set_params(subs=(1, 2, 5))
     return bool(steps)
 
 
@@ -115,16 +124,16 @@
     return rows
 
 
-def draw_ejections(axes, ejections, start):
+def draw_ejections(axes, ejections, start, end):
     """Draw ejected servers by service against what the floor allows."""
     services = collections.defaultdict(list)
     for item in ejections:
         services[item.service].append(item)
-    axes.set_ylim(bottom=0)
     most = sorted(services, key=lambda name: (-len(services[name]), name))
     for service in most[:MAX_SERVICES]:
         items = services[service]
         rows = compute_ejected(items)
+        rows = [(start, 0, None), *rows, (max(end, rows[-1][0]), *rows[-1][1:])]
         times = [row[0] - start for row in rows]
         (line,) = axes.plot(
             times,
@@ -141,46 +150,74 @@
             color=line.get_color(),
             label=f"{service}: limit by the floor",
         )
+    axes.set_ylim(bottom=0)
+    _use_whole_numbers(axes)
     return bool(services)
 
 
-def draw_versions(axes, versions, start):
-    """Draw the configuration version in force by VM."""
-    for vm, rows in sorted(versions.items()):
-        times = [row[0] - start for row in rows]
-        values = [row[1] for row in rows]
-        # A legend of thousands of VMs would hide the plot.
-        label = vm if len(versions) <= 12 else None
-        axes.plot(times, values, drawstyle="steps-post", marker=".", label=label)
-    if len(versions) > 12:
-        axes.plot([], [], label=f"{len(versions)} VMs")
-    return bool(versions)
+def _use_whole_numbers(axes):
+    axes.yaxis.get_major_locator().set_params(integer=True)
+
+
+def count_versions(versions):
+    """
+    Return rows of (time, number of VMs by version).
+
+    A VM that stopped counts with its last version until it accepts one again.
+    """
+    changes = sorted(
+        (moment, vm, version)
+        for vm, rows in versions.items()
+        for moment, version, _ in rows
+    )
+    current, rows = {}, []
+    for moment, vm, version in changes:
+        current[vm] = version
+        rows.append((moment, collections.Counter(current.values())))
+    return rows
+
+
+def draw_versions(axes, versions, start, end):
+    """Draw how many VMs have each of the latest configuration versions in force."""
+    rows = count_versions(versions)
+    if not rows:
+        return False
+    latest = sorted({version for _, counts in rows for version in counts})
+    times = [0, *(moment - start for moment, _ in rows), end - start]
+    for version in latest[-MAX_VERSIONS:]:
+        counts = [0, *(item[version] for _, item in rows), rows[-1][1][version]]
+        axes.plot(times, counts, drawstyle="steps-post", label=f"version {version}")
+    axes.set_ylim(bottom=0)
+    _use_whole_numbers(axes)
+    return True
 
 
 def render_plots(incident):
     """Return (title, PNG or ``None``) of each plot of the page."""
-    start = incident.get_span()[0] or 0.0
+    start, end = (moment or 0.0 for moment in incident.get_span())
     timeline = incident.timeline
     plots = (
-        ("Outcomes told", "requests/s", draw_outcomes, incident.outcomes),
-        ("Latency", "ms", draw_latencies, incident.latencies),
+        ("Outcomes told", "requests/s", draw_outcomes, (incident.outcomes, start)),
+        ("Latency", "ms", draw_latencies, (incident.latencies, start)),
         (
             "Ejections against the floor (most on one VM)",
             "servers",
             draw_ejections,
-            timeline.list_ejections(),
+            (timeline.list_ejections(), start, end),
         ),
         (
-            "Configuration in force by VM",
-            "version",
+            "Configuration versions in force",
+            "VMs",
             draw_versions,
-            timeline.versions,
+            (timeline.versions, start, end),
         ),
     )
     return [
         (
             title,
-            render_plot(lambda axes, d=draw, x=data: d(axes, x, start), title, unit),
+            render_plot(
+                lambda axes, d=draw, x=data: d(axes, *x), title, unit, end - start
+            ),
         )
         for title, unit, draw, data in plots
     ]
--- a/tests/test_account.py
+++ b/tests/test_account.py
@@ -8,6 +8,8 @@
 from lavendermast.incident import Filter, Incident
 from lavendermast.incident_output import write_json, write_text
 from lavendermast.logs import digest_text, format_event
+from lavendermast.report import count_versions, draw_ejections, load_figure_class
+from lavendermast.timeline import Ejection
 from tests.cluster import Cluster
 
 START = 1_700_000_000.0
@@ -154,6 +156,23 @@
     assert len(stories["r2"].lines) == 3
 
 
+def test_plot_of_ejections_shows_all_of_them():
+    """Guards against an axis that ended at one server, whatever was ejected."""
+    axes = load_figure_class()().add_subplot()
+    items = [
+        Ejection(n, 9, "a", "s", f"s{n}", "errors", "local", 2 - n) for n in range(3)
+    ]
+    assert draw_ejections(axes, items, 0, 10)
+    assert axes.get_ylim()[1] > 3
+
+
+def test_versions_in_force_are_counted_by_vm():
+    """Guards against a VM that counts with its old and its new version."""
+    versions = {"a": [(0, 1, ""), (5, 2, "")], "b": [(1, 1, "")]}
+    rows = [(moment, dict(counts)) for moment, counts in count_versions(versions)]
+    assert rows == [(0, {1: 1}), (1, {1: 2}), (5, {2: 1, 1: 1})]
+
+
 @pytest.fixture(scope="module")
 def cluster():
     made = Cluster(2)
