--- a/src/lavendermast/stories.py
+++ b/src/lavendermast/stories.py
@@ -72,7 +72,10 @@
                 seen.setdefault(ejection)
         story.ejections = list(seen)
         for line in story.select("forwarded"):
-            moved = timeline.find_handovers(line.fields.get("owner"), line.time)
+            owner = line.fields.get("owner")
+            if owner != line.vm and story.select("request", owner):
+                continue
+            moved = timeline.find_handovers(owner, line.time)
             story.handovers += [item for item in moved if item not in story.handovers]
         return story
 
