--- a/bench/truth.py
+++ b/bench/truth.py
@@ -16,10 +16,13 @@
 
 from bench.checks import check_records, collect_runs, count_outcomes
 from bench.experiment import Load, print_table, run_load
+from bench.falsify import run_trials
 from bench.fleet import LocalFleet
 
 RATE = 500
 HOLD_MS = 2000
+#: A graceful stop takes 10 s here, and repeats are to come after its handover.
+REPEAT_DELAY_S = 20
 #: Time for the last lines to reach the logs.
 SETTLE_S = 2
 COMPARED = "callers' records compared"
@@ -97,7 +100,7 @@
     rows += [(kind, counts[kind]) for kind in KINDS]
     for kind in KINDS:
         texts = collections.Counter(
-            re.sub(r"\d+", "N", issue["text"])
+            re.sub(r"vm-[\w-]+", "VM", issue["text"])
             for issue in issues
             if issue["kind"] == kind
         )
@@ -121,6 +124,7 @@
         seed=options.seed,
         generators=3,
         repeat_share=0.3,
+        repeat_delay_s=REPEAT_DELAY_S,
         shares={"short": 0.6, "write": 0.38, "long": 0.02},
     )
     with LocalFleet(
@@ -131,6 +135,13 @@
         time.sleep(SETTLE_S)
         callers = write_callers(fleet, records)
         report = run_incident(fleet.get_logs(), callers)
+        trials = run_trials(
+            fleet.get_logs(),
+            callers,
+            {item["request"] for item in report["requests"]},
+            fleet.folder / "falsified",
+            options.seed,
+        )
         if options.keep:
             options.keep.mkdir(parents=True, exist_ok=True)
             for path in [callers, *fleet.get_logs()]:
@@ -143,6 +154,12 @@
         print(kind, example)
     rows, matches = count_issues(report)
     print_table(rows, ["account", "found"])
+    found = sum(trial[2] for trial in trials)
+    print(f"falsified lines found: {found} of {len(trials)}")
+    for trial in trials:
+        if not trial[2]:
+            print("not found, or not alone:", *trial)
+    matches = matches and found == len(trials)
     sys.exit(0 if matches and not verdicts.counts else 1)
 
 
