--- a/src/lavendermast/judging.py
+++ b/src/lavendermast/judging.py
@@ -93,11 +93,8 @@
         member = self._membership.get_member(vm)
         if member is None:
             return
-        # The totals of a service go first, because its servers are judged by them.
-        entries = sorted(evidence.entries, key=lambda entry: entry.server != "")
-        for start in range(0, len(entries), MAX_ENTRIES):
-            part = tuple(entries[start : start + MAX_ENTRIES])
-            self._network.send(member.peer_address, Evidence(part, evidence.window_end))
+        for part in split_evidence(evidence):
+            self._network.send(member.peer_address, part)
 
     def _handle_evidence(self, envelope, address):
         member = self._membership.get_member(envelope.sender)
@@ -117,3 +114,11 @@
             pool = self._pools.get(verdict.service)
             if pool is not None:
                 pool.tracker.apply_verdict(verdict)
+
+
+def split_evidence(evidence):
+    """Return the messages, each of one datagram, that carry a report."""
+    # The totals of a service go first, because its servers are judged by them.
+    entries = sorted(evidence.entries, key=lambda entry: entry.server != "")
+    parts = [entries[n : n + MAX_ENTRIES] for n in range(0, len(entries), MAX_ENTRIES)]
+    return [Evidence(tuple(part), evidence.window_end) for part in parts]
