Send reports without failures at a bounded rate

Cause: a VM with 689 servers of 13 services has 554 judges and reported to most of them every second; at 119 requests/s that is 39.6 KB/s, with 27 KB/s for all of control. Change: the interval of quiet reports grows with their number from 1 s up to 5 s, which keeps them near 100 a second; up to 100 judges nothing changes. A judge keeps the totals of a VM for as long as that VM's own interval. Reports of failures still go out 4 times a second.

--- a/bench/state_size.py
+++ b/bench/state_size.py
@@ -161,6 +161,17 @@
     return sets
 
 
+def pick_served(sets):
+    """Return the services of a VM that serves as many as the mean."""
+    served = collections.defaultdict(list)
+    for number in range(SERVICES):
+        name = f"service-{number}"
+        for vm in sets.get_set(name, VMS_PER_SERVICE):
+            served[vm].append(name)
+    mean = round(SERVICES * VMS_PER_SERVICE / MEMBERS)
+    return next(names for names in served.values() if len(names) == mean)
+
+
 class ReportingVm:
     """
     One VM's trackers and reports, with the judges of all its servers.
@@ -251,11 +262,7 @@
     membership = measure.run("3,600 members", make_membership, updates, clock)
     members = membership.get_members(("alive",))
     sets = measure.run("service sets of 1,000 services", make_sets, members)
-    served = [
-        f"service-{n}"
-        for n in range(SERVICES)
-        if "vm-0" in sets.get_set(f"service-{n}", VMS_PER_SERVICE)
-    ]
+    served = pick_served(sets)
     tools = (served, sets, members, clock, options.seed)
     vm = measure.run(f"{len(served)} services tracked", ReportingVm, *tools)
     costs = measure.run("reports", vm.run, options.seconds, options.errors)
--- a/src/lavendermast/evidence.py
+++ b/src/lavendermast/evidence.py
@@ -14,6 +14,11 @@
 #: Reports without a failure only feed the shares, so they wait and share a datagram;
 #: otherwise a VM would send 4 a second to almost every judge.
 QUIET_INTERVAL_S = 1.0
+#: A VM with 700 servers has 550 judges; with a report to each every second it would
+#: send 40 KB/s. The interval grows with the number of reports to keep to this rate.
+QUIET_REPORTS_PER_S = 100
+#: Beyond this a judge would get counts of which most are older than its window.
+MAX_QUIET_INTERVAL_S = 5.0
 #: Older evidence comes from a paused VM or a stalled link.
 MAX_AGE_MS = 5000
 SICK_VALID_MS = 5000
@@ -85,11 +90,12 @@
             return []
         self._next_report = now + REPORT_INTERVAL_S
         include_quiet = now >= self._next_quiet
-        if include_quiet:
-            self._next_quiet = now + QUIET_INTERVAL_S
         reports = collections.defaultdict(list)
         for name, tracker in self._trackers.items():
             self._add_entries(name, tracker.collect_evidence(include_quiet), reports)
+        if include_quiet:
+            interval = max(QUIET_INTERVAL_S, len(reports) / QUIET_REPORTS_PER_S)
+            self._next_quiet = now + min(interval, MAX_QUIET_INTERVAL_S)
         end = self._clock.get_unix_ms()
         return [
             (vm, Evidence(entries=tuple(entries), window_end=end))
@@ -119,7 +125,7 @@
 
 @attrs.define(eq=False)
 class _ServiceView:
-    """What a judge knows of a service; ``totals`` holds (time, counts) by VM."""
+    """What a judge knows of a service; ``totals`` holds (time, counts, gap) by VM."""
 
     settings: object
     servers: dict
@@ -130,9 +136,15 @@
     def get_fresh_totals(self, now):
         """Return the service's counts by VM, without those from past windows."""
         # Quiet reports come up to an interval late.
-        oldest = now - self.settings.detection.window_ms / 1000 - QUIET_INTERVAL_S
-        self.totals = {v: item for v, item in self.totals.items() if item[0] >= oldest}
-        return {vm: counts for vm, (_, counts) in self.totals.items()}
+        oldest = now - self.settings.detection.window_ms / 1000
+        items = self.totals.items()
+        self.totals = {vm: item for vm, item in items if sum(item[::2]) >= oldest}
+        return {vm: counts for vm, (_, counts, _) in self.totals.items()}
+
+    def set_totals(self, vm, counts, now):
+        """Take over a VM's counts, with the time since its previous report."""
+        gap = max(now - self.totals.get(vm, (now,))[0], QUIET_INTERVAL_S)
+        self.totals[vm] = (now, counts, min(gap, MAX_QUIET_INTERVAL_S))
 
 
 @attrs.define(eq=False)
@@ -206,7 +218,7 @@
                 continue
             counts = [getattr(entry, kind) for kind in KINDS]
             if not entry.server:
-                view.totals[vm] = (now, counts)
+                view.set_totals(vm, counts, now)
             elif entry.server in view.servers:
                 key = (entry.service, entry.server)
                 self._add_counts(key, zone, vm, counts, now)
@@ -269,7 +281,7 @@
         prober = f"{self._vm}/probe"
         failing = sum(1 for n in view.failed_probes.values() if n)
         totals = [len(view.failed_probes) - failing, 0, failing, 0, 0]
-        view.totals[prober] = (now, totals)
+        view.totals[prober] = (now, totals, QUIET_INTERVAL_S)
         counts = [0] * len(KINDS)
         counts[TIMEOUTS] = 1
         self._add_counts(key, self._zone, prober, counts, now)
--- a/tests/test_evidence.py
+++ b/tests/test_evidence.py
@@ -165,6 +165,39 @@
     assert len(counts) <= 8 and counts.count(3) == 2
 
 
+def test_quiet_reports_to_many_judges_are_rare_and_failures_are_not():
+    """Guards against 40 KB/s of reports from a VM with 700 servers."""
+    clock, sizes = ManualClock(), []
+    entries = [EvidenceEntry("stock", f"s{n}", ok=1) for n in range(400)]
+    total = EvidenceEntry("stock", "", ok=400)
+    failure = EvidenceEntry("stock", "s0", errors=1)
+
+    def collect_evidence(include_quiet):
+        return [*(entries if include_quiet else []), failure, total]
+
+    tracker = mock.Mock(collect_evidence=collect_evidence)
+    reporter = EvidenceReporter({"stock": tracker}, clock)
+    reporter.replace_members("stock", [Member(f"v{n}", f"z{n}") for n in range(300)])
+    for _ in range(200):  # 20 s
+        sizes.append(len(reporter.collect()))
+        clock.advance(0.1)
+    quiet = [size for size in sizes if size > 3]
+    # 27 KB/s less 5 KB/s of gossip is 110 reports of 200 bytes.
+    assert sum(quiet) <= 20 * 110
+    assert sum(1 for size in sizes if size) >= 60
+
+
+@pytest.mark.parametrize(("gap", "kept"), [(1.0, False), (4.0, True)])
+def test_totals_stay_as_long_as_their_vm_reports_rarely(gap, kept):
+    """Guards against judging a large fleet's servers by a part of its VMs."""
+    fixture = Fixture()
+    view = fixture.judge._services["stock"]
+    for now in (10.0, 10.0 + gap):
+        view.set_totals("v1", [1, 0, 0, 0, 0], now)
+    late = 10.0 + gap + SERVICE.detection.window_ms / 1000 + 3.0
+    assert bool(view.get_fresh_totals(late)) is kept
+
+
 def test_probe_of_any_failure_is_a_state():
     answers = [{"state": "ok", "busy": 3, "slots": 6}, {"state": "?"}, [], OSError()]
     fetch = mock.Mock(side_effect=answers)
