Send verdicts to the service set instead of the whole fleet

Cause: every verdict was gossiped to all VMs, although at 3,600 VMs only the 48 of the service use it; three judges repeat it every second, and each relay costs a VM about 39 transmissions. Change: when a service's set is smaller than the fleet, a verdict goes to the set's VMs directly and is not relayed. Fleets whose VMs all serve a service gossip as before. Figures: none measured on daemons, since 44 VMs are one set. By calculation a sick server costs 3 x 47 datagrams a second in the whole fleet. Conclusion: the cost of a verdict depends on vms_per_service, not on the fleet.

--- a/src/lavendermast/gossip.py
+++ b/src/lavendermast/gossip.py
@@ -105,7 +105,8 @@
 
     ``on_versions`` is called as ``on_versions(sender, address, versions)``,
     ``on_verdict`` with each verdict not seen before, ``on_claims`` with statements that
-    a live member is dead.
+    a live member is dead. ``get_audience`` returns the members that a verdict is sent
+    to directly and by nobody else, or ``None`` for the whole fleet by gossip.
     """
 
     def __init__(self, membership, transport, clock, random):
@@ -124,6 +125,7 @@
         self.on_versions = None
         self.on_verdict = None
         self.on_claims = None
+        self.get_audience = lambda verdict: None
         transport.join(membership)
         transport.register(Piggyback, self._handle_updates)
         transport.register(SyncMembers, self._handle_sync)
@@ -134,6 +136,7 @@
 
     def announce(self, updates=(), verdicts=(), exclude=()):
         """Queue items and send them to three members at once."""
+        verdicts = self._send_to_audiences(verdicts)
         items = [*updates, *verdicts]
         self.enqueue(updates, verdicts)
         if not items:
@@ -193,7 +196,8 @@
         """Take in the piggyback of a message."""
         result = self._membership.merge(piggyback.updates)
         fresh = [verdict for verdict in piggyback.verdicts if self._is_new(verdict)]
-        self.announce(result.changed, fresh, (envelope.sender,))
+        relayed = [item for item in fresh if self.get_audience(item) is None]
+        self.announce(result.changed, relayed, (envelope.sender,))
         if result.corrections:
             corrections = tuple(result.corrections[:MAX_PIGGYBACK_ITEMS])
             self._transport.send(address, Piggyback(updates=corrections))
@@ -261,14 +265,29 @@
             self._verdicts.popitem(last=False)
         return True
 
-    def _spread(self, items, exclude=()):
-        """Send items to three members, in as few datagrams as they fit into."""
+    def _send_to_audiences(self, verdicts):
+        """Send verdicts that are not for the whole fleet; return the others."""
+        common, services = [], {}
+        for verdict in verdicts:
+            if self.get_audience(verdict) is None:
+                common.append(verdict)
+            else:
+                services.setdefault(verdict.service, []).append(verdict)
+        for items in services.values():
+            self._spread(items, members=self.get_audience(items[0]))
+        return common
+
+    def _spread(self, items, exclude=(), members=None):
+        """Send items to three or the given members, in as few datagrams as fit."""
         versions = tuple(self.get_versions())
         for batch in split_by_size(items, self._get_budget(versions)):
             updates = tuple(item for item in batch if isinstance(item, MemberUpdate))
             verdicts = tuple(item for item in batch if isinstance(item, Verdict))
             body = Piggyback(versions, updates, verdicts)
-            for member in self._membership.pick_members(FANOUT, exclude):
+            chosen = members
+            if chosen is None:
+                chosen = self._membership.pick_members(FANOUT, exclude)
+            for member in chosen:
                 self._transport.send(member.peer_address, body)
 
     def _get_budget(self, versions):
--- a/src/lavendermast/judging.py
+++ b/src/lavendermast/judging.py
@@ -36,6 +36,7 @@
         self._stale = True
         network.register(Evidence, self._handle_evidence)
         gossip.on_verdict = self.apply_verdict
+        gossip.get_audience = self.get_audience
 
     def invalidate(self):
         """Assign judges anew at the next tick, after a change of VMs or servers."""
@@ -70,6 +71,21 @@
             self._judge.note_leaving(verdict.service, verdict.server)
         pool.tracker.apply_verdict(verdict)
 
+    def get_audience(self, verdict):
+        """
+        Return the other VMs of a verdict's service, ``None`` if all VMs serve it.
+
+        Gossip to 3,600 VMs of what 48 need would cost each VM 12 KB/s for every sick
+        server. What a datagram loses is repeated each second by three judges.
+        """
+        service = self._policy.config.services.get(verdict.service)
+        if service is None or service.vms_per_service >= self._membership.size:
+            return None
+        wanted = self._policy.get_service_set(verdict.service)
+        others = [vm for vm in wanted if vm != self._identity.vm]
+        members = [self._membership.get_member(vm) for vm in others]
+        return [member for member in members if member is not None]
+
     def _assign_judges(self):
         for pool in self._pools:
             wanted = self._policy.get_service_set(pool.name) or ()
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -5,7 +5,7 @@
 
 from lavendermast.codec import Envelope
 from lavendermast.members import MAX_DEAD, STATE_RANKS
-from lavendermast.messages_model import MemberUpdate, Piggyback, Ping
+from lavendermast.messages_model import MemberUpdate, Piggyback, Ping, Verdict
 from tests.memory_network import Fleet
 
 SIZE = 44
@@ -227,3 +227,19 @@
     fleet.run(0.1)
     for membership in fleet.members.values():
         assert membership.get_member("vm-1").state == "alive"
+
+
+@pytest.mark.parametrize("limited", [True, False])
+def test_verdict_reaches_its_service_set_and_nobody_else(limited):
+    """Guards against each verdict in a large fleet costing every VM its relay."""
+    fleet, seen = Fleet(12), []
+    fleet.run(1)
+    members = [m for m in fleet.members["vm-0"].get_members() if m.vm != "vm-0"][:4]
+    for vm, parts in fleet.vms.items():
+        parts.gossip.get_audience = lambda verdict: members if limited else None
+        parts.gossip.on_verdict = lambda verdict, vm=vm: seen.append(vm)
+    verdict = Verdict("stock", "s1", "sick", 0.9, "vm-0", 10, 2**40)
+    fleet.vms["vm-0"].gossip.announce(verdicts=[verdict])
+    fleet.run(5)
+    wanted = {m.vm for m in members} if limited else set(fleet.vms) - {"vm-0"}
+    assert set(seen) - {"vm-0"} == wanted
