Change only the service sets that a member change affects

Cause: every change of a member dropped the sets of all services, and judges were chosen anew for all servers of all services, also in VMs that serve none of them. Change: ServiceSets removes a VM from the sets that it was in and adds it to those among whose VMs it ranks; a change between alive and suspect changes none. Judges are assigned again only for services whose VMs, servers or settings changed, and servers only in VMs of the service's set.

--- a/bench/state_size.py
+++ b/bench/state_size.py
@@ -156,11 +156,29 @@
 def make_sets(members):
     """Return the service sets over all members."""
     sets = ServiceSets(lambda: members)
-    for number in range(SERVICES):
-        sets.get_set(f"service-{number}", VMS_PER_SERVICE)
+    get_sets(sets)
     return sets
 
 
+def get_sets(sets):
+    """Return all service sets."""
+    names = [f"service-{number}" for number in range(SERVICES)]
+    return [sets.get_set(name, VMS_PER_SERVICE) for name in names]
+
+
+def lose_member(sets, members):
+    """Remove the last member and make the sets anew that it was in."""
+    sets.remove(members.pop().vm)
+    get_sets(sets)
+
+
+def gain_member(sets, members, member):
+    """Add a member to the sets among whose VMs it ranks."""
+    members.append(member)
+    sets.add(member)
+    get_sets(sets)
+
+
 def pick_served(sets):
     """Return the services of a VM that serves as many as the mean."""
     served = collections.defaultdict(list)
@@ -204,8 +222,7 @@
         for _ in range(round(seconds * 10)):
             self._make_attempts(REQUESTS_PER_S / 10, error_share)
             self._clock.advance(0.1)
-            for tracker in self.trackers.values():
-                tracker.advance()
+            self.advance()
             for vm, evidence in self._reporter.collect():
                 judges[vm] += 1
                 for part in split_evidence(evidence):
@@ -214,6 +231,11 @@
                     size += len(codec.encode(envelope)) + HEADER_BYTES
         return datagrams / seconds, size / seconds, len(judges)
 
+    def advance(self):
+        """Evaluate all servers, as each VM does every 100 ms."""
+        for tracker in self.trackers.values():
+            tracker.advance()
+
     def _make_attempts(self, count, error_share):
         whole = int(count) + (self._random.random() < count % 1)
         for _ in range(whole):
@@ -262,9 +284,17 @@
     membership = measure.run("3,600 members", make_membership, updates, clock)
     members = membership.get_members(("alive",))
     sets = measure.run("service sets of 1,000 services", make_sets, members)
+    last = members[-1]
+    measure.run("a member leaves, sets", lose_member, sets, members)
+    measure.run("a member joins, sets", gain_member, sets, members, last)
     served = pick_served(sets)
     tools = (served, sets, members, clock, options.seed)
     vm = measure.run(f"{len(served)} services tracked", ReportingVm, *tools)
+    names = [f"other-{number}" for number in range(SERVICES)]
+    tools = (names, sets, members, clock, options.seed)
+    others = measure.run("1,000 services tracked", ReportingVm, *tools)
+    measure.run("1,000 services, one evaluation", others.advance)
+    measure.run("services served, one evaluation", vm.advance)
     costs = measure.run("reports", vm.run, options.seconds, options.errors)
     measure.run("one rank of 3,600", rank_members, "key", [m.vm for m in members])
     print(f"seed {options.seed}, CPU milliseconds, growth of resident memory in KB")
--- a/src/lavendermast/fleet.py
+++ b/src/lavendermast/fleet.py
@@ -9,6 +9,7 @@
 from lavendermast.coordination import Coordination
 from lavendermast.exceptions import SettingsError
 from lavendermast.peers import PeerNetwork
+from lavendermast.policy import SERVING_STATES
 from lavendermast.settings import parse_bundle
 from lavendermast.store import StoreClient, StoreReader, is_store_reader
 from lavendermast.vmlist import check_list
@@ -94,7 +95,7 @@
 
     def get_live_members(self):
         """Return the members that may serve callers, suspects included."""
-        return self.membership.get_members(("alive", "suspect"))
+        return self.membership.get_members(SERVING_STATES)
 
     def get_fit_members(self):
         """Return the members to which callers may be sent."""
--- a/src/lavendermast/judging.py
+++ b/src/lavendermast/judging.py
@@ -34,6 +34,7 @@
         self._judge = Judge(identity.zone, identity.vm, self._clock, record_event)
         self._probes = ProbeScheduler(identity.vm, self._clock)
         self._stale = True
+        self._assigned = {}
         network.register(Evidence, self._handle_evidence)
         gossip.on_verdict = self.apply_verdict
         gossip.get_audience = self.get_audience
@@ -89,9 +90,15 @@
     def _assign_judges(self):
         for pool in self._pools:
             wanted = self._policy.get_service_set(pool.name) or ()
+            assigned = (wanted, pool.service, pool.listed)
+            if self._assigned.get(pool.name) == assigned:
+                continue
+            self._assigned[pool.name] = assigned
             members = [self._membership.get_member(vm) for vm in wanted]
             members = [member for member in members if member is not None]
             servers = list(pool.listed.values())
+            if self._identity.vm not in wanted:
+                servers = []  # Judges are VMs of the service set.
             self._reporter.replace_members(pool.name, members)
             self._judge.replace_service(pool.name, pool.service, servers, members)
             self._probes.replace_servers(pool.name, servers, members)
--- a/src/lavendermast/node.py
+++ b/src/lavendermast/node.py
@@ -217,5 +217,5 @@
 
     def _apply_member(self, update, previous):
         self.owners.note_update(update)
-        self.policy.invalidate_sets()
-        self.watch.invalidate()
+        if self.policy.apply_member(update, previous):
+            self.watch.invalidate()
--- a/src/lavendermast/policy.py
+++ b/src/lavendermast/policy.py
@@ -3,6 +3,9 @@
 from lavendermast.placement import ServiceSets
 from lavendermast.routes import Router
 
+#: States in which a VM may serve callers.
+SERVING_STATES = ("alive", "suspect")
+
 
 class Policy:
     """
@@ -24,9 +27,21 @@
         self.router = Router.from_config(config)
         self.version = version
 
-    def invalidate_sets(self):
-        """Recompute service sets after a change of membership."""
-        self._sets.invalidate()
+    def apply_member(self, update, previous):
+        """
+        Change the service sets after a change of membership.
+
+        :return: whether the VMs that may serve changed.
+        """
+        serves = update.state in SERVING_STATES
+        served = previous is not None and previous.state in SERVING_STATES
+        if serves and served and update.zone == previous.zone:
+            return False
+        if served:
+            self._sets.remove(update.vm)
+        if serves:
+            self._sets.add(update)
+        return serves or served
 
     def get_service_set(self, name):
         """Return the VM names that serve a service, ``None`` if it does not exist."""
--- /dev/null
+++ b/tests/test_placement.py
@@ -0,0 +1,30 @@
+"""Guards against service sets that differ from the ranking of all members."""
+
+import random
+
+import pytest
+
+from lavendermast.messages_model import MemberUpdate
+from lavendermast.placement import choose_service_set
+from lavendermast.policy import Policy
+
+SERVICES = ("stock", "bookings", "archives")
+
+
+@pytest.mark.parametrize("seed", range(8))
+@pytest.mark.parametrize(("size", "zones"), [(3, 2), (6, 4), (9, 3), (12, 9)])
+def test_sets_kept_over_member_changes_equal_new_ones(seed, size, zones):
+    generator, members = random.Random(seed), {}
+    policy = Policy(
+        lambda: [m for m in members.values() if m.state in ("alive", "suspect")]
+    )
+    for _ in range(150):
+        vm = f"vm-{generator.randrange(30)}"
+        state = generator.choice(("alive", "alive", "suspect", "leaving", "dead"))
+        zone = f"zone-{(int(vm[3:]) + (generator.random() < 0.1)) % zones}"
+        previous = members.get(vm)
+        members[vm] = MemberUpdate(vm=vm, state=state, zone=zone)
+        policy.apply_member(members[vm], previous)
+        for service in SERVICES:
+            wanted = choose_service_set(service, policy._sets._get_members(), size)
+            assert policy._sets.get_set(service, size) == wanted
