Serve callers while leaving

Cause: a leaving VM is in no service set, so from the first moment of a graceful stop it refused every request with 421, although callers may hold its address for hold_ms more. Change: a leaving VM skips the check of its service set. Conclusion: a planned stop refuses no request while addresses are valid.

--- a/src/lavendermast/node.py
+++ b/src/lavendermast/node.py
@@ -182,7 +182,9 @@
 
     def _check_set(self, route):
         """Refuse a request for a service that other VMs serve."""
-        if self.identity.vm in self.policy.get_service_set(route.service):
+        # A leaving VM is in no set, but callers still hold its address.
+        leaving = self.fleet.membership.own.state == "leaving"
+        if leaving or self.identity.vm in self.policy.get_service_set(route.service):
             return
         addresses = self.address_book.answer(route.service, self.identity.zone, "")
         text = ",".join(item["address"] for item in addresses["addresses"])
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -172,6 +172,16 @@
         assert "8" not in accepted
 
 
+def test_leaving_vm_serves_callers_that_still_know_its_address(cluster):
+    """Guards against 421 during a graceful stop, as it is in no service set then."""
+    node = cluster.nodes[0]
+    node.fleet.set_state("leaving")
+    status, headers, _ = cluster.request("GET", "/stock/1")
+    assert (status, headers["lavendermast-outcome"]) == (200, "answered")
+    node.fleet.set_state("alive")
+    cluster.wait(lambda: node.identity.vm in node.policy.get_service_set("stock"))
+
+
 def test_status_and_metrics_describe_the_vm(cluster):
     board = cluster.nodes[0].admin._application
     seen = []
