--- a/bench/compare.py
+++ b/bench/compare.py
@@ -54,18 +54,23 @@
     return change
 
 
-def run_both(deployment, vm_count, load, make_steps, **options):
+KINDS = {"ours": LocalFleet, "naive": NaiveFleet}
+
+
+def run_both(deployment, vm_count, load, make_steps, fleets=tuple(KINDS), **options):
     """
     Run one script before both fleets, one after the other.
 
     :param make_steps: callable from a fleet to the steps of a fault script.
+    :param fleets: names of the fleets to run.
     :param options: of the fleets; ``service`` names the only service.
     :return: pairs of name and ``(records, script, runs, logs)``; ``runs`` maps each
         server to its execution times, ``logs`` holds all decision lines of the fleet.
     """
     results = {}
-    change = keep_service(options["service"])
-    for name, kind in (("ours", LocalFleet), ("naive", NaiveFleet)):
+    change = options.pop("change", None) or keep_service(options["service"])
+    for name in fleets:
+        kind = KINDS[name]
         with kind(deployment, vm_count, change, overlays={}, **options) as fleet:
             # The naive proxy does not answer for addresses.
             asking = attrs.evolve(load, ask=name == "ours")
