--- a/bench/crest.py
+++ b/bench/crest.py
@@ -83,7 +83,7 @@
     """Print the figures of both fleets for one deployment."""
     parser = make_parser(__doc__)
     parser.add_argument("--times", type=float, default=1.4, help="spike in slots")
-    parser.add_argument("--work-ms", type=float, default=100.0)
+    parser.add_argument("--work-ms", type=float, default=200.0)
     parser.add_argument("--server-queue", type=int, default=6)
     parser.add_argument("--fleets", default="ours,naive")
     options = parser.parse_args()
