--- a/src/lavendermast/__init__.py
+++ b/src/lavendermast/__init__.py
@@ -1,3 +1,50 @@
-"""Coordination parts of a fleet of proxies before servers that fail gray."""
+"""
+Coordination parts of a fleet of proxies before servers that fail gray.
+
+The names below are imported when they are first used, since the daemon patches the
+standard library before anything else.
+
+>>> import lavendermast
+>>> lavendermast.rank_members("stock-1", ["a"])
+['a']
+"""
+
+import importlib
 
 __version__ = "0.1.0"
+
+_MODULES = {
+    "AdmissionQueue": "admission",
+    "Client": "client",
+    "Coordination": "coordination",
+    "DocumentStore": "documents",
+    "EjectionBudget": "floors",
+    "HealthTracker": "health",
+    "Judge": "evidence",
+    "LavendermastError": "exceptions",
+    "Ledger": "ledger",
+    "ManualClock": "clock",
+    "Membership": "membership",
+    "Outcome": "models",
+    "PeerNetwork": "peers",
+    "RetryPolicy": "retries",
+    "Server": "models",
+    "SystemClock": "clock",
+    "TokenIssuer": "tokens",
+    "TokenVerifier": "tokens",
+    "TwoChoiceBalancer": "balancer",
+    "Upstream": "upstream",
+    "load_bundle": "settings",
+    "rank_members": "hashing",
+}
+__all__ = ["__version__", *_MODULES]
+
+
+def __getattr__(name):
+    if name not in _MODULES:
+        raise AttributeError(f"module {__name__!r} has no attribute {name!r}")
+    return getattr(importlib.import_module(f"{__name__}.{_MODULES[name]}"), name)
+
+
+def __dir__():
+    return sorted([*globals(), *_MODULES])
