--- a/src/lavendermast/dispatch.py
+++ b/src/lavendermast/dispatch.py
@@ -161,6 +161,7 @@
         def finish(result):
             pool.balancer.finish(name, route.work, result)
             pool.tracker.finish_attempt(handle, result)
+            pool.attempts[result.status.value] += 1
             if result.status is AttemptStatus.OK:
                 pool.classes.record(route_name, route.work, result.latency)
 
--- a/src/lavendermast/health.py
+++ b/src/lavendermast/health.py
@@ -163,6 +163,10 @@
         """Return the server's weight, from 0.0 (no new work) to 1.0."""
         return self._weights.get(server_name, EJECTED_WEIGHT)
 
+    def count_ejected(self):
+        """Return the number of servers that are ejected now."""
+        return sum(1 for record in self._records.values() if record.ejected)
+
     def advance(self):
         """Re-evaluate all servers; to be called about every 100 ms."""
         now = self._clock.monotonic()
--- a/src/lavendermast/node.py
+++ b/src/lavendermast/node.py
@@ -19,6 +19,7 @@
 from lavendermast.judging import ServerWatch
 from lavendermast.listeners import HttpListener
 from lavendermast.logs import EventLog
+from lavendermast.measures import add_measures
 from lavendermast.messages_model import Handover, HandoverReply
 from lavendermast.metrics import MetricsBoard
 from lavendermast.owners import OwnerTable
@@ -26,7 +27,7 @@
 from lavendermast.retries import RetryKeeper
 from lavendermast.services import ServicePools
 from lavendermast.settings import build_config, load_process_settings
-from lavendermast.status import StatusReporter, add_metrics
+from lavendermast.status import StatusReporter
 from lavendermast.upstream import Cancellation, Upstream
 
 CLOSE_IDLE_INTERVAL_S = 5.0
@@ -168,7 +169,7 @@
 
     def _make_admin(self):
         board = MetricsBoard()
-        add_metrics(board, self)
+        add_measures(board, self)
         reporter = StatusReporter(self)
         return AdminApplication(
             board, reporter.get_status, reporter.explain, lambda: self.policy.ready
--- a/src/lavendermast/services.py
+++ b/src/lavendermast/services.py
@@ -1,5 +1,6 @@
 """The state of one service in this VM."""
 
+import collections
 import random
 
 import attrs
@@ -18,6 +19,7 @@
 
     :param queues: admission queues by class of work.
     :param classes: checks the routes' classes of work.
+    :param attempts: number of attempts by status.
     :param listed: servers of the VM list by name.
     """
 
@@ -27,6 +29,7 @@
     balancer: object
     queues: dict
     classes: object
+    attempts: collections.Counter = attrs.Factory(collections.Counter)
     listed: dict = attrs.Factory(dict)
 
     @classmethod
