--- a/src/lavendermast/story_checks.py
+++ b/src/lavendermast/story_checks.py
@@ -127,7 +127,7 @@
         for sender in story.select("request", line.vm):
             for end in ends:
                 _compare_owner(sender, end, report)
-        if ends:
+        if ends or _never_sent(story, line.vm):
             continue
         missing = [vm for vm in owners if vm not in coverage]
         text = f"forwarded to {' or '.join(missing or owners)}, whose log "
@@ -137,6 +137,12 @@
         report("unknown", text, line.vm)
 
 
+def _never_sent(story, sender):
+    """Return whether a sender states that no byte left for the owner."""
+    ends = story.select("request", sender)
+    return any(end.fields.get("reason") == "owner-connect-failed" for end in ends)
+
+
 def _compare_owner(sender, owner, report):
     """Check that a sender passed on what the key's owner told."""
     passed, told = sender.fields, owner.fields
--- a/tests/test_account.py
+++ b/tests/test_account.py
@@ -128,6 +128,13 @@
     )
 
 
+def test_request_that_never_left_for_its_owner_is_no_gap(tmp_path):
+    """Guards against asking for lines that a dead owner cannot have written."""
+    told = {**UNKNOWN, "reason": "owner-connect-failed"}
+    rows = forward(0, "c", "r1", "a", told) + make_run(5, "a", "r2")
+    assert list_issues(write_log(tmp_path, rows)) == []
+
+
 def test_key_is_one_story_across_a_handover(tmp_path):
     """Guards against a story that ends where the first process ended."""
     rows = make_run(0, "a", "r1") + [(1, "a", "handover", HANDOVER)]
