Measure member state before the large values

Cause: memory that a step freed was used by the next ones, whose growth then looked like nothing. Change: members, sets and trackers come first in bench/state_size.py, and the member updates are a row of their own.

--- a/bench/state_size.py
+++ b/bench/state_size.py
@@ -276,11 +276,8 @@
     parser.add_argument("--seed", type=int, default=1)
     options = parser.parse_args()
     measure, clock = Measure(), ManualClock()
-    sizes = [
-        measure_config(measure, options.seed, customers) for customers in (0, CUSTOMERS)
-    ]
-    sizes.append(("VM list", measure_list(options.seed)))
-    updates = make_members()
+    # Large values come last, since freed memory is used again and hides growth.
+    updates = measure.run("3,600 member updates", make_members)
     membership = measure.run("3,600 members", make_membership, updates, clock)
     members = membership.get_members(("alive",))
     sets = measure.run("service sets of 1,000 services", make_sets, members)
@@ -297,6 +294,10 @@
     measure.run("services served, one evaluation", vm.advance)
     costs = measure.run("reports", vm.run, options.seconds, options.errors)
     measure.run("one rank of 3,600", rank_members, "key", [m.vm for m in members])
+    sizes = [
+        measure_config(measure, options.seed, customers) for customers in (0, CUSTOMERS)
+    ]
+    sizes.append(("VM list", measure_list(options.seed)))
     print(f"seed {options.seed}, CPU milliseconds, growth of resident memory in KB")
     print_table(measure.rows, ("step", "CPU ms", "KB"))
     print_table(sizes, ("value in the store", "bytes"))
