Evaluate only the services that a VM serves

Cause: each VM evaluated the servers of all services ten times a second; with 1,000 services and 53,000 servers that is 3.4 ms each time, 34 ms/s of the 38 ms/s for control. Change: ServerWatch evaluates a service once this VM was in its set.

--- a/src/lavendermast/judging.py
+++ b/src/lavendermast/judging.py
@@ -35,6 +35,7 @@
         self._probes = ProbeScheduler(identity.vm, self._clock)
         self._stale = True
         self._assigned = {}
+        self._served = set()
         network.register(Evidence, self._handle_evidence)
         gossip.on_verdict = self.apply_verdict
         gossip.get_audience = self.get_audience
@@ -55,6 +56,9 @@
             self._stale = False
             self._assign_judges()
         for pool in self._pools:
+            # Evaluating 1,000 services ten times a second takes 34 ms.
+            if pool.name not in self._served:
+                continue
             pool.tracker.advance()
             self._announce_notices(pool.tracker.collect_notices())
         for vm, evidence in self._reporter.collect():
@@ -97,7 +101,10 @@
             members = [self._membership.get_member(vm) for vm in wanted]
             members = [member for member in members if member is not None]
             servers = list(pool.listed.values())
-            if self._identity.vm not in wanted:
+            if self._identity.vm in wanted:
+                # It stays there, since a leaving VM still serves but is in no set.
+                self._served.add(pool.name)
+            else:
                 servers = []  # Judges are VMs of the service set.
             self._reporter.replace_members(pool.name, members)
             self._judge.replace_service(pool.name, pool.service, servers, members)
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -1,11 +1,14 @@
 """Guards against service sets that differ from the ranking of all members."""
 
 import random
+from unittest import mock
 
 import pytest
 
 from lavendermast.addresses import AddressBook, get_distance
+from lavendermast.clock import ManualClock
 from lavendermast.hashing import rank_members
+from lavendermast.judging import ServerWatch
 from lavendermast.messages_model import MemberUpdate
 from lavendermast.placement import choose_service_set
 from lavendermast.policy import Policy
@@ -48,3 +51,25 @@
         for count in (1, 3, 12):
             chosen = book._choose("", "r1-1", caller, count)
             assert [member.vm for member in chosen] == ranked[:count]
+
+
+def test_vm_evaluates_the_services_that_it_serves_also_while_leaving():
+    """Guards against 34 ms of each second spent on 1,000 services of other VMs."""
+    pools, sets = {}, {"stock": ["vm-0"], "bookings": ["vm-1"]}
+    for name in sets:
+        pools[name] = mock.MagicMock(listed={})
+        pools[name].name = name
+        pools[name].tracker.collect_notices.return_value = []
+    holder = mock.MagicMock(trackers={})
+    holder.__iter__.side_effect = lambda: iter(pools.values())
+    own = mock.Mock(vm="vm-0", zone="z0")
+    policy = mock.Mock(get_service_set=sets.get)
+    tools = {"clock": ManualClock(), "record_event": mock.Mock()}
+    parts = (mock.MagicMock(), mock.MagicMock(), mock.MagicMock())
+    watch = ServerWatch(own, holder, policy, *parts, **tools)
+    watch.advance()
+    sets["stock"] = []
+    watch.invalidate()
+    watch.advance()
+    counts = [pool.tracker.advance.call_count for pool in pools.values()]
+    assert counts == [2, 0]
