--- a/bench/truth.py
+++ b/bench/truth.py
@@ -1,6 +1,7 @@
 """Load under faults: every caller's record against what the servers ran.
 
-`python -m bench.truth [--deployment latvia] [--requests 50000] [--vms 12] [--seed 1]`
+`python -m bench.truth [--deployment latvia] [--requests 50000] [--vms 12] [--seed 1]
+[--partition]`
 """
 
 import argparse
@@ -40,6 +41,20 @@
     fleet.start_vm(name)
 
 
+def make_partitions(fleet, seconds):
+    """Return steps that cut one region off for 6 s of every 20 s."""
+    regions = sorted({vm.region for vm in fleet.vms})
+    steps = []
+    for turn, start in enumerate(range(0, int(seconds) - 18, 20)):
+        region = regions[turn % len(regions)]
+        cut = functools.partial(fleet.partition, {region})
+        steps += [
+            {"at": start + 7, "call": cut},
+            {"at": start + 13, "call": fleet.heal},
+        ]
+    return steps
+
+
 def make_steps(fleet, seconds):
     """Return a fault script that repeats every 20 s: servers, VMs and the store."""
     servers = [server["name"] for server in fleet.servers]
@@ -116,6 +131,7 @@
     parser.add_argument("--vms", type=int, default=12)
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--rate", type=int, default=RATE)
+    parser.add_argument("--partition", action="store_true", help="cut regions off too")
     parser.add_argument("--keep", type=pathlib.Path, help="keep the logs here")
     options = parser.parse_args()
     seconds = options.requests / options.rate
@@ -127,10 +143,18 @@
         repeat_delay_s=REPEAT_DELAY_S,
         shares={"short": 0.6, "write": 0.38, "long": 0.02},
     )
+    daemon = "bench.faulty_daemon" if options.partition else "lavendermast.daemon"
     with LocalFleet(
-        options.deployment, options.vms, shorten_hold, seed=options.seed
+        options.deployment,
+        options.vms,
+        shorten_hold,
+        seed=options.seed,
+        daemon_module=daemon,
     ) as fleet:
-        records, _ = run_load(fleet, load, make_steps(fleet, seconds))
+        steps = make_steps(fleet, seconds)
+        if options.partition:
+            steps += make_partitions(fleet, seconds)
+        records, _ = run_load(fleet, load, steps)
         verdicts = check_records(records, *collect_runs(fleet))
         time.sleep(SETTLE_S)
         callers = write_callers(fleet, records)
