--- a/bench/overload_model.py
+++ b/bench/overload_model.py
@@ -13,7 +13,7 @@
 import statistics
 
 from bench.overload_vms import MEAN, SERVERS, SLOTS, NaiveVm, Vm
-from lavendermast import admission, limits
+from lavendermast import admission, limits, retries
 from lavendermast.clock import ManualClock
 from lavendermast.models import AttemptResult, AttemptStatus
 
@@ -32,6 +32,7 @@
     "wait to deadline": {
         (admission, "OVERLOAD_WAIT"): 60.0,
         (admission, "REFUSAL_BOUND"): 60.0,
+        (retries, "REFUSAL_BOUND"): 60.0,
     },
     "naive": {},
 }
