Drop an unused option of the commands on service under load

Cause: keep_service already selects what all three commands need. Change: change_settings and the option of run_both that took it are gone.

--- a/bench/blocking.py
+++ b/bench/blocking.py
@@ -6,7 +6,6 @@
 from bench.compare import run_both
 from bench.experiment import Load, print_table
 from bench.under_load import (
-    change_settings,
     count_ejections,
     get_percentiles,
     is_answered,
@@ -44,7 +43,6 @@
         lambda fleet: [],
         fleets=options.fleets.split(","),
         service=SERVICE,
-        change=change_settings(SERVICE),
         seed=options.seed,
         short=SHORT_WORK,
         long=LONG_WORK,
--- a/bench/compare.py
+++ b/bench/compare.py
@@ -68,7 +68,7 @@
         server to its execution times, ``logs`` holds all decision lines of the fleet.
     """
     results = {}
-    change = options.pop("change", None) or keep_service(options["service"])
+    change = keep_service(options["service"])
     for name in fleets:
         kind = KINDS[name]
         with kind(deployment, vm_count, change, overlays={}, **options) as fleet:
--- a/bench/false_ejections.py
+++ b/bench/false_ejections.py
@@ -11,7 +11,6 @@
 from bench.experiment import Load, print_table
 from bench.under_load import (
     SHORT_SERVICES,
-    change_settings,
     count_ejections,
     make_parser,
     make_spike,
@@ -87,7 +86,6 @@
         script or (lambda fleet: []),
         fleets=["ours"],
         service=service,
-        change=change_settings(service),
         seed=options.seed,
         daemon_module="bench.faulty_daemon",
         **work,
--- a/bench/under_load.py
+++ b/bench/under_load.py
@@ -2,7 +2,6 @@
 
 import argparse
 
-from bench.compare import keep_service
 from bench.experiment import make_histogram
 
 BASE_S = 5
@@ -11,7 +10,7 @@
 FACTOR = 5
 SPIKE_S = 20
 RECOVERY_S = 3
-#: Small services; twelve servers with six slots each in both deployments.
+#: Services for short work; twelve servers with six slots each in both deployments.
 SHORT_SERVICES = {"latvia": "status", "mauritius": "stock"}
 #: Daemons for each run: two in each zone leave most of a 10-core machine idle.
 VMS = 12
@@ -35,22 +34,6 @@
     return ((BASE_S, base), *ramp, (SPIKE_S, base * FACTOR), (RECOVERY_S, base))
 
 
-def change_settings(service, long_routes=True):
-    """Return a function that keeps one service, with or without its long routes."""
-    keep = keep_service(service)
-
-    def change(base):
-        keep(base)
-        if not long_routes:
-            base["routes"] = {
-                name: route
-                for name, route in base["routes"].items()
-                if route.get("work") != "long"
-            }
-
-    return change
-
-
 def is_answered(record, timeout_s):
     """Return whether a complete answer came within the deadline."""
     took = record["ended_at"] - record["scheduled_at"]
