Keep one reply class and one address parser

Cause: two reply classes with other field orders and three address parsers did the same; the test cluster held its exchange twice. Change: models.Reply, utils.parse_address, one exchange. Conclusion: no behaviour changes; the tests keep their assertions.

--- a/src/lavendermast/client.py
+++ b/src/lavendermast/client.py
@@ -6,9 +6,9 @@
 import attrs
 
 from lavendermast.exceptions import RequestError
-from lavendermast.forwarding import Reply, read_reply
+from lavendermast.forwarding import read_reply
 from lavendermast.framing import remove_hop_headers
-from lavendermast.models import CallerRequest, Outcome, Server
+from lavendermast.models import CallerRequest, Outcome, Reply, Server
 from lavendermast.upstream import Upstream, add_length
 
 ADDRESS_PATH = "/.well-known/lavendermast/addresses"
--- a/src/lavendermast/dispatch.py
+++ b/src/lavendermast/dispatch.py
@@ -3,7 +3,7 @@
 import attrs
 
 from lavendermast.exceptions import RequestError
-from lavendermast.models import AttemptResult, AttemptStatus, Outcome
+from lavendermast.models import AttemptResult, AttemptStatus, Outcome, Reply
 from lavendermast.retries import RequestFacts
 
 RETRY_AFTER_S = 1
@@ -12,25 +12,6 @@
 OWN_PREFIX = "lavendermast-"
 
 
-@attrs.define
-class Reply:
-    """
-    What the caller is told.
-
-    :param stream: iterator of body parts for an answer that is not buffered.
-    """
-
-    status: int
-    outcome: Outcome
-    reason: str
-    headers: list = attrs.Factory(list)
-    body: bytes = b""
-    stream: object = None
-    server: str = ""
-    attempts: int = 0
-    retry_after: int = 0
-
-
 @attrs.define
 class LastAttempt:
     """The attempt after which a request is not tried again."""
@@ -236,9 +217,9 @@
 def make_reply(decision, result, attempts):
     """Return the reply that follows from the last attempt's decision."""
     reply = Reply(
-        decision.status,
         decision.outcome,
         decision.reason,
+        decision.status,
         server=result.server,
         attempts=attempts,
     )
--- a/src/lavendermast/forwarding.py
+++ b/src/lavendermast/forwarding.py
@@ -1,11 +1,9 @@
 """Forwards a keyed request to the VM that owns its token."""
 
-import attrs
-
 from lavendermast.exceptions import RequestError
 from lavendermast.framing import remove_hop_headers
 from lavendermast.logs import digest_text
-from lavendermast.models import Outcome, Server
+from lavendermast.models import Outcome, Reply, Server
 from lavendermast.upstream import Upstream, add_length
 
 FORWARDED_HEADER = "Lavendermast-Forwarded"
@@ -23,24 +21,6 @@
 )
 
 
-@attrs.define
-class Reply:
-    """
-    What the caller of a keyed request is told.
-
-    :param stream: a long body, or ``None``.
-    :param action: ``joined``, ``replayed`` or ``refused`` when the key arrived again.
-    """
-
-    outcome: Outcome
-    reason: str
-    status: int
-    headers: list = attrs.Factory(list)
-    body: bytes = b""
-    stream: object = None
-    action: str = ""
-
-
 def is_forwarded(request):
     """Return whether another VM forwarded the request."""
     return any(name.lower() == FORWARDED_HEADER.lower() for name, _ in request.headers)
--- a/src/lavendermast/gateway.py
+++ b/src/lavendermast/gateway.py
@@ -5,10 +5,9 @@
 import json
 import urllib.parse
 
-from lavendermast.dispatch import Reply
 from lavendermast.exceptions import LavendermastError, RequestError
 from lavendermast.logs import DIGEST_CHARACTERS, digest_text
-from lavendermast.models import Outcome
+from lavendermast.models import Outcome, Reply
 from lavendermast.requests import KEY_HEADER, REQUEST_HEADER, RequestReader
 
 OUTCOME_HEADER = "Lavendermast-Outcome"
@@ -97,9 +96,9 @@
             outcome = Outcome.UNKNOWN if keyed else outcome
         headers = [("Content-Type", "application/json"), *error.headers]
         return Reply(
-            error.status,
             outcome,
             error.reason,
+            error.status,
             headers,
             error.make_body(),
             retry_after=error.retry_after,
@@ -134,9 +133,9 @@
         reply.stream.close()
         detail = b'{"reason": "http-1.0", "detail": "use HTTP/1.1 for this answer"}'
         return Reply(
-            502,
             Outcome.UNKNOWN,
             "unframed-answer",
+            502,
             [("Content-Type", "application/json")],
             detail,
             server=reply.server,
--- a/src/lavendermast/idempotency.py
+++ b/src/lavendermast/idempotency.py
@@ -1,6 +1,5 @@
 """Runs requests that must not run twice, under the caller's key."""
 
-from lavendermast.dispatch import Reply
 from lavendermast.exceptions import RequestError
 from lavendermast.forwarding import Forwarder
 from lavendermast.ledger import Ledger
@@ -98,22 +97,17 @@
             )
             return last.result
 
-        found = self._submissions.submit(request, run, cancelled)
-        if found.action:
+        reply = self._submissions.submit(request, run, cancelled)
+        if reply.action:
             self._record_event(
                 "duplicate",
                 request=request.id,
                 key=digest_text(request.key.encode()),
-                action=found.action,
+                action=reply.action,
             )
-        return Reply(
-            found.status,
-            found.outcome,
-            found.reason,
-            list(found.headers),
-            found.body,
-            found.stream,
-            server=last.result.server if last else "",
-            attempts=last.attempts if last else 0,
-            retry_after=RETRY_AFTER_S if found.outcome is Outcome.NOT_RUN else 0,
-        )
+        if last is not None:
+            reply.server = last.result.server
+            reply.attempts = last.attempts
+        if reply.outcome is Outcome.NOT_RUN:
+            reply.retry_after = RETRY_AFTER_S
+        return reply
--- a/src/lavendermast/listeners.py
+++ b/src/lavendermast/listeners.py
@@ -3,6 +3,8 @@
 import eventlet
 import eventlet.wsgi
 
+from lavendermast.utils import parse_address
+
 SOCKET_TIMEOUT_S = 75
 MAX_CALLER_CONNECTIONS = 10_000
 LISTEN_BACKLOG = 1024
@@ -21,17 +23,6 @@
     error = info
 
 
-def split_address(address):
-    """
-    Return host and port of an ``ip:port`` address.
-
-    >>> split_address("127.0.0.1:8080")
-    ('127.0.0.1', 8080)
-    """
-    host, port = address.rsplit(":", 1)
-    return host, int(port)
-
-
 class HttpListener:
     """
     Serves a WSGI application on one address.
@@ -41,7 +32,7 @@
 
     def __init__(self, address, application):
         self._application = application
-        self._socket = eventlet.listen(split_address(address), backlog=LISTEN_BACKLOG)
+        self._socket = eventlet.listen(parse_address(address), backlog=LISTEN_BACKLOG)
         self._pool = eventlet.GreenPool(MAX_CALLER_CONNECTIONS)
         self._task = None
         self.port = self._socket.getsockname()[1]
--- a/src/lavendermast/models.py
+++ b/src/lavendermast/models.py
@@ -86,6 +86,28 @@
         return self.status not in NOT_RUN_STATUSES
 
 
+@attrs.define
+class Reply:
+    """
+    What a caller is told.
+
+    :param stream: iterator of body parts for an answer that is not buffered.
+    :param retry_after: seconds after which a repeat makes sense, 0 for none.
+    :param action: ``joined``, ``replayed`` or ``refused`` when a key arrived again.
+    """
+
+    outcome: Outcome
+    reason: str
+    status: int
+    headers: list = attrs.Factory(list)
+    body: bytes = b""
+    stream: object = None
+    server: str = ""
+    attempts: int = 0
+    retry_after: int = 0
+    action: str = ""
+
+
 @attrs.define
 class CallerRequest:
     """
--- a/src/lavendermast/peers.py
+++ b/src/lavendermast/peers.py
@@ -11,6 +11,7 @@
 from lavendermast.codec import MAX_MESSAGE_BYTES, Envelope
 from lavendermast.exceptions import MessageError, PeerError
 from lavendermast.messages_model import BODY_CLASSES
+from lavendermast.utils import parse_address
 
 #: A datagram of this size fits one Ethernet frame with IP options and a tunnel header.
 MAX_DATAGRAM_BYTES = 1_400
@@ -24,17 +25,6 @@
 _KINDS = {cls: name for name, cls in BODY_CLASSES.items()}
 
 
-def parse_address(text):
-    """
-    Return the host and port of an ``ip:port`` address.
-
-    >>> parse_address("127.0.0.1:7000")
-    ('127.0.0.1', 7000)
-    """
-    host, _, port = text.rpartition(":")
-    return host, int(port)
-
-
 @attrs.define
 class TrafficCounts:
     """
--- a/src/lavendermast/store.py
+++ b/src/lavendermast/store.py
@@ -6,6 +6,7 @@
 
 from lavendermast.exceptions import StoreError
 from lavendermast.hashing import rank_members
+from lavendermast.utils import parse_address
 
 MAX_VALUE_BYTES = 1024 * 1024
 WATCH_WAIT_S = 10.0
@@ -30,8 +31,7 @@
     """
 
     def __init__(self, address):
-        host, port = address.rsplit(":", 1)
-        self._pool = urllib3.HTTPConnectionPool(host, int(port), maxsize=4)
+        self._pool = urllib3.HTTPConnectionPool(*parse_address(address), maxsize=4)
         self.calls = 0
 
     @classmethod
--- a/src/lavendermast/submissions.py
+++ b/src/lavendermast/submissions.py
@@ -3,9 +3,8 @@
 import hashlib
 
 from lavendermast.exceptions import ForgedTokenError, RequestError, UnknownKeyError
-from lavendermast.forwarding import Reply
 from lavendermast.ledger import Action
-from lavendermast.models import Outcome
+from lavendermast.models import Outcome, Reply
 
 
 def compute_digest(request):
--- a/src/lavendermast/upstream.py
+++ b/src/lavendermast/upstream.py
@@ -16,6 +16,7 @@
 )
 from lavendermast.framing import remove_hop_headers
 from lavendermast.models import AttemptResult, AttemptStatus
+from lavendermast.utils import parse_address
 
 #: A server may close an idle connection at any moment and the close takes a network
 #: delay to arrive. Requests that must not run twice only reuse younger connections.
@@ -284,8 +285,7 @@
                 attempt.connection = connection
                 return True
             connection.close()
-        host, _, port = attempt.server.address.rpartition(":")
-        attempt.connection = ServerConnection(host.strip("[]"), int(port))
+        attempt.connection = ServerConnection(*parse_address(attempt.server.address))
         attempt.connection.connect()
         return False
 
--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -98,11 +98,16 @@
                 eventlet.sleep(0.02)
 
     def exchange(self, data, number=0):
-        """Return everything that a node answers to raw bytes on one connection."""
+        """Return what a node answers to raw bytes from a caller that sends no more."""
+        return self.exchange_open(data, number, closes=True)
+
+    def exchange_open(self, data, number=0, closes=False):
+        """Like ``exchange``, with the caller's side left open."""
         host, port = self.nodes[number].settings.caller_address.split(":")
         sock = socket.create_connection((host, int(port)))
         sock.sendall(data)
-        sock.shutdown(socket.SHUT_WR)
+        if closes:
+            sock.shutdown(socket.SHUT_WR)
         answer = b""
         with eventlet.Timeout(READY_TIMEOUT_S):
             while part := sock.recv(65_536):
@@ -119,18 +124,6 @@
         data = "\r\n".join(lines).encode() + b"\r\n\r\n" + body
         return parse(self.exchange_open(data, number))
 
-    def exchange_open(self, data, number=0):
-        """Like ``exchange``, with the caller's side left open."""
-        host, port = self.nodes[number].settings.caller_address.split(":")
-        sock = socket.create_connection((host, int(port)))
-        sock.sendall(data)
-        answer = b""
-        with eventlet.Timeout(READY_TIMEOUT_S):
-            while part := sock.recv(65_536):
-                answer += part
-        sock.close()
-        return answer
-
     def read_log(self, number, event):
         """Return the lines of one event in a node's log, as dicts."""
         self.nodes[number].log.flush()
