Rebuild a service pool when its limits or classes of work change

Cause: a changed queue length or a route that became long did not reach a pool whose service settings stayed; each new pool also looked at every route. Change: the pool compares limits and long routes; services with long routes are found once a change.

--- a/src/lavendermast/services.py
+++ b/src/lavendermast/services.py
@@ -19,6 +19,8 @@
 
     :param queues: admission queues by class of work.
     :param classes: checks the routes' classes of work.
+    :param has_long_routes: whether a route of the service has long work.
+    :param limits: limits of the configuration that the queues follow.
     :param attempts: number of attempts by status.
     :param listed: servers of the VM list by name.
     """
@@ -29,11 +31,13 @@
     balancer: object
     queues: dict
     classes: object
+    has_long_routes: bool
+    limits: object
     attempts: collections.Counter = attrs.Factory(collections.Counter)
     listed: dict = attrs.Factory(dict)
 
     @classmethod
-    def from_config(cls, name, config, settings, clock, record_event):
+    def from_config(cls, name, config, has_long_routes, settings, clock, record_event):
         """Return the pool of one service without servers."""
         service = config.services[name]
         tracker = HealthTracker.from_config(name, service, clock, record_event)
@@ -44,24 +48,40 @@
             random.Random(f"{settings.vm}/{name}"),
             tracker.get_weight,
             settings.region,
-            has_long_routes=any(
-                route.service == name and route.work == "long"
-                for route in config.routes.values()
-            ),
+            has_long_routes,
         )
         queues = {
             work: AdmissionQueue.from_config(config.limits, balancer, work, clock)
             for work in ("short", "long")
         }
         classes = ClassCheck(clock, record_event)
-        return cls(name, service, tracker, balancer, queues, classes)
+        return cls(
+            name,
+            service,
+            tracker,
+            balancer,
+            queues,
+            classes,
+            has_long_routes,
+            config.limits,
+        )
 
-    def differs_in_thresholds_only(self, service):
-        """Return whether other settings change nothing but floor and detection."""
+    def apply_service(self, service, has_long_routes, limits):
+        """
+        Take over changed settings and keep all evidence, if that can be done.
+
+        :return: whether it was done; otherwise the pool must be built anew.
+        """
         same = attrs.evolve(
             self.service, floor=service.floor, detection=service.detection
         )
-        return same == service != self.service
+        kept = (self.has_long_routes, self.limits) == (has_long_routes, limits)
+        if not kept or same != service:
+            return False
+        if service != self.service:
+            self.service = service
+            self.tracker.replace_service(service)
+        return True
 
     def replace_servers(self, servers):
         """
@@ -127,16 +147,16 @@
 
     def apply_config(self, config):
         """Add, drop and rebuild pools; a pool whose settings stay keeps its state."""
+        long_services = {
+            route.service for route in config.routes.values() if route.work == "long"
+        }
         pools = {}
         for name, service in config.services.items():
+            has_long = name in long_services
             pool = self._pools.get(name)
-            if pool is not None and pool.differs_in_thresholds_only(service):
-                pool.service = service
-                pool.tracker.replace_service(service)
-            elif pool is None or pool.service != service:
-                pool = ServicePool.from_config(
-                    name, config, self._settings, self._clock, self._record_event
-                )
+            if pool is None or not pool.apply_service(service, has_long, config.limits):
+                tools = (self._settings, self._clock, self._record_event)
+                pool = ServicePool.from_config(name, config, has_long, *tools)
                 pool.replace_servers(self._servers.get(name, []))
             pools[name] = pool
         self._pools = pools
