--- a/bench/experiment.py
+++ b/bench/experiment.py
@@ -1,6 +1,7 @@
 """Runs load against a fleet while a fault script plays, and reads the records."""
 
 import json
+import os
 import signal
 import subprocess
 import sys
@@ -200,7 +201,11 @@
 
 
 def print_table(rows, headings):
-    """Print rows of values under headings."""
+    """Print rows of values under headings; BENCH_JSON names a file for them as JSON."""
+    if path := os.environ.get("BENCH_JSON"):
+        table = [dict(zip(headings, row, strict=True)) for row in rows]
+        with open(path, "a") as output:
+            output.write(json.dumps(table) + "\n")
     cells = [list(map(str, headings))] + [list(map(str, row)) for row in rows]
     widths = [max(len(row[i]) for row in cells) for i in range(len(headings))]
     for row in cells:
