--- a/bench/detection.py
+++ b/bench/detection.py
@@ -88,10 +88,10 @@
     headings = [
         "fault",
         "ours s",
-        "failed",
+        "ours failed",
         "mistakes",
         "naive s",
-        "failed",
+        "naive failed",
         "target s",
     ]
     print_table(rows, headings)
--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -9,6 +9,7 @@
 import eventlet.wsgi
 from eventlet.green import socket
 
+from bench.layouts import take_addresses
 from lavendermast.loglines import parse_line
 from lavendermast.node import Node
 from lavendermast.settings_model import ProcessSettings
@@ -55,13 +56,6 @@
     return sock, f"127.0.0.1:{sock.getsockname()[1]}"
 
 
-def take_address():
-    """Return a free address."""
-    sock, address = listen()
-    sock.close()
-    return address
-
-
 class Cluster:
     """Nodes, backend servers and the store, all green threads of this process."""
 
@@ -163,9 +157,9 @@
                 "region": "r1",
                 "zone": f"r1-{'ab'[number % 2]}",
                 "site": "r1",
-                "caller_address": take_address(),
-                "peer_address": take_address(),
-                "admin_address": take_address(),
+                "caller_address": take_addresses(1)[0],
+                "peer_address": take_addresses(1)[0],
+                "admin_address": take_addresses(1)[0],
                 "store_address": self.store_address,
                 "fleet_keys": [{"id": 1, "secret": "test-fleet-secret"}],
                 "log_path": str(self.folder / f"vm-{number}.log"),
