Use one fleet-key reader, address path, raw path and key variable

Change: utils.get_secrets, addresses.ADDRESSES_PATH, requests.KEY_VARIABLE and get_raw_path serve all; two unused header names are gone. Conclusion: no behaviour changes; the tests keep their assertions.

--- a/src/lavendermast/addresses.py
+++ b/src/lavendermast/addresses.py
@@ -2,6 +2,8 @@
 
 from lavendermast.hashing import rank_members
 
+ADDRESSES_PATH = "/.well-known/lavendermast/addresses"
+
 
 class AddressBook:
     """
--- a/src/lavendermast/client.py
+++ b/src/lavendermast/client.py
@@ -5,13 +5,13 @@
 
 import attrs
 
+from lavendermast.addresses import ADDRESSES_PATH
 from lavendermast.exceptions import RequestError
 from lavendermast.forwarding import read_reply
 from lavendermast.framing import remove_hop_headers
 from lavendermast.models import CallerRequest, Outcome, Reply, Server
 from lavendermast.upstream import Upstream, add_length
 
-ADDRESS_PATH = "/.well-known/lavendermast/addresses"
 #: Bound on the use of one address response, should the caller's clock be behind.
 MAX_HOLD_S = 60.0
 #: Wait for one VM's address response, so that a silent VM leaves time for others.
@@ -103,7 +103,7 @@
 
     def _ask(self, server, service, deadline):
         request = self._make_request(
-            "GET", ADDRESS_PATH, f"service={service}", deadline
+            "GET", ADDRESSES_PATH, f"service={service}", deadline
         )
         bound = min(deadline, self._clock.monotonic() + ASK_TIMEOUT_S)
         result = self._transport.send(request, server, bound)
--- a/src/lavendermast/fleet.py
+++ b/src/lavendermast/fleet.py
@@ -12,6 +12,7 @@
 from lavendermast.policy import SERVING_STATES
 from lavendermast.settings import parse_bundle
 from lavendermast.store import StoreClient, StoreReader, is_store_reader
+from lavendermast.utils import get_secrets
 from lavendermast.vmlist import check_list
 
 START_INTERVAL_S = 0.5
@@ -103,7 +104,7 @@
 
     def reload_keys(self, settings):
         """Sign and verify with the fleet keys of new process settings."""
-        keys = {key.id: key.secret.encode() for key in settings.fleet_keys}
+        keys = get_secrets(settings)
         self.codec.replace_keys(keys, settings.fleet_keys[0].id)
 
     def apply_list(self, vms):
--- a/src/lavendermast/gateway.py
+++ b/src/lavendermast/gateway.py
@@ -5,15 +5,15 @@
 import json
 import urllib.parse
 
+from lavendermast.addresses import ADDRESSES_PATH
 from lavendermast.exceptions import LavendermastError, RequestError
 from lavendermast.logs import DIGEST_CHARACTERS, digest_text
 from lavendermast.models import Outcome, Reply
-from lavendermast.requests import KEY_HEADER, REQUEST_HEADER, RequestReader
+from lavendermast.requests import KEY_VARIABLE, REQUEST_HEADER, RequestReader
 
 OUTCOME_HEADER = "Lavendermast-Outcome"
 REASON_HEADER = "Lavendermast-Reason"
 VM_HEADER = "Lavendermast-Vm"
-ADDRESSES_PATH = "/.well-known/lavendermast/addresses"
 
 
 def get_status_line(status):
@@ -92,7 +92,7 @@
         outcome = error.outcome
         if route is None or not route.idempotent:
             # The key was not looked at, and an earlier submission may have run.
-            keyed = environ.get("HTTP_LAVENDERMAST_KEY") and error.reason != "bad-key"
+            keyed = environ.get(KEY_VARIABLE) and error.reason != "bad-key"
             outcome = Outcome.UNKNOWN if keyed else outcome
         headers = [("Content-Type", "application/json"), *error.headers]
         return Reply(
@@ -185,7 +185,7 @@
 
     def _log_request(self, reply, head, size, body_digest):
         environ, request_id, request, route_name, route, started = head
-        key = environ.get("HTTP_" + KEY_HEADER.upper().replace("-", "_"))
+        key = environ.get(KEY_VARIABLE)
         label = (reply.outcome.value, reply.reason)
         self.outcomes[label] = self.outcomes.get(label, 0) + 1
         self._record_event(
--- a/src/lavendermast/idempotency.py
+++ b/src/lavendermast/idempotency.py
@@ -7,6 +7,7 @@
 from lavendermast.models import Outcome
 from lavendermast.submissions import Submissions
 from lavendermast.tokens import TokenIssuer, TokenVerifier
+from lavendermast.utils import get_secrets
 
 TOKEN_HEADER = "Lavendermast-Token"
 RETRY_AFTER_S = 1
@@ -47,7 +48,7 @@
 
     def reload_keys(self, settings):
         """Sign and verify tokens with other fleet keys from now on."""
-        keys = {key.id: key.secret.encode() for key in settings.fleet_keys}
+        keys = get_secrets(settings)
         self._verifier.replace_keys(keys)
         signing = settings.fleet_keys[0]
         if self.issuer is not None:
--- a/src/lavendermast/requests.py
+++ b/src/lavendermast/requests.py
@@ -9,10 +9,9 @@
 from lavendermast.models import CallerRequest
 
 KEY_HEADER = "Lavendermast-Key"
-CUSTOMER_HEADER = "Lavendermast-Customer"
+KEY_VARIABLE = "HTTP_LAVENDERMAST_KEY"
 DEADLINE_HEADER = "Lavendermast-Deadline"
 REQUEST_HEADER = "Lavendermast-Request"
-FORWARDED_HEADER = "Lavendermast-Forwarded"
 MAX_KEY_CHARACTERS = 512
 MAX_CUSTOMER_CHARACTERS = 128
 _REQUEST_ID = re.compile(r"[A-Za-z0-9._-]{8,64}")
@@ -50,7 +49,7 @@
         return CallerRequest(
             id=request_id,
             method=environ["REQUEST_METHOD"],
-            path=environ.get("RAW_PATH_INFO") or environ["PATH_INFO"],
+            path=get_raw_path(environ),
             query=environ.get("QUERY_STRING", ""),
             headers=_read_headers(environ),
             body=_read_body(environ, route.max_body_bytes),
@@ -77,7 +76,7 @@
 
 
 def _read_key(environ):
-    key = environ.get("HTTP_LAVENDERMAST_KEY", "")
+    key = environ.get(KEY_VARIABLE, "")
     if len(key) > MAX_KEY_CHARACTERS:
         raise RequestError(400, "bad-key", f"{KEY_HEADER} is too long")
     return key
--- a/src/lavendermast/tokens.py
+++ b/src/lavendermast/tokens.py
@@ -9,6 +9,7 @@
 import attrs
 
 from lavendermast.exceptions import ForgedTokenError, UnknownKeyError
+from lavendermast.utils import get_secrets
 
 FORMAT_VERSION = 1
 TAG_BYTES = 16
@@ -125,7 +126,7 @@
     @classmethod
     def from_settings(cls, settings):
         """Return a verifier with the fleet keys of the process settings."""
-        return cls({key.id: key.secret.encode() for key in settings.fleet_keys})
+        return cls(get_secrets(settings))
 
     def replace_keys(self, keys):
         """Accept tokens under these keys only from now on."""
--- a/src/lavendermast/utils.py
+++ b/src/lavendermast/utils.py
@@ -1,6 +1,11 @@
 """Helpers that several modules use."""
 
 
+def get_secrets(settings):
+    """Return the fleet keys of process settings, a mapping of key number to secret."""
+    return {key.id: key.secret.encode() for key in settings.fleet_keys}
+
+
 def parse_address(text):
     """
     Return the host and port of an ``ip:port`` address.
--- a/tests/test_client.py
+++ b/tests/test_client.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from lavendermast.client import ADDRESS_PATH, Client
+from lavendermast.client import ADDRESSES_PATH, Client
 from lavendermast.clock import ManualClock
 from lavendermast.models import AttemptResult, AttemptStatus, Outcome
 
@@ -36,7 +36,7 @@
         self.keys, self.asked, self.silent = [], [], ()
 
     def send(self, request, server, deadline):
-        if request.path == ADDRESS_PATH:
+        if request.path == ADDRESSES_PATH:
             self.asked.append(server.address)
             if server.address in self.silent:
                 return AttemptResult("a", AttemptStatus.TIMEOUT)
