--- a/src/lavendermast/client.py
+++ b/src/lavendermast/client.py
@@ -10,7 +10,8 @@
 from lavendermast.forwarding import read_reply
 from lavendermast.framing import remove_hop_headers
 from lavendermast.models import CallerRequest, Outcome, Reply, Server
-from lavendermast.upstream import Upstream, add_length
+from lavendermast.serverprotocol import OwnServerProtocol, add_length
+from lavendermast.upstream import Upstream
 
 #: Bound on the use of one address response, should the caller's clock be behind.
 MAX_HOLD_S = 60.0
@@ -64,7 +65,10 @@
         self.customer = customer
         self._clock = clock
         self._transport = transport or Upstream(
-            clock, BUFFER_BYTES, {"": IDLE_CONNECTIONS}, _build_headers
+            clock,
+            BUFFER_BYTES,
+            {"": IDLE_CONNECTIONS},
+            OwnServerProtocol(_build_headers),
         )
         self._views = {}
 
--- a/src/lavendermast/connections.py
+++ b/src/lavendermast/connections.py
@@ -1,7 +1,6 @@
 """Connections to backend servers: urllib3 with green sockets."""
 
 import re
-import socket as std_socket
 
 from eventlet import patcher
 from eventlet.green import socket
@@ -9,6 +8,7 @@
 
 from lavendermast.exceptions import LavendermastError
 from lavendermast.framing import ServerResponse
+from lavendermast.sockets import SERVER_SOCKET_OPTIONS, set_options
 
 # Monkey patching removes poll from the select module.
 _select = patcher.original("select")
@@ -28,13 +28,14 @@
     def __init__(self, host, port):
         super().__init__(host, port)
         self.idle_since = 0.0
+        self.idle_limit = None  # seconds that the server keeps it open, if it says so
         self.sent = False
         self._pieces = []
 
     def connect(self):
         """Open the socket; the attempt's timer bounds the wait."""
         self.sock = socket.create_connection((self.host, self.port))
-        self.sock.setsockopt(std_socket.IPPROTO_TCP, std_socket.TCP_NODELAY, 1)
+        set_options(self.sock, SERVER_SOCKET_OPTIONS)
 
     def send(self, data):
         """Collect a piece of the request, so that it leaves in one packet."""
--- /dev/null
+++ b/src/lavendermast/entry.py
@@ -0,0 +1,216 @@
+"""The WSGI applications of an entry VM: requests, readiness and the directory."""
+
+import json
+import urllib.parse
+
+import attrs
+
+from lavendermast.callers import CallerWatch
+from lavendermast.exceptions import LavendermastError, RequestError
+from lavendermast.gateway import get_status_line
+from lavendermast.models import CallerRequest, Outcome, Reply
+from lavendermast.requests import get_raw_path, read_body, read_headers
+from lavendermast.upstream import Cancellation
+
+#: Pause before a caller should ask again while this VM has no configuration.
+STARTING_RETRY_S = 0.3
+#: A caller allows this much of the time it waits for the answer's way back.
+RETURN_MARGIN_S = 0.03
+
+
+@attrs.frozen
+class EntryCalls:
+    """
+    Names in callers' requests, set by the platform that the VM runs on.
+
+    :param request_id_variable: WSGI name of the header with the request's identifier.
+    :param time_left_variable: WSGI name of the header with the milliseconds left.
+    :param request_id_header: name of that header in answers.
+    """
+
+    request_id_variable: str
+    time_left_variable: str
+    request_id_header: str
+
+
+class EntryApplication:
+    """
+    Answers callers' requests.
+
+    :param calls: an :class:`EntryCalls`.
+    :param state: object with ``router``, ``config`` and ``leaving``.
+    :param runner: an :class:`~lavendermast.attempts.AttemptRunner`.
+    """
+
+    def __init__(self, calls, state, runner, clock, record_event):
+        self._calls = calls
+        self._state = state
+        self._runner = runner
+        self._clock = clock
+        self._record_event = record_event
+        self.in_flight = 0
+        self.started = 0
+        self.outcomes = {}
+        self.latencies = None
+
+    def __call__(self, environ, start_response):
+        arrived = self._clock.monotonic()
+        self.in_flight += 1
+        self.started += 1
+        route = None
+        try:
+            route = self._find_route(environ)
+            request = self._read(environ, route, arrived)
+            service = self._state.router.choose_service(route)
+            caller_gone = Cancellation()
+            with CallerWatch(environ["eventlet.input"].get_socket(), caller_gone):
+                reply = self._runner.run(request, route, service, caller_gone)
+        except RequestError as error:
+            reply = refuse(error)
+        finally:
+            self.in_flight -= 1
+        return self._send(reply, route, environ, arrived, start_response)
+
+    def _find_route(self, environ):
+        if self._state.config is None:
+            raise RequestError(
+                503, "not-ready", "no configuration yet", retry_after=STARTING_RETRY_S
+            )
+        host = environ.get("HTTP_HOST", "").partition(":")[0]
+        route = self._state.router.find_route(host, get_raw_path(environ))
+        if route is None:
+            raise RequestError(404, "no-route", "no route matches")
+        return route
+
+    def _read(self, environ, route, arrived):
+        limits = self._state.config.limits
+        left_s = route.timeout_s
+        text = environ.get(self._calls.time_left_variable, "")
+        if text.isdigit():
+            left_s = min(left_s, int(text) / 1000 - RETURN_MARGIN_S)
+        request = CallerRequest(
+            id=environ.get(self._calls.request_id_variable, ""),
+            method=environ["REQUEST_METHOD"],
+            path=get_raw_path(environ),
+            query=environ.get("QUERY_STRING", ""),
+            headers=read_headers(environ),
+            body=read_body(environ, limits.max_body_bytes),
+            customer="",
+            deadline=arrived + left_s,
+            deadline_unix_ms=0,
+            arrived=arrived,
+            idempotent=route.idempotent,
+        )
+        return request
+
+    def _send(self, reply, route, environ, arrived, start_response):
+        request_id = environ.get(self._calls.request_id_variable, "")
+        headers = [
+            pair
+            for pair in reply.headers
+            if pair[0].lower() not in ("content-length", "date")
+        ]
+        if not any(
+            name.lower() == self._calls.request_id_header.lower() for name, _ in headers
+        ):
+            headers.append((self._calls.request_id_header, request_id))
+        if reply.retry_after:
+            headers.append(("Retry-After", f"{reply.retry_after:g}"))
+        if self._state.leaving:
+            headers.append(("Connection", "close"))
+        self._log(reply, route, request_id, arrived)
+        if reply.stream is not None:
+            if reply.stream.length is not None:
+                headers.append(("Content-Length", str(reply.stream.length)))
+            start_response(get_status_line(reply.status), headers)
+            return self._stream(reply, request_id)
+        headers.append(("Content-Length", str(len(reply.body))))
+        start_response(get_status_line(reply.status), headers)
+        return [reply.body]
+
+    def _stream(self, reply, request_id):
+        self.in_flight += 1
+        try:
+            yield from reply.stream
+        except LavendermastError as error:
+            self._record_event("answer_cut", request=request_id, detail=str(error))
+            # Raising closes the connection before the body's end.
+            raise ConnectionAbortedError(str(error)) from error
+        finally:
+            self.in_flight -= 1
+            reply.stream.close()
+
+    def _log(self, reply, route, request_id, arrived):
+        key = (reply.outcome.value, reply.reason)
+        self.outcomes[key] = self.outcomes.get(key, 0) + 1
+        seconds = self._clock.monotonic() - arrived
+        if self.latencies is not None and route is not None:
+            self.latencies.observe(route.name, seconds)
+        self._record_event(
+            "request",
+            request=request_id,
+            route=route.name if route else None,
+            config_version=self._state.config.version if self._state.config else 0,
+            outcome=reply.outcome.value,
+            reason=reply.reason,
+            status=reply.status,
+            attempts=reply.attempts,
+            server=reply.server or None,
+            latency_ms=round(seconds * 1000, 1),
+        )
+
+
+def refuse(error):
+    """Return the reply to a request that is refused before any attempt."""
+    body = json.dumps({"reason": error.reason, "detail": error.detail}).encode()
+    headers = [("Content-Type", "application/json")]
+    return Reply(
+        Outcome.NOT_RUN,
+        error.reason,
+        error.status,
+        headers,
+        body,
+        retry_after=error.retry_after,
+    )
+
+
+class ReadyApplication:
+    """Tells the platform whether this VM takes callers."""
+
+    def __init__(self, path, is_ready):
+        self._path = path
+        self._is_ready = is_ready
+
+    def __call__(self, environ, start_response):
+        ready = environ["PATH_INFO"] == self._path and self._is_ready()
+        status = "200 OK" if ready else "503 Service Unavailable"
+        start_response(status, [("Content-Length", "0")])
+        return [b""]
+
+
+class DirectoryApplication:
+    """
+    Tells callers which addresses to use.
+
+    :param path: path of the call.
+    :param answer: callable ``query -> body``, or ``None`` when no VM is known.
+    """
+
+    def __init__(self, path, answer):
+        self._path = path
+        self._answer = answer
+
+    def __call__(self, environ, start_response):
+        body = None
+        if environ["PATH_INFO"] == self._path:
+            query = dict(urllib.parse.parse_qsl(environ.get("QUERY_STRING", "")))
+            body = self._answer(query)
+        if body is None:
+            start_response("503 Service Unavailable", [("Content-Length", "0")])
+            return [b""]
+        headers = [
+            ("Content-Type", "application/json"),
+            ("Content-Length", str(len(body))),
+        ]
+        start_response("200 OK", headers)
+        return [body]
--- /dev/null
+++ b/src/lavendermast/entrydaemon.py
@@ -0,0 +1,54 @@
+"""The daemon of an entry VM on the users' platform."""
+
+import signal
+import sys
+import warnings
+
+warnings.filterwarnings("ignore", message=r"\s*Eventlet is deprecated")
+
+import eventlet  # noqa: E402
+
+eventlet.monkey_patch()
+
+from lavendermast.clock import SystemClock  # noqa: E402
+from lavendermast.entrynode import EntryNode  # noqa: E402
+from lavendermast.entrysettings import load_entry_settings  # noqa: E402
+from lavendermast.exceptions import SettingsError  # noqa: E402
+from lavendermast.platform.adapter import Platform, get_settings_path  # noqa: E402
+
+
+def run_entry(path):
+    """
+    Serve callers until SIGTERM or SIGINT.
+
+    :param path: JSON file with the settings of this process.
+    """
+    try:
+        settings = load_entry_settings(path)
+    except SettingsError as error:
+        print(error, file=sys.stderr)
+        sys.exit(2)
+    clock = SystemClock()
+    node = EntryNode(settings, Platform.from_settings(settings, clock), clock)
+    stop_requested = eventlet.event.Event()
+
+    def handle_signal(number, frame):
+        if not stop_requested.ready():
+            stop_requested.send(signal.Signals(number).name)
+
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, handle_signal)
+    signal.signal(
+        signal.SIGHUP, lambda number, frame: eventlet.spawn_n(node.reload, "SIGHUP")
+    )
+    node.start()
+    node.stop(stop_requested.wait())
+
+
+def main():
+    """Run an entry VM with the settings that the platform names."""
+    run_entry(get_settings_path())
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/src/lavendermast/entrynode.py
@@ -0,0 +1,250 @@
+"""One entry VM on the users' platform, composed from its parts."""
+
+import os
+import random
+
+import eventlet
+
+from lavendermast.attempts import AttemptRunner
+from lavendermast.catalog import Catalog
+from lavendermast.catalogsync import CatalogSync
+from lavendermast.clock import SystemClock
+from lavendermast.codec import FrameCodec
+from lavendermast.entry import (
+    DirectoryApplication,
+    EntryApplication,
+    ReadyApplication,
+)
+from lavendermast.evidencebook import EvidenceBook
+from lavendermast.hostroutes import HostRouter
+from lavendermast.listeners import HttpListener
+from lavendermast.logs import EventLog
+from lavendermast.messages_model import AttemptReports
+from lavendermast.peers import PeerNetwork
+from lavendermast.retries import RetryBudget
+from lavendermast.selection import ServerSelector
+from lavendermast.upstream import Upstream
+from lavendermast.utils import parse_address
+from lavendermast.zonefleet import ZoneFleet
+
+#: Answers up to this size are read whole before they are passed on, so that a cut one
+#: can still be asked for elsewhere.
+BUFFER_BYTES = 1024 * 1024
+CONNECT_TIMEOUT_S = 0.4
+IDLE_CONNECTIONS = 12
+REPORT_INTERVAL_S = 0.05
+EXPIRE_INTERVAL_S = 1.0
+#: Extra attempts that this VM may have saved up for one service. The fleet's slack is
+#: shared by the VMs that callers are sent to, about a dozen.
+RETRY_RESERVE = 3.0
+#: The share kept below the allowed one, since windows of the fleet do not match.
+RETRY_SHARE_USED = 0.85
+#: Time after SIGTERM in which callers with an old address answer are still accepted.
+ACCEPT_AFTER_STOP_S = 3.3
+#: Time before the end of the grace period at which the process ends in any case.
+END_MARGIN_S = 0.15
+#: Rates of requests are averaged over about this time.
+RATE_WINDOW_S = 2.0
+#: The platform hands out no secret; the code detects damaged frames only.
+_FRAME_KEY = {1: b"lavendermast-entry-frames"}
+
+
+class EntryNode:
+    """
+    The parts of an entry VM, wired together.
+
+    :param settings: checked ``EntrySettings``.
+    :param platform: object with ``calls``, ``protocol``, ``source``, ``decode``,
+        ``directory_path``, ``ready_path``, ``read_query`` and ``make_answer``.
+    """
+
+    def __init__(self, settings, platform, clock=None):
+        self.settings = settings
+        self.clock = clock or SystemClock()
+        self.platform = platform
+        self.log = EventLog.from_settings(settings, self.clock)
+        record = self.log.record
+        self.config = None
+        self.router = None
+        self.leaving = False
+        self._budgets = {}
+        self._routes = {}
+        self._rate = 0.0
+        self._counted = 0
+        self._tasks = []
+        self._regions = {item.zone: item.region for item in settings.zones}
+        boot_id = int(self.clock.time() * 1000)
+        self.network = PeerNetwork.from_settings(
+            settings, FrameCodec(_FRAME_KEY, 1), self.clock
+        )
+        self.network.record_error = self._record_error
+        self.catalog = Catalog(platform.decode, self.clock, record, settings.lapse_s)
+        self.catalog.on_config.append(self._apply_config)
+        self.catalog.on_server.append(self._apply_server)
+        self.fleet = ZoneFleet(
+            settings, boot_id, self.network, self.clock, record, self._describe
+        )
+        self.sync = CatalogSync(
+            self.catalog, platform.source, self.fleet, self.network, self.clock, record
+        )
+        self.evidence = EvidenceBook(self.clock, self._find_route)
+        self.network.register(AttemptReports, self._handle_reports)
+        self.upstream = Upstream(
+            self.clock, BUFFER_BYTES, {}, platform.protocol, CONNECT_TIMEOUT_S
+        )
+        selector = ServerSelector(
+            self.catalog,
+            self.evidence.get,
+            settings.zone,
+            settings.region,
+            self.clock,
+            random.Random(),
+        )
+        self.runner = AttemptRunner(
+            self.upstream,
+            selector,
+            self.evidence,
+            self._get_budget,
+            self.clock,
+            record,
+        )
+        self.application = EntryApplication(
+            platform.calls, self, self.runner, self.clock, record
+        )
+        self._callers = HttpListener(settings.caller_address, self.application)
+        self._ready = HttpListener(
+            settings.ready_address,
+            ReadyApplication(platform.ready_path, self.is_ready),
+        )
+        self._directory = HttpListener(
+            settings.directory_address,
+            DirectoryApplication(platform.directory_path, self._answer_directory),
+        )
+
+    def start(self):
+        """Join the fleet and serve callers."""
+        self.log.record(
+            "started", boot_id=self.fleet.own.boot_id, region=self.settings.region
+        )
+        for run in (
+            self.network.run,
+            self.sync.run,
+            self.fleet.run,
+            self._send_reports,
+            self._maintain,
+        ):
+            self._tasks.append(eventlet.spawn(run))
+        self._ready.start()
+        self._directory.start()
+        self._callers.start()
+
+    def stop(self, reason):
+        """Stop gracefully: callers leave, work ends, the process ends."""
+        now = self.clock.monotonic()
+        end = now + self.settings.grace_s - END_MARGIN_S
+        self.log.record("leaving", reason=reason, in_flight=self.application.in_flight)
+        self.leaving = True
+        self.fleet.set_state("leaving")
+        accept_until = min(now + ACCEPT_AFTER_STOP_S, end)
+        while self.clock.monotonic() < accept_until:
+            self.clock.sleep(0.1)
+        self._callers.stop_accepting()
+        while self.application.in_flight and self.clock.monotonic() < end:
+            self.clock.sleep(0.05)
+        self.log.record(
+            "stopped", reason=reason, aborted=self.application.in_flight
+        )
+        self.log.close()
+        os._exit(0)
+
+    def reload(self, reason):
+        """Note that the settings file changed; addresses cannot change while running."""
+        self.log.record("reloaded", reason=reason)
+
+    def is_ready(self):
+        """Return whether callers should be sent here."""
+        return self.config is not None and not self.leaving
+
+    def _describe(self):
+        return (
+            self.catalog.config_version,
+            self.catalog.revision,
+            self.sync.reachable,
+            self._rate,
+        )
+
+    def _find_route(self, name):
+        return self._routes.get(name)
+
+    def _apply_config(self, config):
+        self._routes = {route.name: route for route in config.routes}
+        self.router = HostRouter(config)
+        self.upstream.set_idle_limits(dict.fromkeys(config.services, IDLE_CONNECTIONS))
+        first = self.config is None
+        self.config = config
+        if first and not self.leaving:
+            self.fleet.set_state("alive")
+            self.log.record("ready", config_version=config.version)
+
+    def _apply_server(self, name):
+        listed = self.catalog.get_server(name)
+        if listed is None:
+            self.evidence.forget(name)
+            self.upstream.close_server(name)
+
+    def _get_budget(self, service):
+        budget = self._budgets.get(service)
+        if budget is None:
+            share = self.settings.retry_share * RETRY_SHARE_USED
+            budget = self._budgets[service] = RetryBudget(share, RETRY_RESERVE)
+        return budget
+
+    def _answer_directory(self, query):
+        region, zone = self.platform.read_query(query)
+        vms = self._choose_vms(region, zone)
+        if not vms:
+            return None
+        port = parse_address(self.settings.caller_address)[1]
+        addresses = [f"{parse_address(vm.peer_address)[0]}:{port}" for vm in vms]
+        return self.platform.make_answer(addresses, self.settings.caller_hold_s)
+
+    def _choose_vms(self, region, zone):
+        """Return the VMs for callers of a zone, from the nearest zone with any."""
+        vms = self.fleet.get_active(zone)
+        if vms:
+            return vms
+        near = [z for z, r in self._regions.items() if r == region and z != zone]
+        for zones in (near, self._regions):
+            vms = [vm for z in zones for vm in self.fleet.get_active(z)]
+            if vms:
+                return vms
+        return []
+
+    def _send_reports(self):
+        zones = [z for z, r in self._regions.items() if r == self.settings.region]
+        while True:
+            self.clock.sleep(REPORT_INTERVAL_S)
+            reports = self.evidence.take_reports()
+            if not reports:
+                continue
+            body = AttemptReports(reports)
+            for address in self.fleet.find_addressees(zones):
+                self.network.send(address, body)
+
+    def _handle_reports(self, envelope, address):
+        if self.config is not None:
+            self.evidence.apply_reports(envelope.sender, envelope.body.attempts)
+
+    def _maintain(self):
+        while True:
+            self.clock.sleep(EXPIRE_INTERVAL_S)
+            self.evidence.expire()
+            self.upstream.close_idle()
+            started = self.application.started
+            share = EXPIRE_INTERVAL_S / RATE_WINDOW_S
+            rate = (started - self._counted) / EXPIRE_INTERVAL_S
+            self._rate += (rate - self._rate) * share
+            self._counted = started
+
+    def _record_error(self, error):
+        self.log.record("peer_error", detail=f"{type(error).__name__}: {error}")
--- /dev/null
+++ b/src/lavendermast/evidencebook.py
@@ -0,0 +1,168 @@
+"""What all VMs of a region saw of backend servers: own attempts and reported ones."""
+
+import collections
+import itertools
+
+from lavendermast.durations import Durations
+from lavendermast.messages_model import AttemptReport
+from lavendermast.models import AttemptStatus
+from lavendermast.suspicion import HORIZON_S, ServerEvidence
+
+#: Own reports are sent in this many batches, since datagrams may be lost.
+REPORT_COPIES = 2
+MAX_REPORTS_PER_BATCH = 24
+#: Weight of one answer in the mean answer size.
+SIZE_WEIGHT = 0.05
+DOWNLOAD_BYTES = 90_000
+ANSWER_BYTES = 1_500
+MAX_FOREIGN_ATTEMPTS = 20_000
+#: Statuses without a word about the server's health.
+_NEUTRAL = {AttemptStatus.SHED, AttemptStatus.MISDIRECTED}
+_PHASES = {True: "succeeded", False: "failed", None: "abandoned"}
+
+
+class EvidenceBook:
+    """
+    Evidence about each server and answer times of each route.
+
+    :param route_names: callable that returns the routes in force by name.
+    """
+
+    def __init__(self, clock, find_route):
+        self._clock = clock
+        self._find_route = find_route
+        self._servers = collections.defaultdict(ServerEvidence)
+        self._durations = {}
+        self._answer_bytes = {}
+        self._numbers = itertools.count(1)
+        self._own = {}
+        self._outbox = collections.deque()
+        self._foreign = collections.OrderedDict()
+
+    def get(self, server_name):
+        """Return the evidence about a server."""
+        return self._servers[server_name]
+
+    def get_durations(self, route):
+        """Return the answer times of a route."""
+        durations = self._durations.get(route.name)
+        if durations is None:
+            durations = self._durations[route.name] = Durations(route.goal_s)
+        return durations
+
+    def get_answer_bytes(self, route):
+        """Return the mean size of a route's answers."""
+        default = DOWNLOAD_BYTES if route.kind.value == "download" else ANSWER_BYTES
+        return self._answer_bytes.get(route.name, default)
+
+    def forget(self, server_name):
+        """Drop the evidence about a server that is gone or started anew."""
+        self._servers.pop(server_name, None)
+
+    def start(self, server_name, route):
+        """Count an own attempt that begins now and return it."""
+        now = self._clock.monotonic()
+        attempt = self._servers[server_name].start(now, self.get_durations(route))
+        number = next(self._numbers)
+        self._own[attempt] = (number, server_name, route.name)
+        self._outbox.append([REPORT_COPIES, number, server_name, route.name, attempt])
+        return attempt
+
+    def finish(self, server_name, route, attempt, result, succeeded):
+        """Count the end of an own attempt."""
+        now = self._clock.monotonic()
+        number, _, _ = self._own.pop(attempt)
+        evidence = self._servers[server_name]
+        if result.status in _NEUTRAL:
+            self._remove(evidence, attempt)
+            self._outbox.append(
+                [REPORT_COPIES, number, server_name, route.name, None]
+            )
+            return
+        evidence.finish(attempt, now, succeeded)
+        self._outbox.append([REPORT_COPIES, number, server_name, route.name, attempt])
+        if succeeded:
+            self.get_durations(route).add(now - attempt.started)
+            size = len(result.body)
+            mean = self.get_answer_bytes(route)
+            self._answer_bytes[route.name] = mean + (size - mean) * SIZE_WEIGHT
+
+    def take_reports(self):
+        """Return reports on own attempts to send now."""
+        now = self._clock.monotonic()
+        batch = {}
+        for _ in range(min(len(self._outbox), MAX_REPORTS_PER_BATCH)):
+            item = self._outbox.popleft()
+            copies, number, server_name, route_name, attempt = item
+            batch[number] = make_report(number, server_name, route_name, attempt, now)
+            if copies > 1:
+                item[0] -= 1
+                self._outbox.append(item)
+        return tuple(batch.values())
+
+    def apply_reports(self, sender, reports):
+        """Take in what another VM reports of its attempts."""
+        now = self._clock.monotonic()
+        for report in reports:
+            self._apply_report((sender, report.sequence), report, now)
+        while len(self._foreign) > MAX_FOREIGN_ATTEMPTS:
+            self._foreign.popitem(last=False)
+
+    def expire(self):
+        """Forget reported attempts that are too old to matter."""
+        oldest = self._clock.monotonic() - 2 * HORIZON_S
+        while self._foreign:
+            key, attempt = next(iter(self._foreign.items()))
+            if attempt is not None and attempt.started > oldest:
+                return
+            del self._foreign[key]
+
+    def _apply_report(self, key, report, now):
+        evidence = self._servers[report.server]
+        if report.phase == "refused":
+            known = self._foreign.get(key)
+            if known is not None:
+                self._remove(evidence, known)
+                self._foreign[key] = None
+            return
+        attempt = self._foreign.get(key)
+        if attempt is None:
+            if key in self._foreign:
+                return
+            route = self._find_route(report.route)
+            if route is None:
+                return
+            started = now - report.start_age_ms / 1000
+            attempt = evidence.start(started, self.get_durations(route))
+            self._foreign[key] = attempt
+        if report.phase == "pending" or attempt.ended is not None:
+            return
+        succeeded = {"succeeded": True, "failed": False}.get(report.phase)
+        ended = attempt.started + report.duration_ms / 1000
+        evidence.finish(attempt, ended, succeeded)
+        if succeeded:
+            attempt.durations.add(report.duration_ms / 1000)
+
+    def _remove(self, evidence, attempt):
+        if attempt.ended is None:
+            evidence.finish(attempt, self._clock.monotonic(), None)
+        if attempt in evidence.attempts:
+            evidence.attempts.remove(attempt)
+
+
+def make_report(number, server_name, route_name, attempt, now):
+    """Return the report on an own attempt; without one the server refused it."""
+    if attempt is None:
+        return AttemptReport(server_name, number, "refused", route=route_name)
+    phase, duration = "pending", 0.0
+    if attempt.ended is not None:
+        phase = _PHASES[attempt.succeeded]
+        duration = attempt.ended - attempt.started
+    return AttemptReport(
+        server_name,
+        number,
+        phase,
+        round((now - attempt.started) * 1000),
+        round(duration * 1000),
+        route_name,
+    )
--- a/src/lavendermast/exceptions.py
+++ b/src/lavendermast/exceptions.py
@@ -37,6 +37,14 @@
     """The configuration service did not answer or answered with an error."""
 
 
+class HistoryLostError(StoreError):
+    """The store no longer has the changes after a revision; read everything again."""
+
+
+class DocumentError(LavendermastError):
+    """A document of the store cannot be read; the last good one stays in force."""
+
+
 class TokenError(LavendermastError):
     """An idempotency token was not accepted."""
 
--- a/src/lavendermast/forwarding.py
+++ b/src/lavendermast/forwarding.py
@@ -4,7 +4,8 @@
 from lavendermast.framing import remove_hop_headers
 from lavendermast.logs import digest_text
 from lavendermast.models import Outcome, Reply, Server
-from lavendermast.upstream import Upstream, add_length
+from lavendermast.serverprotocol import OwnServerProtocol, add_length
+from lavendermast.upstream import Upstream
 
 FORWARDED_HEADER = "Lavendermast-Forwarded"
 _OUTCOMES = {outcome.value: outcome for outcome in Outcome}
@@ -57,7 +58,7 @@
             headers.append(("Lavendermast-Request", request.id))
             return add_length(headers, request)
 
-        upstream = Upstream.from_config(config, clock, build_headers)
+        upstream = Upstream.from_config(config, clock, OwnServerProtocol(build_headers))
         return cls(upstream, find_owner, record_event)
 
     def apply_config(self, config):
--- a/src/lavendermast/framing.py
+++ b/src/lavendermast/framing.py
@@ -8,6 +8,7 @@
 #: Bound on a response's header section, so that a server cannot exhaust memory.
 MAX_HEAD_BYTES = 65536
 MAX_CHUNK_LINE_BYTES = 4096
+MAX_FOREIGN_RESPONSES = 2
 _STATUS_LINE = re.compile(rb"HTTP/1\.([01]) ([1-9][0-9]{2})(?: [^\r\n]*)?")
 _FIELD_NAME = re.compile(rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+")
 _CHUNK_LINE = re.compile(rb"([0-9A-Fa-f]{1,16})[ \t]*(?:;[^\r\n]*)?")
@@ -51,6 +52,8 @@
     """
 
     will_close = False
+    #: Whether an answer without a length may end with its connection.
+    accepts_unframed = False
 
     def __init__(self, sock, method=None):
         self._sock = sock
@@ -58,6 +61,7 @@
         self._buffer = b""
         self._start = 0  # consumed bytes of the buffer
         self._chunked = False
+        self._ends_with_connection = False
         self._left = 0
         self.length = None
         self.status = 0
@@ -108,6 +112,8 @@
         """
         if self.finished:
             return b""
+        if self._ends_with_connection:
+            return self._read_to_end()
         if self._left == 0 and self._chunked:
             self._start_chunk()
         if self._left == 0:
@@ -122,6 +128,13 @@
             self._expect_line_end()
         return piece
 
+    def _read_to_end(self):
+        piece = self._buffer[self._start :]
+        self._buffer, self._start = b"", 0
+        piece = piece or self._sock.recv(READ_BYTES)
+        self.finished = not piece
+        return piece
+
     def _finish(self):
         self.finished = True
         if self._count_buffered():
@@ -166,6 +179,10 @@
             self._chunked = True
             return
         sizes = {part.strip() for value in lengths for part in value.split(",")}
+        if not sizes and self.accepts_unframed:
+            self._ends_with_connection = True
+            self.persistent = False
+            return
         if len(sizes) != 1:
             raise FramingError("conflicting lengths" if sizes else "no length")
         size = sizes.pop()
@@ -211,3 +228,48 @@
     if b"\n" in value or b"\r" in value or b"\0" in value:
         raise FramingError("control character in a header")
     return name.decode("ascii"), value.decode("latin-1")
+
+
+class IdentifiedResponse(ServerResponse):
+    """
+    A response of a server that repeats the request's identifier in it.
+
+    Responses to other requests, which may arrive late on a kept connection, are
+    skipped. Bytes after the body belong to no request and end the connection's use.
+
+    :param id_header: name of the header with the identifier, in lower case.
+    :param request_id: identifier of the awaited response.
+    """
+
+    accepts_unframed = True
+
+    def __init__(self, sock, method=None, *, id_header, request_id):
+        super().__init__(sock, method)
+        self._id_header = id_header
+        self._request_id = request_id
+
+    def begin(self):
+        """Read heads until that of the awaited response."""
+        for _ in range(MAX_FOREIGN_RESPONSES + 1):
+            super().begin()
+            if self._is_awaited():
+                return
+            self._skip()
+        raise FramingError("only responses to other requests")
+
+    def _is_awaited(self):
+        ids = [value for name, value in self.headers if name.lower() == self._id_header]
+        return not ids or ids == [self._request_id]
+
+    def _skip(self):
+        if self._ends_with_connection:
+            raise FramingError("a response to another request without an end")
+        while self.read_piece():
+            pass
+        self.finished = False
+        self.length = None
+        self._left = 0
+        self._chunked = False
+
+    def _finish(self):
+        self.finished = True
--- /dev/null
+++ b/src/lavendermast/hostroutes.py
@@ -0,0 +1,56 @@
+"""Route selection by host and longest path prefix, and exact weighted splits."""
+
+
+class WeightedCycle:
+    """
+    Deals requests to the parts of a split so that each prefix keeps the weights.
+
+    >>> cycle = WeightedCycle([("a", 3), ("b", 1)])
+    >>> [cycle.take() for _ in range(4)]
+    ['a', 'a', 'b', 'a']
+    """
+
+    def __init__(self, parts):
+        self._parts = [[name, weight, 0.0] for name, weight in parts if weight > 0]
+        self._total = sum(part[1] for part in self._parts)
+
+    def take(self):
+        """Return the name of the part for the next request."""
+        for part in self._parts:
+            part[2] += part[1]
+        chosen = max(self._parts, key=lambda part: part[2])
+        chosen[2] -= self._total
+        return chosen[0]
+
+
+class HostRouter:
+    """
+    Finds the route of a request.
+
+    :param config: an ``EntryConfig``.
+    """
+
+    def __init__(self, config):
+        self._hosts = {}
+        for route in config.routes:
+            self._hosts.setdefault(route.host.lower(), []).append(route)
+        for routes in self._hosts.values():
+            routes.sort(key=lambda route: len(route.prefix), reverse=True)
+        self._cycles = {}
+
+    def find_route(self, host, path):
+        """Return the route with the longest matching prefix, or ``None``."""
+        for route in self._hosts.get(host.lower(), ()):
+            if path.startswith(route.prefix):
+                return route
+        return None
+
+    def choose_service(self, route):
+        """Return the service that the route's next request goes to."""
+        if len(route.parts) == 1:
+            return route.parts[0].service
+        cycle = self._cycles.get(route.name)
+        if cycle is None:
+            cycle = WeightedCycle([(part.service, part.weight) for part in route.parts])
+            self._cycles[route.name] = cycle
+        return cycle.take()
--- a/src/lavendermast/listeners.py
+++ b/src/lavendermast/listeners.py
@@ -50,6 +50,11 @@
             debug=False,
         )
 
+    def stop_accepting(self):
+        """Take no new connection; those that are open go on."""
+        self._task.kill()
+        self._socket.close()
+
     def stop(self):
         """Stop accepting, close idle connections and wait for the busy ones."""
         self._task.kill()
--- a/src/lavendermast/logs.py
+++ b/src/lavendermast/logs.py
@@ -81,7 +81,7 @@
     def from_settings(cls, settings, clock):
         """Return the log that the process settings name."""
         stream = sys.stdout
-        if settings.log_path != "-":
+        if getattr(settings, "log_path", "-") != "-":
             stream = pathlib.Path(settings.log_path).open("a")
         context = {"vm": settings.vm, "zone": settings.zone}
         return cls(stream, context, clock)
--- a/src/lavendermast/messages_model.py
+++ b/src/lavendermast/messages_model.py
@@ -455,6 +455,212 @@
         )
 
 
+@attrs.frozen
+class VmPresence:
+    """Message struct VmPresence."""
+
+    vm: str = ""
+    zone: str = ""
+    peer_address: str = ""
+    boot_id: int = 0
+    state: str = "alive"
+    age_ms: int = 0
+
+    def to_dict(self):
+        """Return the fields as pycapnp accepts them."""
+        return {
+            "vm": self.vm,
+            "zone": self.zone,
+            "peerAddress": self.peer_address,
+            "bootId": self.boot_id,
+            "state": self.state,
+            "ageMs": self.age_ms,
+        }
+
+    @classmethod
+    def from_reader(cls, reader):
+        """Return an instance from a pycapnp reader."""
+        return cls(
+            vm=str(reader.vm),
+            zone=str(reader.zone),
+            peer_address=str(reader.peerAddress),
+            boot_id=reader.bootId,
+            state=str(reader.state),
+            age_ms=reader.ageMs,
+        )
+
+
+@attrs.frozen
+class Presence:
+    """Message struct Presence."""
+
+    own: VmPresence = attrs.Factory(VmPresence)
+    others: tuple[VmPresence, ...] = ()
+    config_version: int = 0
+    revision: int = 0
+    store_reachable: bool = False
+    reply_wanted: bool = False
+    busy_share: float = 0.0
+
+    def to_dict(self):
+        """Return the fields as pycapnp accepts them."""
+        return {
+            "own": self.own.to_dict(),
+            "others": [item.to_dict() for item in self.others],
+            "configVersion": self.config_version,
+            "revision": self.revision,
+            "storeReachable": self.store_reachable,
+            "replyWanted": self.reply_wanted,
+            "busyShare": self.busy_share,
+        }
+
+    @classmethod
+    def from_reader(cls, reader):
+        """Return an instance from a pycapnp reader."""
+        return cls(
+            own=VmPresence.from_reader(reader.own),
+            others=tuple(VmPresence.from_reader(item) for item in reader.others),
+            config_version=reader.configVersion,
+            revision=reader.revision,
+            store_reachable=reader.storeReachable,
+            reply_wanted=reader.replyWanted,
+            busy_share=reader.busyShare,
+        )
+
+
+@attrs.frozen
+class AttemptReport:
+    """Message struct AttemptReport."""
+
+    server: str = ""
+    sequence: int = 0
+    phase: str = "pending"
+    start_age_ms: int = 0
+    duration_ms: int = 0
+    route: str = ""
+
+    def to_dict(self):
+        """Return the fields as pycapnp accepts them."""
+        return {
+            "server": self.server,
+            "sequence": self.sequence,
+            "phase": self.phase,
+            "startAgeMs": self.start_age_ms,
+            "durationMs": self.duration_ms,
+            "route": self.route,
+        }
+
+    @classmethod
+    def from_reader(cls, reader):
+        """Return an instance from a pycapnp reader."""
+        return cls(
+            server=str(reader.server),
+            sequence=reader.sequence,
+            phase=str(reader.phase),
+            start_age_ms=reader.startAgeMs,
+            duration_ms=reader.durationMs,
+            route=str(reader.route),
+        )
+
+
+@attrs.frozen
+class AttemptReports:
+    """Message struct AttemptReports."""
+
+    attempts: tuple[AttemptReport, ...] = ()
+
+    def to_dict(self):
+        """Return the fields as pycapnp accepts them."""
+        return {
+            "attempts": [item.to_dict() for item in self.attempts],
+        }
+
+    @classmethod
+    def from_reader(cls, reader):
+        """Return an instance from a pycapnp reader."""
+        return cls(
+            attempts=tuple(AttemptReport.from_reader(item) for item in reader.attempts),
+        )
+
+
+@attrs.frozen
+class StoredChange:
+    """Message struct StoredChange."""
+
+    key: str = ""
+    revision: int = 0
+    deleted: bool = False
+    content: bytes = b""
+
+    def to_dict(self):
+        """Return the fields as pycapnp accepts them."""
+        return {
+            "key": self.key,
+            "revision": self.revision,
+            "deleted": self.deleted,
+            "content": self.content,
+        }
+
+    @classmethod
+    def from_reader(cls, reader):
+        """Return an instance from a pycapnp reader."""
+        return cls(
+            key=str(reader.key),
+            revision=reader.revision,
+            deleted=reader.deleted,
+            content=bytes(reader.content),
+        )
+
+
+@attrs.frozen
+class StoredChanges:
+    """Message struct StoredChanges."""
+
+    from_revision: int = 0
+    to_revision: int = 0
+    whole: bool = False
+    changes: tuple[StoredChange, ...] = ()
+
+    def to_dict(self):
+        """Return the fields as pycapnp accepts them."""
+        return {
+            "fromRevision": self.from_revision,
+            "toRevision": self.to_revision,
+            "whole": self.whole,
+            "changes": [item.to_dict() for item in self.changes],
+        }
+
+    @classmethod
+    def from_reader(cls, reader):
+        """Return an instance from a pycapnp reader."""
+        return cls(
+            from_revision=reader.fromRevision,
+            to_revision=reader.toRevision,
+            whole=reader.whole,
+            changes=tuple(StoredChange.from_reader(item) for item in reader.changes),
+        )
+
+
+@attrs.frozen
+class FetchChanges:
+    """Message struct FetchChanges."""
+
+    revision: int = 0
+
+    def to_dict(self):
+        """Return the fields as pycapnp accepts them."""
+        return {
+            "revision": self.revision,
+        }
+
+    @classmethod
+    def from_reader(cls, reader):
+        """Return an instance from a pycapnp reader."""
+        return cls(
+            revision=reader.revision,
+        )
+
+
 BODY_CLASSES = {
     "ping": Ping,
     "pingRequest": PingRequest,
@@ -466,4 +672,8 @@
     "syncMembers": SyncMembers,
     "handover": Handover,
     "handoverReply": HandoverReply,
+    "presence": Presence,
+    "attemptReports": AttemptReports,
+    "storedChanges": StoredChanges,
+    "fetchChanges": FetchChanges,
 }
--- a/src/lavendermast/models.py
+++ b/src/lavendermast/models.py
@@ -5,6 +5,9 @@
 import attrs
 
 
+REPEATABLE_METHODS = frozenset({"GET", "HEAD", "OPTIONS"})
+
+
 class Outcome(enum.Enum):
     """What a caller may conclude about its request."""
 
@@ -25,6 +28,7 @@
     CUT = "cut"  # the answer ended early or broke its framing
     EXPIRED = "expired"  # the deadline passed before anything was sent
     CANCELLED = "cancelled"  # the caller left
+    MISDIRECTED = "misdirected"  # another server has the address
 
 
 #: Attempts that certainly did not run on the server.
@@ -34,6 +38,7 @@
         AttemptStatus.DRAINING,
         AttemptStatus.CONNECT_FAILED,
         AttemptStatus.EXPIRED,
+        AttemptStatus.MISDIRECTED,
     }
 )
 
@@ -114,6 +119,7 @@
     One request of a caller.
 
     :param deadline: monotonic time after which no work is started for it.
+    :param idempotent: what its route says; ``None`` leaves it to the method.
     """
 
     id: str
@@ -127,6 +133,14 @@
     deadline_unix_ms: int
     arrived: float
     key: str = ""
+    idempotent: bool | None = None
+
+    @property
+    def repeatable(self):
+        """Whether it may be sent again after its connection broke."""
+        if self.idempotent is None:
+            return self.method in REPEATABLE_METHODS and not self.key
+        return self.idempotent
 
 
 @attrs.frozen
--- /dev/null
+++ b/src/lavendermast/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Names, formats and calls of the users' platform; nothing here decides."""
--- /dev/null
+++ b/src/lavendermast/platform/calls.py
@@ -0,0 +1,61 @@
+"""Headers and bodies of the calls between callers, entry VMs and backend servers."""
+
+import json
+
+from lavendermast.framing import remove_hop_headers
+from lavendermast.models import AttemptStatus
+from lavendermast.serverprotocol import ServerProtocol, add_length
+
+READY_PATH = "/readyz"
+DIRECTORY_PATH = "/resolve"
+#: WSGI names of the headers that a caller sends.
+REQUEST_ID_VARIABLE = "HTTP_REQUEST_ID"
+TIME_LEFT_VARIABLE = "HTTP_DEADLINE_MS"
+REQUEST_ID_HEADER = "Request-Id"
+_SIGNATURE = "server-signature"
+_REPLACED = frozenset({"deadline-ms", "expect-instance", "content-length", "expect"})
+
+
+class PlatformServerProtocol(ServerProtocol):
+    """HTTP as the platform's servers speak it."""
+
+    response_id_header = "request-id"
+
+    def __init__(self, clock):
+        self._clock = clock
+
+    def build_headers(self, request, server):
+        """Return the headers of an attempt at one server."""
+        left_ms = int((request.deadline - self._clock.monotonic()) * 1000)
+        headers = [
+            pair
+            for pair in remove_hop_headers(request.headers)
+            if pair[0].lower() not in _REPLACED
+        ]
+        headers.append(("Deadline-Ms", str(max(left_ms, 1))))
+        headers.append(("Expect-Instance", server.name))
+        return add_length(headers, request)
+
+    def read_result(self, result, response):
+        """Fill status and headers of a result from a response's head."""
+        result.http_status = response.status
+        result.headers = remove_hop_headers(response.headers)
+        names = {name.lower(): value for name, value in result.headers}
+        if "not-executed" in names or response.status == 421:
+            result.status = AttemptStatus.SHED
+            if response.status == 421:
+                result.status = AttemptStatus.MISDIRECTED
+        elif _SIGNATURE not in names or "content-encoding" in names:
+            result.status = AttemptStatus.CUT
+        elif response.status >= 500:
+            result.status = AttemptStatus.ERROR
+
+
+def make_directory_answer(addresses, hold_s):
+    """Return the body that names the addresses to use, and for how long."""
+    return json.dumps({"addresses": addresses, "ttl_s": hold_s}).encode()
+
+
+def read_directory_query(query):
+    """Return the region and zone of a caller that asks for addresses."""
+    return query.get("region", ""), query.get("zone", "")
--- /dev/null
+++ b/src/lavendermast/platform/store.py
@@ -0,0 +1,102 @@
+"""Calls of the platform's metadata store."""
+
+import base64
+import json
+
+import urllib3
+from urllib3.util import Timeout
+
+from lavendermast.exceptions import HistoryLostError, StoreError
+from lavendermast.messages_model import StoredChange, StoredChanges
+from lavendermast.sockets import STORE_SOCKET_OPTIONS
+from lavendermast.utils import parse_address
+
+from .documents import is_needed
+
+CONNECT_TIMEOUT_S = 0.5
+#: A slow store answers after 60 times its usual 4 ms; a lost answer never comes.
+READ_TIMEOUT_S = 1.5
+
+
+class MetadataStore:
+    """
+    Reads and watches all documents of the store.
+
+    :param address: ``ip:port`` of the store.
+    """
+
+    def __init__(self, address):
+        self._pool = urllib3.HTTPConnectionPool(
+            *parse_address(address), maxsize=2, socket_options=STORE_SOCKET_OPTIONS
+        )
+        self.calls = 0
+
+    def read_all(self):
+        """
+        Return all documents as :class:`StoredChanges`, possibly some seconds old.
+
+        Pages are of different revisions; a watch from the oldest one repairs that.
+        """
+        changes, after, oldest = [], "", None
+        while True:
+            page = self._call(
+                "/kv-range", {"prefix": "", "allow_stale": 1, "after": after}
+            )
+            changes += self._read_items(page["items"])
+            revision = page["at_rev"]
+            oldest = revision if oldest is None else min(oldest, revision)
+            if not page.get("has_more") or not page["items"]:
+                return StoredChanges(0, oldest, True, tuple(changes))
+            after = page["items"][-1]["key"]
+
+    def watch(self, revision, wait_s):
+        """Return the changes after a revision; blocks until one comes or time ends."""
+        query = {"prefix": "", "after": revision, "wait_ms": int(wait_s * 1000)}
+        page = self._call("/kv-watch", query, wait_s)
+        changes = self._read_items(page["events"])
+        return StoredChanges(revision, page["at_rev"], False, tuple(changes))
+
+    def _call(self, path, query, wait_s=0.0):
+        self.calls += 1
+        fields = {name: str(value) for name, value in query.items() if value != ""}
+        try:
+            response = self._pool.request(
+                "GET",
+                path,
+                fields=fields,
+                retries=False,
+                timeout=Timeout(CONNECT_TIMEOUT_S, READ_TIMEOUT_S + wait_s),
+            )
+        except (urllib3.exceptions.HTTPError, OSError) as error:
+            raise StoreError(f"{path}: {error}") from error
+        if response.status == 410:
+            raise HistoryLostError(f"{path}: history is gone")
+        if response.status != 200:
+            raise StoreError(f"{path}: status {response.status}")
+        try:
+            return json.loads(response.data)
+        except ValueError as error:
+            raise StoreError(f"{path}: {error}") from error
+
+    def _read_items(self, items):
+        try:
+            return [
+                StoredChange(
+                    item["key"],
+                    item["rev"],
+                    bool(item.get("deleted")),
+                    _decode_value(item.get("value")),
+                )
+                for item in items
+                if is_needed(item["key"])
+            ]
+        except (KeyError, TypeError) as error:
+            raise StoreError(f"malformed item: {error}") from error
+
+
+def _decode_value(text):
+    """Return the bytes of a value; other writers may store what is no base64."""
+    try:
+        return base64.b64decode(text or "", validate=True)
+    except (TypeError, ValueError):
+        return b""
--- a/src/lavendermast/requests.py
+++ b/src/lavendermast/requests.py
@@ -51,8 +51,8 @@
             method=environ["REQUEST_METHOD"],
             path=get_raw_path(environ),
             query=environ.get("QUERY_STRING", ""),
-            headers=_read_headers(environ),
-            body=_read_body(environ, route.max_body_bytes),
+            headers=read_headers(environ),
+            body=read_body(environ, route.max_body_bytes),
             customer=environ.get("HTTP_LAVENDERMAST_CUSTOMER", "")[
                 :MAX_CUSTOMER_CHARACTERS
             ],
@@ -92,7 +92,7 @@
         raise RequestError(431, "headers-too-large", f"{size} bytes of {limit}")
 
 
-def _read_headers(environ):
+def read_headers(environ):
     headers = [
         (name[5:].replace("_", "-").title(), value)
         for name, value in environ.items()
@@ -103,7 +103,7 @@
     return headers
 
 
-def _read_body(environ, limit):
+def read_body(environ, limit):
     length = environ.get("CONTENT_LENGTH") or None
     chunked = "HTTP_TRANSFER_ENCODING" in environ
     if length is not None and (chunked or not length.isdigit()):
--- a/src/lavendermast/retries.py
+++ b/src/lavendermast/retries.py
@@ -27,6 +27,7 @@
     AttemptStatus.CUT: 502,
     AttemptStatus.EXPIRED: 503,
     AttemptStatus.CANCELLED: 499,
+    AttemptStatus.MISDIRECTED: 503,
 }
 
 
@@ -35,7 +36,7 @@
     Retries as a share of the requests of this VM.
 
     Over any number of requests the retries are at most ``share`` of them plus
-    ``RESERVE``.
+    ``reserve``.
 
     >>> budget = RetryBudget(0.1)
     >>> sum(budget.spend() for _ in range(20))
@@ -46,9 +47,10 @@
     2
     """
 
-    def __init__(self, share):
+    def __init__(self, share, reserve=RESERVE):
         self._share = int(share * _UNIT + 0.5)
-        self._left = RESERVE * _UNIT
+        self._reserve = int(reserve * _UNIT)
+        self._left = self._reserve
 
     @classmethod
     def from_config(cls, retries):
@@ -62,7 +64,7 @@
 
     def add_request(self):
         """Count a request of a caller; retries are not counted."""
-        self._left = min(RESERVE * _UNIT, self._left + self._share)
+        self._left = min(self._reserve, self._left + self._share)
 
     def spend(self):
         """Take one retry; return whether there was one."""
--- a/src/lavendermast/schema/messages.capnp
+++ b/src/lavendermast/schema/messages.capnp
@@ -134,6 +134,69 @@
   accepted @0 :Bool;
 }
 
+# One VM of the fleet as a sender knows it; the age is that of the last sign of life.
+struct VmPresence {
+  vm @0 :Text;
+  zone @1 :Text;
+  peerAddress @2 :Text;
+  bootId @3 :UInt64;
+  state @4 :MemberState;
+  ageMs @5 :UInt32;
+}
+
+# A sign of life with what the sender knows of others and the age of its state.
+struct Presence {
+  own @0 :VmPresence;
+  others @1 :List(VmPresence);
+  configVersion @2 :UInt64;
+  revision @3 :UInt64;
+  storeReachable @4 :Bool;
+  replyWanted @5 :Bool;
+  busyShare @6 :Float32;
+}
+
+enum AttemptPhase {
+  pending @0;
+  succeeded @1;
+  failed @2;
+  refused @3;
+  abandoned @4;
+}
+
+# One attempt at a backend server; ages are relative to the time of sending.
+struct AttemptReport {
+  server @0 :Text;
+  sequence @1 :UInt32;
+  phase @2 :AttemptPhase;
+  startAgeMs @3 :UInt32;
+  durationMs @4 :UInt32;
+  route @5 :Text;
+}
+
+struct AttemptReports {
+  attempts @0 :List(AttemptReport);
+}
+
+# One document of the store as it was written.
+struct StoredChange {
+  key @0 :Text;
+  revision @1 :UInt64;
+  deleted @2 :Bool;
+  content @3 :Data;
+}
+
+# Changes that lead from one revision to another; whole means that nothing else exists.
+struct StoredChanges {
+  fromRevision @0 :UInt64;
+  toRevision @1 :UInt64;
+  whole @2 :Bool;
+  changes @3 :List(StoredChange);
+}
+
+struct FetchChanges {
+  revision @0 :UInt64;
+}
+
 struct Message {
   sender @0 :Text;
   bootId @1 :UInt64;
@@ -149,5 +212,9 @@
     syncMembers @10 :SyncMembers;
     handover @11 :Handover;
     handoverReply @12 :HandoverReply;
+    presence @13 :Presence;
+    attemptReports @14 :AttemptReports;
+    storedChanges @15 :StoredChanges;
+    fetchChanges @16 :FetchChanges;
   }
 }
--- a/src/lavendermast/settings_model.py
+++ b/src/lavendermast/settings_model.py
@@ -117,6 +117,90 @@
         )
 
 
+@attrs.frozen
+class EntryZone:
+    """
+    An availability zone and its region.
+
+    :param zone: Name of the zone.
+    :param region: Name of its region.
+    """
+
+    zone: str
+    region: str
+
+    @classmethod
+    def from_config(cls, data):
+        """Return an instance from checked settings."""
+        return cls(
+            zone=data["zone"],
+            region=data["region"],
+        )
+
+
+@attrs.frozen
+class EntrySettings:
+    """
+    Settings of an entry process on the users' platform.
+
+    :param vm: Name of this VM.
+    :param zone: Its availability zone.
+    :param region: Its region.
+    :param zones: All zones with their regions.
+    :param caller_address: Address for callers' requests.
+    :param ready_address: Address that tells whether this VM is ready.
+    :param directory_address: Address that tells callers which VMs to use.
+    :param peer_address: Address for other VMs, over UDP and TCP.
+    :param metrics_address: Address of metrics.
+    :param seeds: Peer addresses of VMs to ask for others; they may be stale or down.
+    :param store_address: Address of the store that operators and servers write to.
+    :param grace_s: Seconds between SIGTERM and SIGKILL.
+    :param caller_hold_s: Seconds for which callers keep an address answer.
+    :param lapse_s: Seconds after an outage of the store for which vanished servers are still used.
+    :param retry_share: Further attempts as a share of a service's requests.
+    :param retry_slack: Further attempts that the whole fleet may add to that share.
+    """
+
+    vm: str
+    zone: str
+    region: str
+    zones: tuple[EntryZone, ...]
+    caller_address: str
+    ready_address: str
+    directory_address: str
+    peer_address: str
+    metrics_address: str
+    seeds: tuple[str, ...]
+    store_address: str
+    grace_s: float
+    caller_hold_s: float
+    lapse_s: float
+    retry_share: float
+    retry_slack: float
+
+    @classmethod
+    def from_config(cls, data):
+        """Return an instance from checked settings."""
+        return cls(
+            vm=data["vm"],
+            zone=data["zone"],
+            region=data["region"],
+            zones=tuple(EntryZone.from_config(value) for value in data["zones"]),
+            caller_address=data["caller_address"],
+            ready_address=data["ready_address"],
+            directory_address=data["directory_address"],
+            peer_address=data["peer_address"],
+            metrics_address=data["metrics_address"],
+            seeds=tuple(data["seeds"]),
+            store_address=data["store_address"],
+            grace_s=data.get("grace_s", 6),
+            caller_hold_s=data.get("caller_hold_s", 1),
+            lapse_s=data.get("lapse_s", 2),
+            retry_share=data.get("retry_share", 0.2),
+            retry_slack=data.get("retry_slack", 60),
+        )
+
+
 @attrs.frozen
 class Customer:
     """
--- /dev/null
+++ b/src/lavendermast/suspicion.py
@@ -0,0 +1,142 @@
+"""Probability that a backend server is sick, from the attempts of many VMs."""
+
+import collections
+import math
+
+import attrs
+
+#: A server that nobody has asked for long is sick with this probability.
+SICK_SHARE = 0.2
+#: Time in which knowledge about a server loses 63% of its weight, in seconds: gray
+#: failures come and go within a few seconds.
+MEMORY_S = 2.0
+#: Attempts that began earlier say nothing about a server's state now.
+HORIZON_S = 6.0
+#: Share of the requests that a sick server fails.
+SICK_FAILS = 0.7
+#: Share of the requests that a healthy server fails by itself.
+HEALTHY_FAILS = 0.015
+#: Bound on what one attempt can say, as a factor on the odds.
+MAX_FACTOR = 40.0
+#: Probabilities are kept inside these bounds, so that new evidence always counts.
+MIN_PROBABILITY = 0.004
+MAX_PROBABILITY = 0.985
+#: A probability is reused for this time; ages change little within it.
+CACHE_S = 0.015
+
+_SUCCESS_FACTOR = (1 - SICK_FAILS) / (1 - HEALTHY_FAILS)
+_FAILURE_FACTOR = min(SICK_FAILS / HEALTHY_FAILS, MAX_FACTOR)
+
+
+@attrs.define(eq=False)
+class Attempt:
+    """
+    One attempt as this VM knows it; times are monotonic.
+
+    :param durations: the answer times of its route, to judge its age.
+    :param ended: time of its end, ``None`` while it is pending.
+    :param succeeded: its result; ``None`` for one that was abandoned or is pending.
+    """
+
+    started: float
+    durations: object
+    ended: float | None = None
+    succeeded: bool | None = None
+
+
+class ServerEvidence:
+    """
+    The recent attempts at one server.
+
+    The server is taken as a hidden state that changes between healthy and sick; each
+    attempt tells about the state at its start.
+    """
+
+    def __init__(self):
+        self.attempts = collections.deque()
+        self.pending = 0
+        self.last_started = 0.0
+        self.busy_until = 0.0
+        self._cached = (0.0, SICK_SHARE)
+
+    def start(self, now, durations):
+        """Count an attempt that begins now and return it."""
+        attempt = Attempt(now, durations)
+        attempts = self.attempts
+        # Reports of other VMs arrive late; the deque is kept in order of the starts.
+        index = len(attempts)
+        while index and attempts[index - 1].started > now:
+            index -= 1
+        attempts.insert(index, attempt)
+        self.pending += 1
+        self.last_started = max(self.last_started, now)
+        self._cached = (0.0, 0.0)
+        return attempt
+
+    def finish(self, attempt, now, succeeded):
+        """Count the end of an attempt; ``succeeded`` is ``None`` if it was abandoned."""
+        if attempt.ended is None:
+            self.pending -= 1
+        attempt.ended = now
+        attempt.succeeded = succeeded
+        self._cached = (0.0, 0.0)
+
+    def compute_sickness(self, now):
+        """Return the probability that the server is sick now."""
+        moment, value = self._cached
+        if now - moment < CACHE_S:
+            return value
+        value = self._filter(now)
+        self._cached = (now, value)
+        return value
+
+    def _filter(self, now):
+        attempts = self.attempts
+        while attempts and attempts[0].started < now - HORIZON_S:
+            old = attempts.popleft()
+            if old.ended is None:
+                self.pending -= 1
+                old.ended = now
+        sick, moment = SICK_SHARE, None
+        for attempt in attempts:
+            if moment is not None:
+                sick = relax(sick, attempt.started - moment)
+            moment = attempt.started
+            odds = sick / (1 - sick) * compute_factor(attempt, now)
+            sick = min(max(odds / (1 + odds), MIN_PROBABILITY), MAX_PROBABILITY)
+        return relax(sick, now - moment) if moment is not None else sick
+
+
+def relax(sick, seconds):
+    """
+    Return a probability some time after it was known.
+
+    >>> relax(0.9, 0.0), round(relax(0.9, 60.0), 3)
+    (0.9, 0.2)
+    """
+    return SICK_SHARE + (sick - SICK_SHARE) * math.exp(-seconds / MEMORY_S)
+
+
+def compute_factor(attempt, now):
+    """Return by which factor an attempt changes the odds that its server is sick."""
+    if attempt.succeeded:
+        duration = attempt.ended - attempt.started
+        # An answer that took unusually long is no sign of health.
+        survival = attempt.durations.compute_survival(duration)
+        return _SUCCESS_FACTOR if survival > 0.1 else 1.0
+    if attempt.succeeded is False:
+        return _FAILURE_FACTOR
+    age = (now if attempt.ended is None else attempt.ended) - attempt.started
+    survival = attempt.durations.compute_survival(age)
+    return min((SICK_FAILS + (1 - SICK_FAILS) * survival) / survival, MAX_FACTOR)
+
+
+def compute_lost_probability(sick, survival):
+    """
+    Return the probability that an attempt will never be answered.
+
+    :param sick: probability that its server was sick.
+    :param survival: share of healthy answers that take longer than its age.
+    """
+    lost = sick * SICK_FAILS
+    return lost / (lost + (1 - lost) * survival)
--- a/src/lavendermast/upstream.py
+++ b/src/lavendermast/upstream.py
@@ -1,6 +1,7 @@
 """One attempt at one backend server over pooled connections."""
 
 import collections
+import re
 from http.client import InvalidURL
 
 import attrs
@@ -14,22 +15,18 @@
     RequestError,
     TruncatedResponseError,
 )
-from lavendermast.framing import remove_hop_headers
 from lavendermast.models import AttemptResult, AttemptStatus
+from lavendermast.serverprotocol import OwnServerProtocol
 from lavendermast.utils import parse_address
 
 #: A server may close an idle connection at any moment and the close takes a network
 #: delay to arrive. Requests that must not run twice only reuse younger connections.
 FRESH_IDLE_S = 1.0
 MAX_IDLE_S = 30.0
-_REPEATABLE_METHODS = frozenset({"GET", "HEAD", "OPTIONS"})
-_REPLACED_HEADERS = frozenset(
-    {"host", "content-length", "expect", "x-deadline", "x-request-id"}
-)
-_REFUSALS = {
-    "shedding": AttemptStatus.SHED,
-    "draining": AttemptStatus.DRAINING,
-}
+_KEEP_ALIVE = re.compile(r"timeout=([0-9]{1,6})")
+#: Time by which a connection is given up before the server would close it: a close
+#: takes one network delay to arrive, and servers round their limit.
+IDLE_MARGIN_S = 1.5
 
 
 class Cancellation:
@@ -124,6 +121,10 @@
         self._attempt.connection.close()
 
 
+class _ConnectTimeoutError(LavendermastError):
+    """The server did not accept a connection in time."""
+
+
 class _InterruptedError(LavendermastError):
     """The deadline passed or the caller cancelled."""
 
@@ -166,33 +167,45 @@
 
     :param buffer_bytes: longest body that is read whole.
     :param idle_limits: mapping of service to idle connections kept for one server.
-    :param build_headers: function of request and server that returns the headers sent.
+    :param protocol: the :class:`~lavendermast.serverprotocol.ServerProtocol` spoken.
+    :param connect_timeout_s: longest wait for a new connection, ``None`` for no bound
+        but the attempt's own.
 
     >>> from lavendermast.clock import SystemClock
     >>> Upstream(SystemClock(), 262144, {"stock": 7}).close_server("stock-1")
     """
 
-    def __init__(self, clock, buffer_bytes, idle_limits, build_headers=None):
+    def __init__(
+        self, clock, buffer_bytes, idle_limits, protocol=None, connect_timeout_s=None
+    ):
         self._clock = clock
         self._buffer_bytes = buffer_bytes
         self._idle_limits = dict(idle_limits)
-        self._build_headers = build_headers or build_server_headers
+        self._protocol = protocol or OwnServerProtocol()
+        self._connect_timeout_s = connect_timeout_s
+        self.connections_opened = 0
         self._idle = collections.defaultdict(collections.deque)
 
     @classmethod
-    def from_config(cls, config, clock, build_headers=None):
+    def from_config(cls, config, clock, protocol=None):
         """Return an upstream with the limits of an accepted configuration."""
-        upstream = cls(clock, 0, {}, build_headers)
+        upstream = cls(clock, 0, {}, protocol)
         upstream.apply_config(config)
         return upstream
 
     def apply_config(self, config):
         """Use the limits of another configuration from now on."""
         self._buffer_bytes = config.limits.buffer_bytes
-        self._idle_limits = {
-            name: max(1, service.connections // service.vms_per_service)
-            for name, service in config.services.items()
-        }
+        self.set_idle_limits(
+            {
+                name: max(1, service.connections // service.vms_per_service)
+                for name, service in config.services.items()
+            }
+        )
+
+    def set_idle_limits(self, limits):
+        """Keep so many idle connections for each server of a service."""
+        self._idle_limits = dict(limits)
 
     def send(self, request, server, deadline, cancelled=None):
         """
@@ -248,14 +261,14 @@
             connection.close()
             return
         connection.idle_since = self._clock.monotonic()
+        connection.idle_limit = read_keep_alive(response.headers)
         idle.append(connection)
 
     def _exchange(self, attempt, request):
         target = f"{request.path}?{request.query}" if request.query else request.path
-        headers = self._build_headers(request, attempt.server)
-        repeatable = request.method in _REPEATABLE_METHODS and not request.key
+        headers = self._protocol.build_headers(request, attempt.server)
         while True:
-            reused = self._take_connection(attempt, repeatable)
+            reused = self._take_connection(attempt, request.repeatable)
             try:
                 attempt.connection.prepare(
                     request.method, target, headers, request.body
@@ -266,6 +279,7 @@
             if self._clock.monotonic() >= attempt.deadline:
                 _close(attempt)
                 return AttemptResult(attempt.server.name, AttemptStatus.EXPIRED)
+            attempt.connection.response_class = self._protocol.make_response(request)
             try:
                 response = attempt.connection.exchange()
             except NotSentError:
@@ -277,16 +291,18 @@
 
     def _take_connection(self, attempt, repeatable):
         now = self._clock.monotonic()
-        bound = MAX_IDLE_S if repeatable else FRESH_IDLE_S
         idle = self._idle.get(attempt.server.name)
         while idle:
             connection = idle.pop()
+            bound = _get_idle_bound(connection, repeatable)
             if now - connection.idle_since <= bound and connection.is_quiet():
                 attempt.connection = connection
                 return True
             connection.close()
         attempt.connection = ServerConnection(*parse_address(attempt.server.address))
-        attempt.connection.connect()
+        self.connections_opened += 1
+        with eventlet.Timeout(self._connect_timeout_s, _ConnectTimeoutError()):
+            attempt.connection.connect()
         return False
 
     def _read_response(self, attempt, response):
@@ -305,7 +321,7 @@
         if result.stream is None:
             result.body = pieces[0] if len(pieces) == 1 else b"".join(pieces)
             self.release(attempt, response)
-        _interpret(result, response)
+        self._protocol.read_result(result, response)
         if result.stream is not None and not result.ran:
             result.stream.close()
             result.stream = None
@@ -329,48 +345,22 @@
         attempt.connection.close()
 
 
-def build_server_headers(request, server):
-    """Return the headers of a request to a backend server."""
-    headers = [("Host", server.address)]
-    for name, value in remove_hop_headers(request.headers):
-        lowered = name.lower()
-        if lowered in _REPLACED_HEADERS or lowered.startswith("lavendermast-"):
-            continue
-        if lowered == "idempotency-key" and request.key:
-            continue
-        headers.append((name, value))
-    headers.append(("X-Deadline", str(request.deadline_unix_ms)))
-    headers.append(("X-Request-Id", request.id))
-    if request.key:
-        headers.append(("Idempotency-Key", request.key))
-    return add_length(headers, request)
-
-
-def add_length(headers, request):
-    """Append the length of a request's body where the method calls for one."""
-    if request.body or request.method not in _REPEATABLE_METHODS:
-        headers.append(("Content-Length", str(len(request.body))))
-    return headers
-
-
-def _interpret(result, response):
-    result.http_status = response.status
-    result.headers = remove_hop_headers(response.headers)
-    state = None
-    for name, value in result.headers:
-        lowered = name.lower()
-        if lowered == "x-server-state":
-            state = value.strip().lower()
-        elif lowered == "x-server-load":
-            result.load = _parse_load(value)
-    if response.status == 503 and state in _REFUSALS:
-        result.status = _REFUSALS[state]
-    elif response.status >= 500:
-        result.status = AttemptStatus.ERROR
-
-
-def _parse_load(value):
-    busy, _, slots = value.partition("/")
-    if not (busy.strip().isdigit() and slots.strip().isdigit()) or int(slots) == 0:
-        return None
-    return int(busy) / int(slots)
+def read_keep_alive(headers):
+    """
+    Return the seconds that a server keeps an idle connection, or ``None``.
+
+    >>> read_keep_alive([("Keep-Alive", "timeout=10, max=5")])
+    10
+    """
+    for name, value in headers:
+        if name.lower() == "keep-alive":
+            match = _KEEP_ALIVE.search(value)
+            return int(match[1]) if match else None
+    return None
+
+
+def _get_idle_bound(connection, repeatable):
+    """Return how long a connection may have been idle when it is used again."""
+    if connection.idle_limit is not None:
+        return max(connection.idle_limit - IDLE_MARGIN_S, FRESH_IDLE_S)
+    return MAX_IDLE_S if repeatable else FRESH_IDLE_S
