Split presence datagrams, bound store calls separately, notice resets

Change: presence in several datagrams, encoded once for all receivers; connect and read timeouts by name; a recv that raises on reset; a fresh read after lost history.

--- a/src/lavendermast/attempts.py
+++ b/src/lavendermast/attempts.py
@@ -5,6 +5,7 @@
 from eventlet.queue import Empty, LightQueue
 
 from lavendermast.models import AttemptResult, AttemptStatus, Outcome, Reply
+from lavendermast.selection import TRIAL_IDLE_ONCE_S, TRIAL_IDLE_S
 from lavendermast.suspicion import compute_lost_probability
 from lavendermast.upstream import Cancellation
 
@@ -147,7 +148,12 @@
     def _start_attempt(self, race, reason):
         route = race.route
         size = self._evidence.get_answer_bytes(route)
-        candidate = self._selector.choose(race.service, size, race.excluded)
+        trial_idle_s = None
+        if reason == "first":
+            trial_idle_s = TRIAL_IDLE_S if route.idempotent else TRIAL_IDLE_ONCE_S
+        candidate = self._selector.choose(
+            race.service, size, race.excluded, trial_idle_s
+        )
         if candidate is None and race.excluded and not race.running:
             race.excluded.clear()
             candidate = self._selector.choose(race.service, size)
@@ -172,7 +178,7 @@
             service=race.service,
             attempt=running.number,
             server=server.name,
-            reason=reason,
+            reason="trial" if candidate.trial else reason,
             sickness=round(candidate.sickness, 3),
             pending=candidate.pending,
             evidence_age_ms=candidate.evidence_age_ms,
--- a/src/lavendermast/catalogsync.py
+++ b/src/lavendermast/catalogsync.py
@@ -24,10 +24,11 @@
     """The store that operators and servers write to."""
 
     @abc.abstractmethod
-    def read_all(self):
+    def read_all(self, fresh):
         """
         Return all documents as ``StoredChanges``.
 
+        :param fresh: ``False`` for a cheaper answer that may be some seconds old.
         :raises StoreError: when the store does not answer.
         """
 
@@ -100,7 +101,8 @@
 
     def _read(self):
         if self._lost_history or not self._catalog.revision:
-            changes = self._source.read_all()
+            # A stale answer may be older than the history that is left.
+            changes = self._source.read_all(self._lost_history)
             self._lost_history = False
             return changes
         try:
--- a/src/lavendermast/entrynode.py
+++ b/src/lavendermast/entrynode.py
@@ -2,6 +2,7 @@
 
 import os
 import random
+import traceback
 
 import eventlet
 
@@ -45,6 +46,7 @@
 END_MARGIN_S = 0.15
 #: Rates of requests are averaged over about this time.
 RATE_WINDOW_S = 2.0
+TASK_RETRY_S = 0.2
 #: The platform hands out no secret; the code detects damaged frames only.
 _FRAME_KEY = {1: b"lavendermast-entry-frames"}
 
@@ -133,11 +135,25 @@
             self._send_reports,
             self._maintain,
         ):
-            self._tasks.append(eventlet.spawn(run))
+            self._tasks.append(eventlet.spawn(self._run_task, run))
         self._ready.start()
         self._directory.start()
         self._callers.start()
 
+    def _run_task(self, run):
+        """Run a task for ever; an error in it is logged and it starts again."""
+        while True:
+            try:
+                run()
+                return
+            except Exception as error:
+                self.log.record(
+                    "task_failed",
+                    task=run.__qualname__,
+                    detail="".join(traceback.format_exception(error)[-3:]),
+                )
+                self.clock.sleep(TASK_RETRY_S)
+
     def stop(self, reason):
         """Stop gracefully: callers leave, work ends, the process ends."""
         now = self.clock.monotonic()
@@ -227,9 +243,9 @@
             reports = self.evidence.take_reports()
             if not reports:
                 continue
-            body = AttemptReports(reports)
-            for address in self.fleet.find_addressees(zones):
-                self.network.send(address, body)
+            self.network.broadcast(
+                self.fleet.find_addressees(zones), AttemptReports(reports)
+            )
 
     def _handle_reports(self, envelope, address):
         if self.config is not None:
--- a/src/lavendermast/framing.py
+++ b/src/lavendermast/framing.py
@@ -3,6 +3,7 @@
 import re
 
 from lavendermast.exceptions import FramingError, TruncatedResponseError
+from lavendermast.sockets import receive
 
 READ_BYTES = 65536
 #: Bound on a response's header section, so that a server cannot exhaust memory.
@@ -131,7 +132,7 @@
     def _read_to_end(self):
         piece = self._buffer[self._start :]
         self._buffer, self._start = b"", 0
-        piece = piece or self._sock.recv(READ_BYTES)
+        piece = piece or receive(self._sock, READ_BYTES)
         self.finished = not piece
         return piece
 
@@ -144,7 +145,7 @@
         return len(self._buffer) - self._start
 
     def _receive(self):
-        data = self._sock.recv(READ_BYTES)
+        data = receive(self._sock, READ_BYTES)
         if not data:
             raise TruncatedResponseError("connection ended")
         # Consumed bytes go only here, so that many small chunks cost no copies.
--- a/src/lavendermast/peers.py
+++ b/src/lavendermast/peers.py
@@ -75,6 +75,11 @@
     def send(self, address, body):
         """Send a datagram; loss is not reported."""
 
+    def broadcast(self, addresses, body):
+        """Send the same datagram to several VMs."""
+        for address in addresses:
+            self.send(address, body)
+
     @abc.abstractmethod
     def request(self, address, body, deadline):
         """
@@ -170,16 +175,23 @@
 
     def send(self, address, body):
         """Send a datagram; loss is not reported."""
+        self.broadcast((address,), body)
+
+    def broadcast(self, addresses, body):
+        """Send the same datagram to several VMs; it is encoded once."""
+        if not addresses:
+            return
         frame = self._codec.encode(self.make_envelope(body, self._clock))
         if len(frame) > MAX_DATAGRAM_BYTES:
             self.counts.drops["datagram_too_large"] += 1
             return
-        try:
-            self._udp.sendto(frame, parse_address(address))
-        except (OSError, ValueError):
-            self.counts.drops["send_error"] += 1
-            return
-        self.counts.add("sent", body, len(frame))
+        for address in addresses:
+            try:
+                self._udp.sendto(frame, parse_address(address))
+            except (OSError, ValueError):
+                self.counts.drops["send_error"] += 1
+                continue
+            self.counts.add("sent", body, len(frame))
 
     def request(self, address, body, deadline):
         """Send a request over TCP and return the body of the reply."""
--- a/src/lavendermast/platform/store.py
+++ b/src/lavendermast/platform/store.py
@@ -6,6 +6,7 @@
 import urllib3
 from urllib3.util import Timeout
 
+from lavendermast.catalogsync import DocumentSource
 from lavendermast.exceptions import HistoryLostError, StoreError
 from lavendermast.messages_model import StoredChange, StoredChanges
 from lavendermast.sockets import STORE_SOCKET_OPTIONS
@@ -18,7 +19,7 @@
 READ_TIMEOUT_S = 1.5
 
 
-class MetadataStore:
+class MetadataStore(DocumentSource):
     """
     Reads and watches all documents of the store.
 
@@ -31,17 +32,18 @@
         )
         self.calls = 0
 
-    def read_all(self):
+    def read_all(self, fresh):
         """
-        Return all documents as :class:`StoredChanges`, possibly some seconds old.
+        Return all documents as :class:`StoredChanges`.
 
         Pages are of different revisions; a watch from the oldest one repairs that.
+
+        :param fresh: ``False`` for a cheaper answer that may be some seconds old.
         """
         changes, after, oldest = [], "", None
+        stale = {} if fresh else {"allow_stale": 1}
         while True:
-            page = self._call(
-                "/kv-range", {"prefix": "", "allow_stale": 1, "after": after}
-            )
+            page = self._call("/kv-range", {"prefix": "", "after": after, **stale})
             changes += self._read_items(page["items"])
             revision = page["at_rev"]
             oldest = revision if oldest is None else min(oldest, revision)
@@ -65,7 +67,7 @@
                 path,
                 fields=fields,
                 retries=False,
-                timeout=Timeout(CONNECT_TIMEOUT_S, READ_TIMEOUT_S + wait_s),
+                timeout=Timeout(connect=CONNECT_TIMEOUT_S, read=READ_TIMEOUT_S + wait_s),
             )
         except (urllib3.exceptions.HTTPError, OSError) as error:
             raise StoreError(f"{path}: {error}") from error
--- a/src/lavendermast/selection.py
+++ b/src/lavendermast/selection.py
@@ -15,12 +15,12 @@
 ZONE_COST = 0.004
 REGION_COST_PER_BYTE = 2.0 / 90_000
 ZONE_COST_PER_BYTE = 0.4 / 90_000
-#: A server that was not asked for this long gets a request to show what it is worth,
-#: so that no healthy one is left out.
-UNASKED_S = 1.4
-UNASKED_BONUS = 0.12
-#: A server that is believed sick is not asked again before this probability.
-RETURN_SICKNESS = 0.45
+#: A server of the region that was not asked for this long gets one request to show how
+#: it is, so that none is left out. Work that cannot be sent again waits longer.
+TRIAL_IDLE_S = 1.5
+TRIAL_IDLE_ONCE_S = 3.0
+#: At most this share of the requests are trials.
+TRIAL_SHARE = 1 / 12
 WARM_UP_COST = 0.15
 JITTER = 0.01
 
@@ -34,6 +34,7 @@
     sickness: float
     pending: int
     evidence_age_ms: int | None
+    trial: bool = False
 
 
 class ServerSelector:
@@ -51,16 +52,20 @@
         self._region = region
         self._clock = clock
         self._random = random
+        self._trial_credit = 0.0
 
-    def choose(self, service, answer_bytes, excluded=()):
+    def choose(self, service, answer_bytes, excluded=(), trial_idle_s=None):
         """
         Return the best ``Candidate``, or ``None`` when no server is listed.
 
         :param answer_bytes: expected size of the answer.
         :param excluded: names of servers not to use.
+        :param trial_idle_s: idle seconds after which a server may be tried whatever is
+            believed of it, ``None`` for no trial.
         """
         now = self._clock.monotonic()
-        best = None
+        best, trial = None, None
+        may_try = trial_idle_s is not None and self._add_trial_credit()
         for listed in self._catalog.get_servers(service):
             server = listed.server
             if server.state is not ServerState.LIVE or server.name in excluded:
@@ -68,7 +73,24 @@
             candidate = self._assess(listed, answer_bytes, now)
             if best is None or candidate.cost < best.cost:
                 best = candidate
-        return best
+            if may_try and self._is_trial_due(listed, candidate, now, trial_idle_s):
+                candidate.trial = True
+                if trial is None or candidate.cost < trial.cost:
+                    trial = candidate
+        if trial is None:
+            return best
+        self._trial_credit -= 1.0
+        return trial
+
+    def _add_trial_credit(self):
+        self._trial_credit = min(self._trial_credit + TRIAL_SHARE, 1.0)
+        return self._trial_credit >= 1.0
+
+    def _is_trial_due(self, listed, candidate, now, idle_s):
+        if candidate.pending or listed.server.region != self._region:
+            return False
+        evidence = self._evidence(listed.server.name)
+        return now - max(evidence.last_started, listed.listed_at) > idle_s
 
     def _assess(self, listed, answer_bytes, now):
         evidence = self._evidence(listed.server.name)
@@ -83,11 +105,6 @@
         if now < listed.warm_until:
             cost += WARM_UP_COST * (1 + pending)
         cost += self._compute_distance_cost(listed.server, answer_bytes)
-        same_region = listed.server.region == self._region
-        if same_region and sickness < RETURN_SICKNESS and not pending:
-            idle = now - max(evidence.last_started, listed.listed_at)
-            if idle > UNASKED_S:
-                cost -= UNASKED_BONUS
         cost += self._random.random() * JITTER
         age = None
         if evidence.last_started:
--- a/src/lavendermast/sockets.py
+++ b/src/lavendermast/sockets.py
@@ -2,6 +2,8 @@
 
 import socket
 
+from eventlet.hubs import trampoline
+
 #: A store connection that went silent is found within 1 + 2 x 1 s.
 KEEPALIVE_IDLE_S = 1
 KEEPALIVE_INTERVAL_S = 1
@@ -28,3 +30,21 @@
     """Set socket options, each a triple of level, name and value."""
     for option in options:
         sock.setsockopt(*option)
+
+
+def receive(sock, count):
+    """
+    Return bytes from a green socket, empty at an orderly end.
+
+    Eventlet's own ``recv`` takes a reset for an orderly end.
+
+    :raises OSError: when the connection was reset.
+    """
+    plain = getattr(sock, "fd", None)
+    if plain is None:
+        return sock.recv(count)
+    while True:
+        try:
+            return plain.recv(count)
+        except BlockingIOError:
+            trampoline(plain, read=True)
--- a/src/lavendermast/suspicion.py
+++ b/src/lavendermast/suspicion.py
@@ -6,12 +6,14 @@
 import attrs
 
 #: A server that nobody has asked for long is sick with this probability.
-SICK_SHARE = 0.2
+SICK_SHARE = 0.3
 #: Time in which knowledge about a server loses 63% of its weight, in seconds: gray
-#: failures come and go within a few seconds.
-MEMORY_S = 2.0
+#: failures last 5 to 10 s.
+MEMORY_S = 8.0
 #: Attempts that began earlier say nothing about a server's state now.
-HORIZON_S = 6.0
+HORIZON_S = 16.0
+#: Attempts at one server that are kept at most.
+MAX_ATTEMPTS = 64
 #: Share of the requests that a sick server fails.
 SICK_FAILS = 0.7
 #: Share of the requests that a healthy server fails by itself.
@@ -68,6 +70,8 @@
         while index and attempts[index - 1].started > now:
             index -= 1
         attempts.insert(index, attempt)
+        if len(attempts) > MAX_ATTEMPTS:
+            self._drop_oldest(now)
         self.pending += 1
         self.last_started = max(self.last_started, now)
         self._cached = (0.0, 0.0)
@@ -93,10 +97,7 @@
     def _filter(self, now):
         attempts = self.attempts
         while attempts and attempts[0].started < now - HORIZON_S:
-            old = attempts.popleft()
-            if old.ended is None:
-                self.pending -= 1
-                old.ended = now
+            self._drop_oldest(now)
         sick, moment = SICK_SHARE, None
         for attempt in attempts:
             if moment is not None:
@@ -107,12 +108,19 @@
         return relax(sick, now - moment) if moment is not None else sick
 
 
+    def _drop_oldest(self, now):
+        old = self.attempts.popleft()
+        if old.ended is None:
+            self.pending -= 1
+            old.ended = now
+
+
 def relax(sick, seconds):
     """
     Return a probability some time after it was known.
 
     >>> relax(0.9, 0.0), round(relax(0.9, 60.0), 3)
-    (0.9, 0.2)
+    (0.9, 0.3)
     """
     return SICK_SHARE + (sick - SICK_SHARE) * math.exp(-seconds / MEMORY_S)
 
--- a/src/lavendermast/zonefleet.py
+++ b/src/lavendermast/zonefleet.py
@@ -16,6 +16,8 @@
 HUBS_PER_ZONE = 3
 #: VMs of a zone that other zones are told of.
 SUMMARY_VMS = 4
+#: VMs that one datagram tells of: each takes up to 90 bytes of 1,400.
+MAX_OTHERS = 13
 #: Interval at which one seed is asked again, so that separated parts find each other.
 SEED_INTERVAL_S = 5.0
 #: Requests that one active VM takes in a second before another one is named.
@@ -65,6 +67,7 @@
         self.on_presence = []
         self._next_summary = 0.0
         self._next_seed = 0.0
+        self._next_far = 0.0
         self._seed = 0
         self._live = ()
         network.boot_id = boot_id
@@ -86,11 +89,10 @@
         now = self._clock.monotonic()
         self._forget_silent(now)
         zone = self.get_zone_names()
-        presence = self._make_presence()
         hub = self.own.vm in zone[:HUBS_PER_ZONE]
-        for name in zone if hub else zone[:HUBS_PER_ZONE]:
-            if name != self.own.vm:
-                self._network.send(self.vms[name].peer_address, presence)
+        names = zone if hub else zone[:HUBS_PER_ZONE]
+        addresses = [self.vms[name].peer_address for name in names if name in self.vms]
+        self._send(addresses, self._list_others(now) if hub else ())
         if zone[0] == self.own.vm and now >= self._next_summary:
             self._next_summary = now + SUMMARY_S
             self._send_summaries(now)
@@ -140,35 +142,39 @@
             rate += self._describe()[3]
         return max(MIN_ACTIVE, round(rate / TARGET_RATE + 0.5))
 
-    def _make_presence(self, reply_wanted=False, others=None):
+    def _make_presence(self, reply_wanted=False, others=()):
         version, revision, reachable, rate = self._describe()
-        if others is None:
-            others = self._list_others()
         return Presence(
             self.own, tuple(others), version, revision, reachable, reply_wanted, rate
         )
 
-    def _list_others(self):
-        """Return what a hub tells the VMs of its zone; nothing from others."""
+    def _send(self, addresses, others):
+        """Send an own sign of life with others in as few datagrams as hold them."""
+        for first in range(0, max(len(others), 1), MAX_OTHERS):
+            part = others[first : first + MAX_OTHERS]
+            self._network.broadcast(addresses, self._make_presence(others=part))
+
+    def _list_others(self, now):
+        """Return what a hub tells the VMs of its zone."""
         zone = self.get_zone_names()
-        if self.own.vm not in zone[:HUBS_PER_ZONE]:
-            return ()
-        now = self._clock.monotonic()
-        listed = [self.vms[name] for name in zone if name != self.own.vm]
-        for other in {vm.zone for vm in self.vms.values()} - {self.own.zone}:
-            names = self.get_zone_names(other)[:SUMMARY_VMS]
-            listed += [self.vms[name] for name in names if name in self.vms]
+        listed = [self.vms[name] for name in zone if name in self.vms]
+        if now >= self._next_far:
+            self._next_far = now + SUMMARY_S
+            for other in {vm.zone for vm in self.vms.values()} - {self.own.zone}:
+                names = self.get_zone_names(other)[:SUMMARY_VMS]
+                listed += [self.vms[name] for name in names if name in self.vms]
         return [_describe_vm(vm, now) for vm in listed]
 
     def _send_summaries(self, now):
         ready = [vm for vm in self.get_ready(self.own.zone) if vm is not self.own]
         others = [_describe_vm(vm, now) for vm in ready[:SUMMARY_VMS]]
-        summary = self._make_presence(others=others)
+        addresses = []
         for zone in {vm.zone for vm in self.vms.values()} - {self.own.zone}:
             names = [n for n in self.get_zone_names(zone) if n in self.vms]
             if names:
                 name = names[int(now / SUMMARY_S) % min(len(names), 2)]
-                self._network.send(self.vms[name].peer_address, summary)
+                addresses.append(self.vms[name].peer_address)
+        self._send(addresses, others)
 
     def _ask_seeds(self, all_seeds):
         seeds = [s for s in self._settings.seeds if s != self.own.peer_address]
@@ -176,9 +182,7 @@
             return
         self._seed += 1
         chosen = seeds if all_seeds else [seeds[self._seed % len(seeds)]]
-        presence = self._make_presence(reply_wanted=True, others=())
-        for address in chosen:
-            self._network.send(address, presence)
+        self._network.broadcast(chosen, self._make_presence(reply_wanted=True))
 
     def _handle_presence(self, envelope, address):
         presence = envelope.body
@@ -192,9 +196,7 @@
                 self._merge(other, now)
         if presence.reply_wanted:
             others = [_describe_vm(vm, now) for vm in self._choose_for(presence.own)]
-            self._network.send(
-                presence.own.peer_address, self._make_presence(others=others)
-            )
+            self._send([presence.own.peer_address], others)
         for handler in self.on_presence:
             handler(presence)
 
