Share summaries of servers between regions; write logs without waiting

Cause: a region judged servers of other regions by nothing, so at the crest its own sick ones were used; a log reader that stops would have blocked requests. Change: one VM of a region sends what it believes of its servers every 0.5 s; a log writer over a non-blocking descriptor that drops the oldest lines and says how many; counters and a latency histogram; load costs grow with the square of the fill.

--- a/src/lavendermast/catalog.py
+++ b/src/lavendermast/catalog.py
@@ -75,6 +75,14 @@
         """Return one listed server, or ``None``."""
         return self._servers.get(name)
 
+    def get_region_servers(self, region):
+        """Return the names of the servers in a region."""
+        return [
+            name
+            for name, listed in self._servers.items()
+            if listed.server.region == region
+        ]
+
     def count_servers(self):
         """Return the number of listed servers by service."""
         return {name: len(servers) for name, servers in self._services.items()}
--- a/src/lavendermast/catalogsync.py
+++ b/src/lavendermast/catalogsync.py
@@ -21,7 +21,9 @@
 
 
 class DocumentSource(abc.ABC):
-    """The store that operators and servers write to."""
+    """The store that operators and servers write to; ``calls`` counts its calls."""
+
+    calls = 0
 
     @abc.abstractmethod
     def read_all(self, fresh):
@@ -99,6 +101,11 @@
                 return False
         return True
 
+    @property
+    def calls(self):
+        """Calls of the store so far."""
+        return self._source.calls
+
     def _read(self):
         if self._lost_history or not self._catalog.revision:
             # A stale answer may be older than the history that is left.
--- a/src/lavendermast/durations.py
+++ b/src/lavendermast/durations.py
@@ -28,6 +28,7 @@
     """
 
     def __init__(self, goal_s):
+        self.typical = goal_s * PRIOR_SHARE
         self._counts = [0.0] * (len(BOUNDS) + 1)
         center = bisect.bisect(BOUNDS, goal_s * PRIOR_SHARE)
         for offset, share in ((-4, 0.1), (-2, 0.2), (0, 0.35), (2, 0.2), (4, 0.15)):
--- /dev/null
+++ b/src/lavendermast/entrymeasures.py
@@ -0,0 +1,109 @@
+"""Counters and histograms of an entry VM."""
+
+from lavendermast.metrics import MetricsBoard
+
+#: Bucket bounds in seconds, from a quick refusal to the longest route timeout.
+LATENCY_BUCKETS = (0.05, 0.1, 0.2, 0.4, 0.8, 1.2, 2.0, 3.0, 5.0, 10.0)
+
+
+def build_board(node):
+    """Return the board with all measures of a node."""
+    board = MetricsBoard()
+    application, sync = node.application, node.sync
+    application.latencies = board.add_histogram(
+        "lavendermast_entry_request_seconds",
+        "Time from a request's arrival to its final answer, by route.",
+        LATENCY_BUCKETS,
+    )
+    board.add_counter(
+        "lavendermast_entry_requests_total",
+        "Final answers by outcome and reason.",
+        lambda: [
+            ({"outcome": outcome, "reason": reason}, count)
+            for (outcome, reason), count in application.outcomes.items()
+        ],
+    )
+    board.add_counter(
+        "lavendermast_entry_attempts_total",
+        "Attempts at servers by service and status.",
+        lambda: [
+            ({"service": service, "status": status}, count)
+            for (service, status), count in node.runner.counts.items()
+        ],
+    )
+    board.add_counter(
+        "lavendermast_entry_connections_total",
+        "Connections opened to servers.",
+        lambda: [({}, node.upstream.connections_opened)],
+    )
+    board.add_counter(
+        "lavendermast_entry_store_calls_total",
+        "Calls of the store.",
+        lambda: [({}, sync.calls)],
+    )
+    board.add_counter(
+        "lavendermast_entry_peer_bytes_total",
+        "Bytes exchanged with other VMs by direction and kind.",
+        lambda: [
+            ({"direction": direction, "kind": kind}, count)
+            for (direction, kind), count in node.network.counts.bytes.items()
+        ],
+    )
+    board.add_counter(
+        "lavendermast_entry_peer_drops_total",
+        "Messages of other VMs that were dropped, by reason.",
+        lambda: [
+            ({"reason": reason}, count)
+            for reason, count in node.network.counts.drops.items()
+        ],
+    )
+    board.add_counter(
+        "lavendermast_entry_log_lines_dropped_total",
+        "Log lines that were not written.",
+        lambda: [({}, node.log.count_dropped())],
+    )
+    board.add_gauge(
+        "lavendermast_entry_in_flight",
+        "Requests without a final answer.",
+        lambda: [({}, application.in_flight)],
+    )
+    board.add_gauge(
+        "lavendermast_entry_config_version",
+        "Version of the configuration in force.",
+        lambda: [({}, node.catalog.config_version)],
+    )
+    board.add_gauge(
+        "lavendermast_entry_store_reachable",
+        "Whether the last call of the store succeeded.",
+        lambda: [({}, int(sync.reachable))],
+    )
+    board.add_gauge(
+        "lavendermast_entry_servers",
+        "Listed servers by service.",
+        lambda: [
+            ({"service": service}, count)
+            for service, count in node.catalog.count_servers().items()
+        ],
+    )
+    board.add_gauge(
+        "lavendermast_entry_vms",
+        "Live VMs that this one knows, without itself.",
+        lambda: [({}, len(node.fleet.vms))],
+    )
+    return board
+
+
+class MetricsApplication:
+    """Serves the metrics text."""
+
+    def __init__(self, board):
+        self._board = board
+
+    def __call__(self, environ, start_response):
+        content = self._board.render()
+        headers = [
+            ("Content-Type", "text/plain"),
+            ("Content-Length", str(len(content))),
+        ]
+        start_response("200 OK", headers)
+        return [content]
--- a/src/lavendermast/entrynode.py
+++ b/src/lavendermast/entrynode.py
@@ -16,11 +16,12 @@
     EntryApplication,
     ReadyApplication,
 )
+from lavendermast.entrymeasures import MetricsApplication, build_board
 from lavendermast.evidencebook import EvidenceBook
+from lavendermast.evidencesharing import EvidenceSharing
 from lavendermast.hostroutes import HostRouter
 from lavendermast.listeners import HttpListener
 from lavendermast.logs import EventLog
-from lavendermast.messages_model import AttemptReports
 from lavendermast.peers import PeerNetwork
 from lavendermast.retries import RetryBudget
 from lavendermast.selection import ServerSelector
@@ -33,7 +34,6 @@
 BUFFER_BYTES = 1024 * 1024
 CONNECT_TIMEOUT_S = 0.4
 IDLE_CONNECTIONS = 12
-REPORT_INTERVAL_S = 0.05
 EXPIRE_INTERVAL_S = 1.0
 #: Extra attempts that this VM may have saved up for one service. The fleet's slack is
 #: shared by the VMs that callers are sent to, about a dozen.
@@ -90,7 +90,15 @@
             self.catalog, platform.source, self.fleet, self.network, self.clock, record
         )
         self.evidence = EvidenceBook(self.clock, self._find_route)
-        self.network.register(AttemptReports, self._handle_reports)
+        self.sharing = EvidenceSharing(
+            settings,
+            self._regions,
+            self.evidence,
+            self.catalog,
+            self.fleet,
+            self.network,
+            self.clock,
+        )
         self.upstream = Upstream(
             self.clock, BUFFER_BYTES, {}, platform.protocol, CONNECT_TIMEOUT_S
         )
@@ -113,6 +121,9 @@
         self.application = EntryApplication(
             platform.calls, self, self.runner, self.clock, record
         )
+        self._metrics = HttpListener(
+            settings.metrics_address, MetricsApplication(build_board(self))
+        )
         self._callers = HttpListener(settings.caller_address, self.application)
         self._ready = HttpListener(
             settings.ready_address,
@@ -132,10 +143,12 @@
             self.network.run,
             self.sync.run,
             self.fleet.run,
-            self._send_reports,
+            self.sharing.run_reports,
+            self.sharing.run_summaries,
             self._maintain,
         ):
             self._tasks.append(eventlet.spawn(self._run_task, run))
+        self._metrics.start()
         self._ready.start()
         self._directory.start()
         self._callers.start()
@@ -236,21 +249,6 @@
                 return vms
         return []
 
-    def _send_reports(self):
-        zones = [z for z, r in self._regions.items() if r == self.settings.region]
-        while True:
-            self.clock.sleep(REPORT_INTERVAL_S)
-            reports = self.evidence.take_reports()
-            if not reports:
-                continue
-            self.network.broadcast(
-                self.fleet.find_addressees(zones), AttemptReports(reports)
-            )
-
-    def _handle_reports(self, envelope, address):
-        if self.config is not None:
-            self.evidence.apply_reports(envelope.sender, envelope.body.attempts)
-
     def _maintain(self):
         while True:
             self.clock.sleep(EXPIRE_INTERVAL_S)
--- a/src/lavendermast/evidencebook.py
+++ b/src/lavendermast/evidencebook.py
@@ -4,7 +4,7 @@
 import itertools
 
 from lavendermast.durations import Durations
-from lavendermast.messages_model import AttemptReport
+from lavendermast.messages_model import AttemptReport, ServerSummary
 from lavendermast.models import AttemptStatus
 from lavendermast.suspicion import HORIZON_S, ServerEvidence
 
@@ -108,6 +108,26 @@
         while len(self._foreign) > MAX_FOREIGN_ATTEMPTS:
             self._foreign.popitem(last=False)
 
+    def make_summaries(self, server_names):
+        """Return what is believed of some servers, for other regions."""
+        now = self._clock.monotonic()
+        summaries = []
+        for name in server_names:
+            evidence = self._servers.get(name)
+            if evidence is None or not evidence.attempts:
+                continue
+            permille = round(evidence.compute_sickness(now) * 1000)
+            summaries.append(ServerSummary(name, permille, evidence.pending))
+        return summaries
+
+    def apply_summaries(self, summaries):
+        """Take in what other regions believe of their servers."""
+        now = self._clock.monotonic()
+        for summary in summaries:
+            self._servers[summary.server].note_report(
+                now, summary.sickness_permille / 1000, summary.pending
+            )
+
     def expire(self):
         """Forget reported attempts that are too old to matter."""
         oldest = self._clock.monotonic() - 2 * HORIZON_S
--- /dev/null
+++ b/src/lavendermast/evidencesharing.py
@@ -0,0 +1,80 @@
+"""Shares evidence about servers: attempts in a region, summaries between regions."""
+
+from lavendermast.messages_model import AttemptReports, ServerSummaries
+
+REPORT_INTERVAL_S = 0.05
+#: Summaries cross paid links; 0.5 s is the time in which a sick server shows itself.
+SUMMARY_INTERVAL_S = 0.5
+#: A summary takes up to 40 bytes of a datagram of 1,400.
+MAX_SUMMARIES = 28
+
+
+class EvidenceSharing:
+    """
+    Sends own attempts to the active VMs of the region, and one VM's summary on.
+
+    :param regions: mapping of zone to region.
+    """
+
+    def __init__(self, settings, regions, evidence, catalog, fleet, network, clock):
+        self._settings = settings
+        self._regions = regions
+        self._evidence = evidence
+        self._catalog = catalog
+        self._fleet = fleet
+        self._network = network
+        self._clock = clock
+        network.register(AttemptReports, self._handle_reports)
+        network.register(ServerSummaries, self._handle_summaries)
+
+    def run_reports(self):
+        """Send reports on own attempts until the task is killed."""
+        zones = self._get_zones(self._settings.region)
+        while True:
+            self._clock.sleep(REPORT_INTERVAL_S)
+            reports = self._evidence.take_reports()
+            if reports:
+                addresses = self._fleet.find_addressees(zones)
+                self._network.broadcast(addresses, AttemptReports(reports))
+
+    def run_summaries(self):
+        """Send summaries to other regions while it is this VM's turn."""
+        while True:
+            self._clock.sleep(SUMMARY_INTERVAL_S)
+            if self._find_speaker(self._settings.region) is not self._fleet.own:
+                continue
+            names = self._catalog.get_region_servers(self._settings.region)
+            summaries = self._evidence.make_summaries(names)
+            speakers = [
+                self._find_speaker(region)
+                for region in set(self._regions.values()) - {self._settings.region}
+            ]
+            addresses = [vm.peer_address for vm in speakers if vm is not None]
+            self._send_summaries(addresses, summaries, relay_wanted=True)
+
+    def _send_summaries(self, addresses, summaries, relay_wanted):
+        for first in range(0, len(summaries), MAX_SUMMARIES):
+            part = tuple(summaries[first : first + MAX_SUMMARIES])
+            self._network.broadcast(addresses, ServerSummaries(relay_wanted, part))
+
+    def _get_zones(self, region):
+        return sorted(zone for zone, name in self._regions.items() if name == region)
+
+    def _find_speaker(self, region):
+        """Return the VM that speaks for a region, or ``None``."""
+        for zone in self._get_zones(region):
+            active = self._fleet.get_active(zone)
+            if active:
+                return active[0]
+        return None
+
+    def _handle_reports(self, envelope, address):
+        self._evidence.apply_reports(envelope.sender, envelope.body.attempts)
+
+    def _handle_summaries(self, envelope, address):
+        summaries = envelope.body.summaries
+        self._evidence.apply_summaries(summaries)
+        if envelope.body.relay_wanted:
+            zones = self._get_zones(self._settings.region)
+            addresses = self._fleet.find_addressees(zones)
+            self._send_summaries(addresses, summaries, relay_wanted=False)
--- a/src/lavendermast/logs.py
+++ b/src/lavendermast/logs.py
@@ -10,6 +10,8 @@
 import eliot
 from eventlet import hubs
 
+from lavendermast.linewriter import LineWriter
+
 #: Lines held while the writer is behind; older ones are dropped and counted.
 MAX_PENDING_EVENTS = 100_000
 #: At 119 requests/s a batch is four lines, which delay other requests by 0.1 ms.
@@ -80,8 +82,9 @@
     @classmethod
     def from_settings(cls, settings, clock):
         """Return the log that the process settings name."""
-        stream = sys.stdout
-        if getattr(settings, "log_path", "-") != "-":
+        if getattr(settings, "log_path", "-") == "-":
+            stream = LineWriter(sys.stdout.fileno())
+        else:
             stream = pathlib.Path(settings.log_path).open("a")
         context = {"vm": settings.vm, "zone": settings.zone}
         return cls(stream, context, clock)
@@ -100,6 +103,10 @@
         if not self._scheduled:
             self._schedule(FLUSH_INTERVAL_S)
 
+    def count_dropped(self):
+        """Return the lines that were never written."""
+        return self.dropped + getattr(self._stream, "dropped", 0)
+
     def flush(self):
         """Write all queued events."""
         while self._pending:
--- a/src/lavendermast/messages_model.py
+++ b/src/lavendermast/messages_model.py
@@ -583,6 +583,57 @@
         )
 
 
+@attrs.frozen
+class ServerSummary:
+    """Message struct ServerSummary."""
+
+    server: str = ""
+    sickness_permille: int = 0
+    pending: int = 0
+
+    def to_dict(self):
+        """Return the fields as pycapnp accepts them."""
+        return {
+            "server": self.server,
+            "sicknessPermille": self.sickness_permille,
+            "pending": self.pending,
+        }
+
+    @classmethod
+    def from_reader(cls, reader):
+        """Return an instance from a pycapnp reader."""
+        return cls(
+            server=str(reader.server),
+            sickness_permille=reader.sicknessPermille,
+            pending=reader.pending,
+        )
+
+
+@attrs.frozen
+class ServerSummaries:
+    """Message struct ServerSummaries."""
+
+    relay_wanted: bool = False
+    summaries: tuple[ServerSummary, ...] = ()
+
+    def to_dict(self):
+        """Return the fields as pycapnp accepts them."""
+        return {
+            "relayWanted": self.relay_wanted,
+            "summaries": [item.to_dict() for item in self.summaries],
+        }
+
+    @classmethod
+    def from_reader(cls, reader):
+        """Return an instance from a pycapnp reader."""
+        return cls(
+            relay_wanted=reader.relayWanted,
+            summaries=tuple(
+                ServerSummary.from_reader(item) for item in reader.summaries
+            ),
+        )
+
+
 @attrs.frozen
 class StoredChange:
     """Message struct StoredChange."""
@@ -676,4 +727,5 @@
     "attemptReports": AttemptReports,
     "storedChanges": StoredChanges,
     "fetchChanges": FetchChanges,
+    "serverSummaries": ServerSummaries,
 }
--- a/src/lavendermast/metrics.py
+++ b/src/lavendermast/metrics.py
@@ -37,6 +37,13 @@
         counter = aioprometheus.Counter(name, doc, registry=self._registry)
         self._sources.append((counter, collect))
 
+    def add_histogram(self, name, doc, buckets):
+        """Return a :class:`LatencyHistogram`; its one label is ``route``."""
+        histogram = aioprometheus.Histogram(
+            name, doc, registry=self._registry, buckets=buckets
+        )
+        return LatencyHistogram(histogram)
+
     def render(self):
         """Return the text of all metrics as bytes."""
         for collector, collect in self._sources:
@@ -45,3 +52,14 @@
                 collector.set(labels, value)
         content, _ = render(self._registry, [])
         return content
+
+
+class LatencyHistogram:
+    """Counts durations by route."""
+
+    def __init__(self, histogram):
+        self._histogram = histogram
+
+    def observe(self, route, seconds):
+        """Count one duration."""
+        self._histogram.observe({"route": route}, seconds)
--- a/src/lavendermast/schema/messages.capnp
+++ b/src/lavendermast/schema/messages.capnp
@@ -177,6 +177,19 @@
   attempts @0 :List(AttemptReport);
 }
 
+# What a region believes of one of its servers.
+struct ServerSummary {
+  server @0 :Text;
+  sicknessPermille @1 :UInt16;
+  pending @2 :UInt16;
+}
+
+# The receiver passes it on to its region when relayWanted is set.
+struct ServerSummaries {
+  relayWanted @0 :Bool;
+  summaries @1 :List(ServerSummary);
+}
+
 # One document of the store as it was written.
 struct StoredChange {
   key @0 :Text;
@@ -216,5 +229,6 @@
     attemptReports @14 :AttemptReports;
     storedChanges @15 :StoredChanges;
     fetchChanges @16 :FetchChanges;
+    serverSummaries @17 :ServerSummaries;
   }
 }
--- a/src/lavendermast/selection.py
+++ b/src/lavendermast/selection.py
@@ -7,7 +7,7 @@
 #: Costs are in shares of a request's worth. A sick server fails 0.7 of its requests.
 SICKNESS_COST = 0.7
 #: Filling a server to its slots slows it; beyond them requests queue.
-FILL_COST = 0.10
+FILL_COST = 0.2
 QUEUE_COST = 0.25
 #: Worth of one request against that of the bytes which it moves between zones and
 #: regions, by the prices of the users' networks for an answer of 90 KB.
@@ -95,9 +95,9 @@
     def _assess(self, listed, answer_bytes, now):
         evidence = self._evidence(listed.server.name)
         sickness = evidence.compute_sickness(now)
-        pending = evidence.pending
+        pending = evidence.count_pending(now)
         cost = SICKNESS_COST * sickness
-        cost += FILL_COST * min(pending / listed.slots, 1.0)
+        cost += FILL_COST * min(pending / listed.slots, 1.0) ** 2
         if pending >= listed.slots:
             cost += QUEUE_COST * (pending - listed.slots + 1) / listed.slots
         if now < evidence.busy_until:
--- a/src/lavendermast/suspicion.py
+++ b/src/lavendermast/suspicion.py
@@ -12,8 +12,10 @@
 MEMORY_S = 8.0
 #: Attempts that began earlier say nothing about a server's state now.
 HORIZON_S = 16.0
+#: Reports of in-flight attempts that are older say nothing.
+REPORT_AGE_S = 2.0
 #: Attempts at one server that are kept at most.
-MAX_ATTEMPTS = 64
+MAX_ATTEMPTS = 24
 #: Share of the requests that a sick server fails.
 SICK_FAILS = 0.7
 #: Share of the requests that a healthy server fails by itself.
@@ -59,6 +61,9 @@
         self.pending = 0
         self.last_started = 0.0
         self.busy_until = 0.0
+        self.reported_at = 0.0
+        self.reported_sickness = SICK_SHARE
+        self.reported_pending = 0
         self._cached = (0.0, SICK_SHARE)
 
     def start(self, now, durations):
@@ -85,6 +90,19 @@
         attempt.succeeded = succeeded
         self._cached = (0.0, 0.0)
 
+    def note_report(self, now, sickness, pending):
+        """Take in what the server's own region believes of it."""
+        self.reported_at = now
+        self.reported_sickness = min(max(sickness, MIN_PROBABILITY), MAX_PROBABILITY)
+        self.reported_pending = pending
+        self._cached = (0.0, 0.0)
+
+    def count_pending(self, now):
+        """Return the attempts in flight, with those that other regions reported."""
+        if now - self.reported_at > REPORT_AGE_S:
+            return self.pending
+        return self.pending + self.reported_pending
+
     def compute_sickness(self, now):
         """Return the probability that the server is sick now."""
         moment, value = self._cached
@@ -99,10 +117,14 @@
         while attempts and attempts[0].started < now - HORIZON_S:
             self._drop_oldest(now)
         sick, moment = SICK_SHARE, None
+        if now - self.reported_at < HORIZON_S:
+            sick, moment = self.reported_sickness, self.reported_at
         for attempt in attempts:
+            if attempt.started < self.reported_at - attempt.durations.typical:
+                continue
             if moment is not None:
-                sick = relax(sick, attempt.started - moment)
-            moment = attempt.started
+                sick = relax(sick, max(attempt.started - moment, 0.0))
+            moment = max(attempt.started, moment or 0.0)
             odds = sick / (1 - sick) * compute_factor(attempt, now)
             sick = min(max(odds / (1 + odds), MIN_PROBABILITY), MAX_PROBABILITY)
         return relax(sick, now - moment) if moment is not None else sick
--- /dev/null
+++ b/tests/test_identified_responses.py
@@ -0,0 +1,92 @@
+"""Responses that name their request, on kept connections."""
+
+import socket
+import struct
+
+import pytest
+from eventlet.green import socket as green_socket
+
+from lavendermast.exceptions import FramingError, TruncatedResponseError
+from lavendermast.framing import IdentifiedResponse
+
+import eventlet
+
+
+class PieceSocket:
+    """Hands out bytes as they would arrive."""
+
+    def __init__(self, *pieces):
+        self._pieces = list(pieces)
+
+    def recv(self, count):
+        return self._pieces.pop(0) if self._pieces else b""
+
+
+def make_answer(request_id, body, extra=b""):
+    head = f"HTTP/1.1 200 OK\r\nRequest-Id: {request_id}\r\nContent-Length: {len(body)}"
+    return head.encode() + b"\r\n\r\n" + body + extra
+
+
+def read(*pieces, request_id="mine"):
+    response = IdentifiedResponse(
+        PieceSocket(*pieces), id_header="request-id", request_id=request_id
+    )
+    response.begin()
+    body = b""
+    while piece := response.read_piece():
+        body += piece
+    return response, body
+
+
+def test_late_answer_to_another_request_is_skipped():
+    """Guards against a caller that gets the answer to another request."""
+    response, body = read(make_answer("old", b"old"), make_answer("mine", b"new"))
+    assert body == b"new"
+    assert response.reusable
+
+
+def test_bytes_after_the_answer_end_the_use_of_the_connection():
+    """Guards against a connection that is out of step; the answer itself is whole."""
+    response, body = read(make_answer("mine", b"new", b"HTTP/1.1 200 OK\r\n"))
+    assert body == b"new"
+    assert not response.reusable
+
+
+def test_only_foreign_answers_are_an_error():
+    """Guards against waiting for ever on a server that repeats itself."""
+    with pytest.raises(FramingError):
+        read(*[make_answer("old", b"x")] * 3)
+
+
+def test_answer_without_length_ends_with_its_connection():
+    """Guards against refusing an answer that is whole."""
+    response, body = read(b"HTTP/1.1 200 OK\r\nRequest-Id: mine\r\n\r\nab", b"cd")
+    assert body == b"abcd"
+    assert not response.reusable
+
+
+def test_answer_that_ends_early_is_cut():
+    """Guards against a piece of an answer that looks whole."""
+    with pytest.raises(TruncatedResponseError):
+        read(make_answer("mine", b"whole")[:-2])
+
+
+def test_reset_answer_without_length_is_not_whole():
+    """Guards against eventlet's recv, which reports a reset as an orderly end."""
+    listener = eventlet.listen(("127.0.0.1", 0))
+
+    def serve():
+        peer, _ = listener.accept()
+        peer.sendall(b"HTTP/1.1 200 OK\r\nRequest-Id: mine\r\n\r\npart")
+        eventlet.sleep(0.05)
+        linger = struct.pack("ii", 1, 0)
+        peer.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        peer.close()
+
+    eventlet.spawn(serve)
+    sock = green_socket.create_connection(listener.getsockname())
+    response = IdentifiedResponse(sock, id_header="request-id", request_id="mine")
+    response.begin()
+    with pytest.raises(ConnectionResetError):
+        while response.read_piece():
+            pass
--- /dev/null
+++ b/tests/test_suspicion.py
@@ -0,0 +1,75 @@
+"""Evidence about servers from the ages and results of attempts."""
+
+import pytest
+
+from lavendermast.durations import Durations
+from lavendermast.suspicion import ServerEvidence, compute_lost_probability
+
+
+@pytest.fixture
+def durations():
+    durations = Durations(2.0)
+    for _ in range(200):
+        durations.add(0.4)
+    return durations
+
+
+def test_overdue_attempts_raise_suspicion_before_they_fail(durations):
+    """Guards against work for a server that accepts requests and never answers."""
+    evidence = ServerEvidence()
+    first = evidence.start(10.0, durations)
+    evidence.finish(first, 10.4, True)
+    assert evidence.compute_sickness(10.5) < 0.2
+    for offset in (0.0, 0.1, 0.2):
+        evidence.start(10.5 + offset, durations)
+    assert evidence.compute_sickness(10.8) < 0.25
+    assert evidence.compute_sickness(11.6) > 0.9
+
+
+def test_a_single_long_request_convicts_nobody(durations):
+    """Guards against ejecting a healthy server for one long request."""
+    evidence = ServerEvidence()
+    evidence.start(10.0, durations)
+    for step in range(12):
+        attempt = evidence.start(10.0 + step * 0.2, durations)
+        evidence.finish(attempt, 10.4 + step * 0.2, True)
+    assert evidence.compute_sickness(12.8) < 0.1
+
+
+def test_old_failures_lose_their_weight(durations):
+    """Guards against a server that stays out for ever after it was sick."""
+    evidence = ServerEvidence()
+    for step in range(4):
+        attempt = evidence.start(10.0 + step * 0.1, durations)
+        evidence.finish(attempt, 10.2 + step * 0.1, False)
+    assert evidence.compute_sickness(10.6) > 0.9
+    assert evidence.compute_sickness(30.0) == pytest.approx(0.3, abs=0.02)
+
+
+def test_report_of_another_region_counts_until_own_evidence_is_newer(durations):
+    """Guards against a spill-over to another region's sick servers."""
+    evidence = ServerEvidence()
+    evidence.note_report(10.0, 0.9, 3)
+    assert evidence.compute_sickness(10.1) > 0.85
+    assert evidence.count_pending(10.1) == 3
+    assert evidence.count_pending(13.0) == 0
+    for step in range(4):
+        attempt = evidence.start(10.2 + step * 0.1, durations)
+        evidence.finish(attempt, 10.6 + step * 0.1, True)
+    assert evidence.compute_sickness(11.0) < 0.2
+
+
+def test_late_report_of_an_earlier_attempt_keeps_the_order(durations):
+    """Guards against reports that overtake each other between VMs."""
+    evidence = ServerEvidence()
+    evidence.finish(evidence.start(11.0, durations), 11.4, True)
+    evidence.start(10.0, durations)
+    starts = [attempt.started for attempt in evidence.attempts]
+    assert starts == sorted(starts)
+
+
+def test_lost_probability_grows_with_age_and_sickness():
+    """Guards against hedging every request, and against hedging none."""
+    assert compute_lost_probability(0.05, 0.9) < 0.1
+    assert compute_lost_probability(0.05, 0.02) > 0.5
+    assert compute_lost_probability(0.9, 0.9) > 0.6
