--- a/src/lavendermast/entrydaemon.py
+++ b/src/lavendermast/entrydaemon.py
@@ -1,9 +1,13 @@
 """The daemon of an entry VM on the users' platform."""
 
+import os
 import signal
 import sys
 import warnings
 
+# All addresses are numeric, and the resolver doubles the time to import eventlet.
+os.environ.setdefault("EVENTLET_NO_GREENDNS", "yes")
+
 warnings.filterwarnings("ignore", message=r"\s*Eventlet is deprecated")
 
 import eventlet  # noqa: E402
--- a/src/lavendermast/zonefleet.py
+++ b/src/lavendermast/zonefleet.py
@@ -82,7 +82,8 @@
     def set_state(self, state):
         """Change the own state and tell it at once."""
         self.own = attrs.evolve(self.own, state=state)
-        self.beat()
+        zone = [vm for vm in self.vms.values() if vm.zone == self.own.zone]
+        self._send([vm.peer_address for vm in zone], ())
 
     def beat(self):
         """Send signs of life to those who need them now."""
@@ -156,8 +157,7 @@
 
     def _list_others(self, now):
         """Return what a hub tells the VMs of its zone."""
-        zone = self.get_zone_names()
-        listed = [self.vms[name] for name in zone if name in self.vms]
+        listed = [vm for vm in self.vms.values() if vm.zone == self.own.zone]
         if now >= self._next_far:
             self._next_far = now + SUMMARY_S
             for other in {vm.zone for vm in self.vms.values()} - {self.own.zone}:
--- /dev/null
+++ b/tests/test_zonefleet.py
@@ -0,0 +1,243 @@
+"""Membership of entry VMs through hubs, on a network in memory."""
+
+import types
+
+import pytest
+
+from lavendermast.catalog import Catalog
+from lavendermast.catalogsync import CatalogSync, DocumentSource
+from lavendermast.clock import ManualClock
+from lavendermast.exceptions import HistoryLostError, PeerError, StoreError
+from lavendermast.messages_model import StoredChange, StoredChanges
+from lavendermast.peers import PeerTransport
+from lavendermast.platform.documents import decode_document
+from lavendermast.zonefleet import BEAT_S, HUBS_PER_ZONE, ZONE_SILENCE_S, ZoneFleet
+
+from tests.test_catalog import make_config, make_entry
+
+SEEDS = ("a1", "b1")
+
+
+class Wire:
+    """Delivers messages between VMs at once, except across cuts."""
+
+    def __init__(self):
+        self.ports = {}
+        self.cut = set()
+        self.sent = 0
+
+    def find(self, sender, address):
+        if address in self.cut or sender in self.cut:
+            return None
+        return self.ports.get(address)
+
+
+class WiredTransport(PeerTransport):
+    """A transport whose addresses are the VMs' names."""
+
+    def __init__(self, vm, wire, clock):
+        super().__init__(vm)
+        self._wire = wire
+        self._clock = clock
+        wire.ports[vm] = self
+
+    def send(self, address, body):
+        self._wire.sent += 1
+        port = self._wire.find(self.vm, address)
+        if port is not None:
+            port.dispatch(self.make_envelope(body, self._clock), self.vm)
+
+    def request(self, address, body, deadline):
+        port = self._wire.find(self.vm, address)
+        if port is None:
+            raise PeerError(address)
+        return port.dispatch(self.make_envelope(body, self._clock), self.vm)
+
+    def spawn(self, function, *args):
+        self.guard(function, *args)
+
+
+class FixedSource(DocumentSource):
+    """A store with one state that may fail."""
+
+    def __init__(self):
+        self.calls = 0
+        self.changes = [
+            StoredChange("op/config", 1, False, make_config(7)),
+            StoredChange("servers/s1", 2, False, make_entry()),
+        ]
+        self.error = None
+        self.fresh_reads = []
+
+    @property
+    def revision(self):
+        return self.changes[-1].revision
+
+    def read_all(self, fresh):
+        self.calls += 1
+        self.fresh_reads.append(fresh)
+        return StoredChanges(0, self.revision, True, tuple(self.changes))
+
+    def watch(self, revision, wait_s):
+        self.calls += 1
+        if self.error is not None:
+            error, self.error = self.error, None
+            raise error
+        changes = tuple(item for item in self.changes if item.revision > revision)
+        return StoredChanges(revision, self.revision, False, changes)
+
+
+def make_vm(name, wire, clock, source):
+    settings = types.SimpleNamespace(
+        vm=name, zone=name[0], peer_address=name, seeds=SEEDS
+    )
+    transport = WiredTransport(name, wire, clock)
+    vm = types.SimpleNamespace(name=name, rate=0.0, events=[])
+
+    def record(event, **fields):
+        vm.events.append((event, fields))
+
+    vm.catalog = Catalog(
+        lambda key, content: decode_document(key, content, {"a": "north"}),
+        clock,
+        record,
+        2.0,
+    )
+    vm.fleet = ZoneFleet(
+        settings,
+        1,
+        transport,
+        clock,
+        record,
+        lambda: (
+            vm.catalog.config_version,
+            vm.catalog.revision,
+            vm.sync.reachable,
+            vm.rate,
+        ),
+    )
+    vm.sync = CatalogSync(vm.catalog, source, vm.fleet, transport, clock, record)
+    vm.fleet.own = vm.fleet.own.__class__(
+        name, name[0], name, 1, "alive"
+    )
+    return vm
+
+
+@pytest.fixture
+def fleet():
+    clock, wire, source = ManualClock(100.0), Wire(), FixedSource()
+    names = [f"a{n}" for n in range(1, 7)] + [f"b{n}" for n in range(1, 4)]
+    vms = {name: make_vm(name, wire, clock, source) for name in names}
+    return types.SimpleNamespace(clock=clock, wire=wire, source=source, vms=vms)
+
+
+def beat(fleet, rounds, without=()):
+    for _ in range(rounds):
+        for name, vm in fleet.vms.items():
+            if name not in without:
+                vm.fleet.beat()
+        fleet.clock.advance(BEAT_S)
+
+
+def get_active(vm, zone):
+    return [item.vm for item in vm.fleet.get_active(zone)]
+
+
+def test_everybody_names_the_same_active_vms(fleet):
+    """Guards against callers that are spread over all VMs, which then know little."""
+    beat(fleet, 12)
+    for vm in fleet.vms.values():
+        assert get_active(vm, "a") == ["a1", "a2"]
+        assert get_active(vm, "b") == ["b1", "b2"]
+
+
+def test_more_vms_are_named_under_load(fleet):
+    """Guards against two VMs that drown in a spike."""
+    beat(fleet, 8)
+    fleet.vms["a1"].rate = fleet.vms["a2"].rate = 30.0
+    beat(fleet, 4)
+    assert len(get_active(fleet.vms["a3"], "a")) >= 4
+
+
+def test_killed_vm_is_replaced_in_time(fleet):
+    """Guards against address answers that name a dead VM."""
+    beat(fleet, 8)
+    fleet.wire.cut.add("a1")
+    beat(fleet, int(ZONE_SILENCE_S / BEAT_S) + 2, without=("a1",))
+    assert get_active(fleet.vms["a4"], "a") == ["a2", "a3"]
+
+
+def test_leaving_vm_is_dropped_at_once(fleet):
+    """Guards against callers that are sent to a VM which stops."""
+    beat(fleet, 8)
+    fleet.vms["a1"].fleet.set_state("leaving")
+    beat(fleet, 1)
+    assert get_active(fleet.vms["a5"], "a") == ["a2", "a3"]
+
+
+def test_members_without_a_hub_role_send_to_the_hubs_only(fleet):
+    """Guards against control traffic that grows with the square of a zone."""
+    beat(fleet, 12)
+    before = fleet.wire.sent
+    fleet.vms["a6"].fleet._next_seed = float("inf")
+    fleet.vms["a6"].fleet.beat()
+    assert fleet.wire.sent - before == HUBS_PER_ZONE
+
+
+def test_vm_with_dead_seeds_still_serves_alone(fleet):
+    """Guards against a VM that names nobody because its seeds are down."""
+    vm = fleet.vms["a4"]
+    fleet.wire.cut.update(SEEDS)
+    vm.fleet.beat()
+    assert get_active(vm, "a") == ["a4"]
+
+
+def test_one_vm_reads_for_its_zone(fleet):
+    """Guards against store calls that grow with the fleet."""
+    for vm in fleet.vms.values():
+        vm.sync._accept(vm.sync._read(), "store")
+    beat(fleet, 12)
+    readers = [name for name, vm in fleet.vms.items() if vm.sync.is_reader()]
+    assert readers == ["a1", "b1"]
+
+
+def test_next_vm_reads_when_the_reader_loses_the_store(fleet):
+    """Guards against a zone that follows a VM which the store turns away."""
+    for vm in fleet.vms.values():
+        vm.sync._accept(vm.sync._read(), "store")
+    beat(fleet, 8)
+    fleet.vms["a1"].sync._note_failure(StoreError("refused"))
+    beat(fleet, 2)
+    assert fleet.vms["a2"].sync.is_reader()
+    assert not fleet.vms["a3"].sync.is_reader()
+
+
+def test_vm_that_hears_nobody_reads_by_itself(fleet):
+    """Guards against an old configuration at a VM that is cut off from its zone."""
+    for vm in fleet.vms.values():
+        vm.sync._accept(vm.sync._read(), "store")
+    beat(fleet, 8)
+    fleet.wire.cut.add("a5")
+    beat(fleet, 5)
+    assert fleet.vms["a5"].sync.is_reader()
+
+
+def test_reader_passes_changes_on(fleet):
+    """Guards against a zone that learns of a leaving server too late."""
+    for vm in fleet.vms.values():
+        vm.sync._accept(vm.sync._read(), "store")
+    beat(fleet, 8)
+    fleet.source.changes.append(StoredChange("servers/s1", 3, True, b""))
+    reader = fleet.vms["a1"]
+    reader.sync._accept(reader.sync._read(), "store")
+    for name in ("a2", "a6"):
+        assert fleet.vms[name].catalog.get_server("s1") is None
+
+
+def test_read_after_lost_history_is_fresh(fleet):
+    """Guards against a stale answer that is older than the history which is left."""
+    vm = fleet.vms["a1"]
+    vm.sync._accept(vm.sync._read(), "store")
+    fleet.source.error = HistoryLostError("gone")
+    vm.sync._accept(vm.sync._read(), "store")
+    assert fleet.source.fresh_reads == [False, True]
