--- a/src/lavendermast/entrydaemon.py
+++ b/src/lavendermast/entrydaemon.py
@@ -43,7 +43,7 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(number, handle_signal)
     signal.signal(
-        signal.SIGHUP, lambda number, frame: eventlet.spawn_n(node.reload, "SIGHUP")
+        signal.SIGHUP, lambda number, frame: eventlet.spawn_n(node.reload, path)
     )
     node.start()
     node.stop(stop_requested.wait())
--- a/src/lavendermast/entrynode.py
+++ b/src/lavendermast/entrynode.py
@@ -17,8 +17,10 @@
     ReadyApplication,
 )
 from lavendermast.entrymeasures import MetricsApplication, build_board
+from lavendermast.entrysettings import load_entry_settings
 from lavendermast.evidencebook import EvidenceBook
 from lavendermast.evidencesharing import EvidenceSharing
+from lavendermast.exceptions import SettingsError
 from lavendermast.hostroutes import HostRouter
 from lavendermast.listeners import HttpListener
 from lavendermast.logs import EventLog
@@ -186,9 +188,17 @@
         self.log.close()
         os._exit(0)
 
-    def reload(self, reason):
-        """Note that the settings file changed; addresses cannot change while running."""
-        self.log.record("reloaded", reason=reason)
+    def reload(self, path):
+        """Read the settings file again; addresses stay as they are until a restart."""
+        try:
+            settings = load_entry_settings(path)
+        except SettingsError as error:
+            self.log.record("reload_rejected", findings=str(error))
+            return
+        self.settings = settings
+        self.fleet.seeds = settings.seeds
+        self._budgets.clear()
+        self.log.record("reloaded", seeds=",".join(settings.seeds))
 
     def is_ready(self):
         """Return whether callers should be sent here."""
--- a/src/lavendermast/zonefleet.py
+++ b/src/lavendermast/zonefleet.py
@@ -55,7 +55,7 @@
     """
 
     def __init__(self, settings, boot_id, network, clock, record_event, describe):
-        self._settings = settings
+        self.seeds = settings.seeds
         self._network = network
         self._clock = clock
         self._record_event = record_event
@@ -177,7 +177,7 @@
         self._send(addresses, others)
 
     def _ask_seeds(self, all_seeds):
-        seeds = [s for s in self._settings.seeds if s != self.own.peer_address]
+        seeds = [s for s in self.seeds if s != self.own.peer_address]
         if not seeds:
             return
         self._seed += 1
