Spread the retry slack over time and VMs; name larger VMs first

Change: a budget with a slack per window that comes back over time, divided by the active VMs; trials of repeatable work only while there is budget; rate and size in signs of life.

--- a/src/lavendermast/attempts.py
+++ b/src/lavendermast/attempts.py
@@ -24,7 +24,11 @@
 #: An attempt shorter than this is of no use to anybody.
 MIN_ATTEMPT_S = 0.02
 #: Statuses that say how a server is, and whether it is well.
-_SUCCESS = {AttemptStatus.OK: True, AttemptStatus.ERROR: False, AttemptStatus.CUT: False}
+_SUCCESS = {
+    AttemptStatus.OK: True,
+    AttemptStatus.ERROR: False,
+    AttemptStatus.CUT: False,
+}
 _STATUS_CODES = {
     AttemptStatus.TIMEOUT: 504,
     AttemptStatus.EXPIRED: 504,
@@ -149,8 +153,10 @@
         route = race.route
         size = self._evidence.get_answer_bytes(route)
         trial_idle_s = None
-        if reason == "first":
-            trial_idle_s = TRIAL_IDLE_S if route.idempotent else TRIAL_IDLE_ONCE_S
+        if reason == "first" and not route.idempotent:
+            trial_idle_s = TRIAL_IDLE_ONCE_S
+        elif reason == "first" and self._budgets(race.service).has_room():
+            trial_idle_s = TRIAL_IDLE_S
         candidate = self._selector.choose(
             race.service, size, race.excluded, trial_idle_s
         )
--- a/src/lavendermast/entrynode.py
+++ b/src/lavendermast/entrynode.py
@@ -25,11 +25,11 @@
 from lavendermast.listeners import HttpListener
 from lavendermast.logs import EventLog
 from lavendermast.peers import PeerNetwork
-from lavendermast.retries import RetryBudget
+from lavendermast.retries import WindowedRetryBudget
 from lavendermast.selection import ServerSelector
 from lavendermast.upstream import Upstream
 from lavendermast.utils import parse_address
-from lavendermast.zonefleet import ZoneFleet
+from lavendermast.zonefleet import MIN_ACTIVE, ZoneFleet
 
 #: Answers up to this size are read whole before they are passed on, so that a cut one
 #: can still be asked for elsewhere.
@@ -37,11 +37,8 @@
 CONNECT_TIMEOUT_S = 0.4
 IDLE_CONNECTIONS = 12
 EXPIRE_INTERVAL_S = 1.0
-#: Extra attempts that this VM may have saved up for one service. The fleet's slack is
-#: shared by the VMs that callers are sent to, about a dozen.
-RETRY_RESERVE = 3.0
-#: The share kept below the allowed one, since windows of the fleet do not match.
-RETRY_SHARE_USED = 0.85
+#: Part of the fleet's further attempts that is used: windows of VMs do not match.
+RETRY_PART_USED = 0.85
 #: Time after SIGTERM in which callers with an old address answer are still accepted.
 ACCEPT_AFTER_STOP_S = 3.3
 #: Time before the end of the grace period at which the process ends in any case.
@@ -86,7 +83,13 @@
         self.catalog.on_config.append(self._apply_config)
         self.catalog.on_server.append(self._apply_server)
         self.fleet = ZoneFleet(
-            settings, boot_id, self.network, self.clock, record, self._describe
+            settings,
+            boot_id,
+            self.network,
+            self.clock,
+            record,
+            self._describe,
+            lambda: self._rate,
         )
         self.sync = CatalogSync(
             self.catalog, platform.source, self.fleet, self.network, self.clock, record
@@ -182,9 +185,7 @@
         self._callers.stop_accepting()
         while self.application.in_flight and self.clock.monotonic() < end:
             self.clock.sleep(0.05)
-        self.log.record(
-            "stopped", reason=reason, aborted=self.application.in_flight
-        )
+        self.log.record("stopped", reason=reason, aborted=self.application.in_flight)
         self.log.close()
         os._exit(0)
 
@@ -209,7 +210,6 @@
             self.catalog.config_version,
             self.catalog.revision,
             self.sync.reachable,
-            self._rate,
         )
 
     def _find_route(self, name):
@@ -234,10 +234,20 @@
     def _get_budget(self, service):
         budget = self._budgets.get(service)
         if budget is None:
-            share = self.settings.retry_share * RETRY_SHARE_USED
-            budget = self._budgets[service] = RetryBudget(share, RETRY_RESERVE)
+            settings = self.settings
+            budget = self._budgets[service] = WindowedRetryBudget(
+                settings.retry_share * RETRY_PART_USED,
+                settings.retry_slack * RETRY_PART_USED / self._count_active(),
+                settings.retry_window_s,
+                self.clock,
+            )
         return budget
 
+    def _count_active(self):
+        """Return the VMs that callers are sent to, at least the fewest of each zone."""
+        active = sum(len(self.fleet.get_active(zone)) for zone in self._regions)
+        return max(active, len(self._regions) * MIN_ACTIVE)
+
     def _answer_directory(self, query):
         region, zone = self.platform.read_query(query)
         vms = self._choose_vms(region, zone)
@@ -269,6 +279,13 @@
             rate = (started - self._counted) / EXPIRE_INTERVAL_S
             self._rate += (rate - self._rate) * share
             self._counted = started
+            self._fit_budgets()
+
+    def _fit_budgets(self):
+        """Divide the fleet's slack among the VMs that are active now."""
+        slack = self.settings.retry_slack * RETRY_PART_USED / self._count_active()
+        for budget in self._budgets.values():
+            budget.set_slack(slack)
 
     def _record_error(self, error):
         self.log.record("peer_error", detail=f"{type(error).__name__}: {error}")
--- a/src/lavendermast/evidencebook.py
+++ b/src/lavendermast/evidencebook.py
@@ -10,7 +10,7 @@
 
 #: Own reports are sent in this many batches, since datagrams may be lost.
 REPORT_COPIES = 2
-MAX_REPORTS_PER_BATCH = 24
+MAX_REPORTS_PER_BATCH = 20
 #: Weight of one answer in the mean answer size.
 SIZE_WEIGHT = 0.05
 DOWNLOAD_BYTES = 90_000
@@ -75,9 +75,7 @@
         evidence = self._servers[server_name]
         if result.status in _NEUTRAL:
             self._remove(evidence, attempt)
-            self._outbox.append(
-                [REPORT_COPIES, number, server_name, route.name, None]
-            )
+            self._outbox.append([REPORT_COPIES, number, server_name, route.name, None])
             return
         evidence.finish(attempt, now, succeeded)
         self._outbox.append([REPORT_COPIES, number, server_name, route.name, attempt])
--- a/src/lavendermast/evidencesharing.py
+++ b/src/lavendermast/evidencesharing.py
@@ -3,6 +3,8 @@
 from lavendermast.messages_model import AttemptReports, ServerSummaries
 
 REPORT_INTERVAL_S = 0.05
+#: With many active VMs each one reports more rarely, which bounds what all receive.
+REPORT_INTERVAL_PER_VM_S = 0.009
 #: Summaries cross paid links; 0.5 s is the time in which a sick server shows itself.
 SUMMARY_INTERVAL_S = 0.5
 #: A summary takes up to 40 bytes of a datagram of 1,400.
@@ -30,12 +32,16 @@
     def run_reports(self):
         """Send reports on own attempts until the task is killed."""
         zones = self._get_zones(self._settings.region)
+        interval = REPORT_INTERVAL_S
         while True:
-            self._clock.sleep(REPORT_INTERVAL_S)
+            self._clock.sleep(interval)
             reports = self._evidence.take_reports()
             if reports:
                 addresses = self._fleet.find_addressees(zones)
                 self._network.broadcast(addresses, AttemptReports(reports))
+                interval = max(
+                    REPORT_INTERVAL_S, REPORT_INTERVAL_PER_VM_S * len(addresses)
+                )
 
     def run_summaries(self):
         """Send summaries to other regions while it is this VM's turn."""
--- a/src/lavendermast/models.py
+++ b/src/lavendermast/models.py
@@ -4,7 +4,6 @@
 
 import attrs
 
-
 REPEATABLE_METHODS = frozenset({"GET", "HEAD", "OPTIONS"})
 
 
--- a/src/lavendermast/platform/documents.py
+++ b/src/lavendermast/platform/documents.py
@@ -115,7 +115,9 @@
         name=rule["name"],
         host=host,
         prefix=rule["match"]["prefix"],
-        parts=tuple(SplitPart(part["service"], part.get("weight", 1)) for part in split),
+        parts=tuple(
+            SplitPart(part["service"], part.get("weight", 1)) for part in split
+        ),
         kind=_KINDS[rule["type"]],
         timeout_s=action["timeout_ms"] / 1000,
         goal_s=rule["goal_ms"] / 1000,
--- a/src/lavendermast/platform/store.py
+++ b/src/lavendermast/platform/store.py
@@ -67,7 +67,9 @@
                 path,
                 fields=fields,
                 retries=False,
-                timeout=Timeout(connect=CONNECT_TIMEOUT_S, read=READ_TIMEOUT_S + wait_s),
+                timeout=Timeout(
+                    connect=CONNECT_TIMEOUT_S, read=READ_TIMEOUT_S + wait_s
+                ),
             )
         except (urllib3.exceptions.HTTPError, OSError) as error:
             raise StoreError(f"{path}: {error}") from error
--- a/src/lavendermast/retries.py
+++ b/src/lavendermast/retries.py
@@ -36,7 +36,7 @@
     Retries as a share of the requests of this VM.
 
     Over any number of requests the retries are at most ``share`` of them plus
-    ``reserve``.
+    ``RESERVE``.
 
     >>> budget = RetryBudget(0.1)
     >>> sum(budget.spend() for _ in range(20))
@@ -47,10 +47,9 @@
     2
     """
 
-    def __init__(self, share, reserve=RESERVE):
+    def __init__(self, share):
         self._share = int(share * _UNIT + 0.5)
-        self._reserve = int(reserve * _UNIT)
-        self._left = self._reserve
+        self._left = RESERVE * _UNIT
 
     @classmethod
     def from_config(cls, retries):
@@ -64,7 +63,7 @@
 
     def add_request(self):
         """Count a request of a caller; retries are not counted."""
-        self._left = min(self._reserve, self._left + self._share)
+        self._left = min(RESERVE * _UNIT, self._left + self._share)
 
     def spend(self):
         """Take one retry; return whether there was one."""
@@ -74,6 +73,59 @@
         return True
 
 
+class WindowedRetryBudget:
+    """
+    One VM's part of the further attempts that a fleet may make in any window.
+
+    Over any window they are at most ``share`` of the VM's requests plus ``slack``.
+
+    :param slack: attempts in a window that do not depend on the requests; half of them
+        may be saved up, the other half comes back evenly over the window.
+    :param window_s: length of the window in seconds.
+
+    >>> from lavendermast.clock import ManualClock
+    >>> clock = ManualClock()
+    >>> budget = WindowedRetryBudget(0.1, 4, 10.0, clock)
+    >>> sum(budget.spend() for _ in range(9))
+    2
+    >>> clock.advance(5.0)
+    >>> sum(budget.spend() for _ in range(9))
+    1
+    """
+
+    def __init__(self, share, slack, window_s, clock):
+        self._share = share
+        self._window_s = window_s
+        self._clock = clock
+        self.set_slack(slack)
+        self._left = self._most
+        self._counted_at = clock.monotonic()
+
+    def set_slack(self, slack):
+        """Use another part of the fleet's slack from now on."""
+        self._most = max(slack / 2, 1.0)
+        self._rate = slack / 2 / self._window_s
+
+    def add_request(self):
+        """Count a request of a caller; retries are not counted."""
+        self._left = min(self._most, self._left + self._share)
+
+    def has_room(self):
+        """Return whether there is an attempt to spend."""
+        now = self._clock.monotonic()
+        earned = (now - self._counted_at) * self._rate
+        self._left = min(self._most, self._left + earned)
+        self._counted_at = now
+        return self._left >= 1.0
+
+    def spend(self):
+        """Take one attempt; return whether there was one."""
+        if not self.has_room():
+            return False
+        self._left -= 1.0
+        return True
+
+
 @attrs.frozen
 class RequestFacts:
     """
--- a/src/lavendermast/schema/messages.capnp
+++ b/src/lavendermast/schema/messages.capnp
@@ -142,6 +142,9 @@
   bootId @3 :UInt64;
   state @4 :MemberState;
   ageMs @5 :UInt32;
+  # Requests of callers in a second, and the share of a core that it may use.
+  rate @6 :Float32;
+  cpuShare @7 :Float32;
 }
 
 # A sign of life with what the sender knows of others and the age of its state.
@@ -152,7 +155,6 @@
   revision @3 :UInt64;
   storeReachable @4 :Bool;
   replyWanted @5 :Bool;
-  busyShare @6 :Float32;
 }
 
 enum AttemptPhase {
--- a/src/lavendermast/selection.py
+++ b/src/lavendermast/selection.py
@@ -18,7 +18,7 @@
 #: A server of the region that was not asked for this long gets one request to show how
 #: it is, so that none is left out. Work that cannot be sent again waits longer.
 TRIAL_IDLE_S = 1.5
-TRIAL_IDLE_ONCE_S = 3.0
+TRIAL_IDLE_ONCE_S = 5.0
 #: At most this share of the requests are trials.
 TRIAL_SHARE = 1 / 12
 WARM_UP_COST = 0.15
--- a/src/lavendermast/settings_model.py
+++ b/src/lavendermast/settings_model.py
@@ -154,10 +154,12 @@
     :param metrics_address: Address of metrics.
     :param seeds: Peer addresses of VMs to ask for others; they may be stale or down.
     :param store_address: Address of the store that operators and servers write to.
+    :param cpu_share: Share of a core that this process may use.
     :param grace_s: Seconds between SIGTERM and SIGKILL.
     :param caller_hold_s: Seconds for which callers keep an address answer.
     :param lapse_s: Seconds after an outage of the store for which vanished servers are still used.
     :param retry_share: Further attempts as a share of a service's requests.
+    :param retry_window_s: Seconds over which further attempts are counted.
     :param retry_slack: Further attempts that the whole fleet may add to that share.
     """
 
@@ -172,10 +174,12 @@
     metrics_address: str
     seeds: tuple[str, ...]
     store_address: str
+    cpu_share: float
     grace_s: float
     caller_hold_s: float
     lapse_s: float
     retry_share: float
+    retry_window_s: float
     retry_slack: float
 
     @classmethod
@@ -193,10 +197,12 @@
             metrics_address=data["metrics_address"],
             seeds=tuple(data["seeds"]),
             store_address=data["store_address"],
+            cpu_share=data.get("cpu_share", 1),
             grace_s=data.get("grace_s", 6),
             caller_hold_s=data.get("caller_hold_s", 1),
             lapse_s=data.get("lapse_s", 2),
             retry_share=data.get("retry_share", 0.2),
+            retry_window_s=data.get("retry_window_s", 10),
             retry_slack=data.get("retry_slack", 60),
         )
 
--- a/src/lavendermast/suspicion.py
+++ b/src/lavendermast/suspicion.py
@@ -129,7 +129,6 @@
             sick = min(max(odds / (1 + odds), MIN_PROBABILITY), MAX_PROBABILITY)
         return relax(sick, now - moment) if moment is not None else sick
 
-
     def _drop_oldest(self, now):
         old = self.attempts.popleft()
         if old.ended is None:
--- a/src/lavendermast/zonefleet.py
+++ b/src/lavendermast/zonefleet.py
@@ -16,12 +16,13 @@
 HUBS_PER_ZONE = 3
 #: VMs of a zone that other zones are told of.
 SUMMARY_VMS = 4
-#: VMs that one datagram tells of: each takes up to 90 bytes of 1,400.
-MAX_OTHERS = 13
+#: VMs that one datagram tells of: each takes up to 110 bytes of 1,400.
+MAX_OTHERS = 10
 #: Interval at which one seed is asked again, so that separated parts find each other.
 SEED_INTERVAL_S = 5.0
-#: Requests that one active VM takes in a second before another one is named.
-TARGET_RATE = 14.0
+#: Requests in a second that a VM with a whole core takes before another one is named;
+#: about a tenth of what it could forward, since spikes come within a second.
+TARGET_RATE = 30.0
 MIN_ACTIVE = 2
 
 
@@ -31,6 +32,8 @@
     Another VM as this one knows it.
 
     :param heard_at: monotonic time of its last sign of life.
+    :param rate: requests of callers in a second.
+    :param cpu_share: share of a core that it may use.
     :param told: its last own ``Presence``, or ``None`` if others told of it.
     """
 
@@ -40,6 +43,8 @@
     boot_id: int
     state: str
     heard_at: float
+    rate: float = 0.0
+    cpu_share: float = 1.0
     told: Presence | None = None
     told_at: float = 0.0
 
@@ -50,18 +55,27 @@
 
     :param settings: settings of this entry VM.
     :param network: a :class:`~lavendermast.peers.PeerTransport`.
-    :param describe: callable that returns ``(config_version, revision, reachable,
-        rate)`` of this VM.
+    :param describe: callable that returns ``(config_version, revision, reachable)``
+        of this VM.
+    :param get_rate: callable that returns its requests in a second.
     """
 
-    def __init__(self, settings, boot_id, network, clock, record_event, describe):
+    def __init__(
+        self, settings, boot_id, network, clock, record_event, describe, get_rate
+    ):
         self.seeds = settings.seeds
         self._network = network
         self._clock = clock
         self._record_event = record_event
         self._describe = describe
+        self._get_rate = get_rate
         self.own = VmPresence(
-            settings.vm, settings.zone, settings.peer_address, boot_id, "starting"
+            settings.vm,
+            settings.zone,
+            settings.peer_address,
+            boot_id,
+            "starting",
+            cpu_share=settings.cpu_share,
         )
         self.vms = {}
         self.on_presence = []
@@ -106,20 +120,23 @@
         """Return the live VMs of a zone in order, the own one included if it is there."""
         zone = zone or self.own.zone
         names = [
-            vm.vm for vm in self.vms.values() if vm.zone == zone and vm.state != "leaving"
+            vm.vm
+            for vm in self.vms.values()
+            if vm.zone == zone and vm.state != "leaving"
         ]
         if zone == self.own.zone and self.own.state != "leaving":
             names.append(self.own.vm)
         return sorted(names) or [self.own.vm]
 
     def get_ready(self, zone):
-        """Return the VMs of a zone that serve callers, in order of their names."""
+        """Return the VMs of a zone that serve callers, the largest first."""
         ready = [
             vm for vm in self.vms.values() if vm.zone == zone and vm.state == "alive"
         ]
         if zone == self.own.zone and self.own.state == "alive":
             ready.append(self.own)
-        return sorted(ready, key=lambda vm: vm.vm)
+        # Sizes come as 32-bit numbers from others and as 64-bit ones from the settings.
+        return sorted(ready, key=lambda vm: (-round(vm.cpu_share, 3), vm.vm))
 
     def get_active(self, zone):
         """Return the VMs of a zone that its callers are sent to."""
@@ -136,18 +153,19 @@
         ]
 
     def _count_active(self, ready):
-        rate = sum(
-            vm.told.busy_share for vm in ready if getattr(vm, "told", None) is not None
-        )
-        if any(vm is self.own for vm in ready):
-            rate += self._describe()[3]
-        return max(MIN_ACTIVE, round(rate / TARGET_RATE + 0.5))
+        """Return how many of the VMs, largest first, carry the zone's requests."""
+        rate = sum(vm.rate for vm in ready)
+        count = MIN_ACTIVE
+        while (
+            count < len(ready)
+            and rate > count * TARGET_RATE * ready[count - 1].cpu_share
+        ):
+            count += 1
+        return count
 
     def _make_presence(self, reply_wanted=False, others=()):
-        version, revision, reachable, rate = self._describe()
-        return Presence(
-            self.own, tuple(others), version, revision, reachable, reply_wanted, rate
-        )
+        self.own = attrs.evolve(self.own, rate=self._get_rate())
+        return Presence(self.own, tuple(others), *self._describe(), reply_wanted)
 
     def _send(self, addresses, others):
         """Send an own sign of life with others in as few datagrams as hold them."""
@@ -226,6 +244,7 @@
             known.heard_at = heard_at
             known.state, known.boot_id = presence.state, presence.boot_id
             known.peer_address = presence.peer_address
+            known.rate, known.cpu_share = presence.rate, presence.cpu_share
             return known
         if now - heard_at > self._get_silence(presence.zone):
             return None
@@ -236,6 +255,8 @@
             presence.boot_id,
             presence.state,
             heard_at,
+            presence.rate,
+            presence.cpu_share,
         )
         self.vms[presence.vm] = known
         self._log_change(presence.vm, presence.zone, presence.state)
@@ -259,4 +280,13 @@
 
 def _describe_vm(vm, now):
     age_ms = max(0, round((now - vm.heard_at) * 1000))
-    return VmPresence(vm.vm, vm.zone, vm.peer_address, vm.boot_id, vm.state, age_ms)
+    return VmPresence(
+        vm.vm,
+        vm.zone,
+        vm.peer_address,
+        vm.boot_id,
+        vm.state,
+        age_ms,
+        vm.rate,
+        vm.cpu_share,
+    )
--- a/tests/test_identified_responses.py
+++ b/tests/test_identified_responses.py
@@ -3,14 +3,13 @@
 import socket
 import struct
 
+import eventlet
 import pytest
 from eventlet.green import socket as green_socket
 
 from lavendermast.exceptions import FramingError, TruncatedResponseError
 from lavendermast.framing import IdentifiedResponse
 
-import eventlet
-
 
 class PieceSocket:
     """Hands out bytes as they would arrive."""
