Cover misdirected attempts in the outcome table; tidy

Cause: the table test guards every attempt status and misdirected was new. Change: a row for it, told like a refusal by a draining server; long lines.

--- a/src/lavendermast/catalogsync.py
+++ b/src/lavendermast/catalogsync.py
@@ -1,4 +1,4 @@
-"""Keeps the catalog current: one reader of the store for each zone, peers for others."""
+"""Keeps the catalog current: one reader of the store a zone, peers for the others."""
 
 import abc
 
--- a/src/lavendermast/entry.py
+++ b/src/lavendermast/entry.py
@@ -88,7 +88,7 @@
         text = environ.get(self._calls.time_left_variable, "")
         if text.isdigit():
             left_s = min(left_s, int(text) / 1000 - RETURN_MARGIN_S)
-        request = CallerRequest(
+        return CallerRequest(
             id=environ.get(self._calls.request_id_variable, ""),
             method=environ["REQUEST_METHOD"],
             path=get_raw_path(environ),
@@ -101,7 +101,6 @@
             arrived=arrived,
             idempotent=route.idempotent,
         )
-        return request
 
     def _send(self, reply, route, environ, arrived, start_response):
         request_id = environ.get(self._calls.request_id_variable, "")
--- a/src/lavendermast/suspicion.py
+++ b/src/lavendermast/suspicion.py
@@ -83,7 +83,7 @@
         return attempt
 
     def finish(self, attempt, now, succeeded):
-        """Count the end of an attempt; ``succeeded`` is ``None`` if it was abandoned."""
+        """Count the end of an attempt; ``succeeded`` is ``None`` if abandoned."""
         if attempt.ended is None:
             self.pending -= 1
         attempt.ended = now
@@ -140,8 +140,8 @@
     """
     Return a probability some time after it was known.
 
-    >>> relax(0.9, 0.0), round(relax(0.9, 60.0), 3)
-    (0.9, 0.3)
+    >>> [round(relax(0.9, seconds), 3) for seconds in (0.0, 8.0, 80.0)]
+    [0.9, 0.521, 0.3]
     """
     return SICK_SHARE + (sick - SICK_SHARE) * math.exp(-seconds / MEMORY_S)
 
--- a/src/lavendermast/zonefleet.py
+++ b/src/lavendermast/zonefleet.py
@@ -117,7 +117,7 @@
             self._ask_seeds(all_seeds=alone)
 
     def get_zone_names(self, zone=None):
-        """Return the live VMs of a zone in order, the own one included if it is there."""
+        """Return the live VMs of a zone in order, with the own one if it is there."""
         zone = zone or self.own.zone
         names = [
             vm.vm
@@ -219,7 +219,7 @@
             handler(presence)
 
     def _choose_for(self, asking):
-        """Return the VMs that a newcomer is told of: its zone and some of each other."""
+        """Return the VMs that a newcomer is told of: its zone and some of others."""
         chosen = []
         for zone in {vm.zone for vm in self.vms.values()}:
             vms = sorted(
--- a/tests/test_retries.py
+++ b/tests/test_retries.py
@@ -16,6 +16,7 @@
 error           retry         stop          stop          unknown   502
 shed            retry         retry         stop          not-run   503
 draining        retry         retry         stop          not-run   503
+misdirected     retry         retry         stop          not-run   503
 connect_failed  retry         retry         stop          not-run   503
 timeout         retry         stop          stop          unknown   504
 cut             retry         stop          stop          unknown   502
