--- a/src/lavendermast/entrynode.py
+++ b/src/lavendermast/entrynode.py
@@ -41,8 +41,9 @@
 RETRY_PART_USED = 0.85
 #: Time after SIGTERM in which callers with an old address answer are still accepted.
 ACCEPT_AFTER_STOP_S = 3.3
-#: Time before the end of the grace period at which the process ends in any case.
-END_MARGIN_S = 0.15
+#: Time before the end of the grace period at which the process ends in any case; a
+#: slowed VM still gets there.
+END_MARGIN_S = 0.5
 #: Rates of requests are averaged over about this time.
 RATE_WINDOW_S = 2.0
 TASK_RETRY_S = 0.2
