Test the entry daemon as a process between stand-ins

Change: stand-ins of the metadata store and of an instance, and eight tests of a real process: served and explained, gray, spoiled, shed, draining with lost history, planned stop, refused settings.

--- /dev/null
+++ b/standins/instance.py
@@ -0,0 +1,54 @@
+"""Stand-in for a backend server of the users' platform."""
+
+import eventlet
+import eventlet.wsgi
+
+
+class InstanceStandIn:
+    """
+    Answers with a signed body; ``mode`` makes it fail.
+
+    :param mode: ``ok``, ``hang``, ``shed``, ``error``, ``cut`` or ``unsigned``.
+    """
+
+    def __init__(self, name, service, zone, mode="ok"):
+        self.name, self.service, self.zone, self.mode = name, service, zone, mode
+        self.runs = []
+        self._socket = eventlet.listen(("127.0.0.1", 0))
+        self.address = "{}:{}".format(*self._socket.getsockname())
+
+    def start(self):
+        """Serve until the process ends."""
+        eventlet.spawn(eventlet.wsgi.server, self._socket, self, log_output=False)
+
+    def make_entry(self, state="ready"):
+        """Return what it writes to the store."""
+        info = {"service": self.service, "version": "v1", "zone": self.zone}
+        status = {"state": state, "sequence": 1, "warmup_left_ms": 0}
+        info["capacity"] = 6
+        return {"addr": self.address, "info": info, "status": status, "born": 1000}
+
+    def __call__(self, environ, start_response):
+        request_id = environ.get("HTTP_REQUEST_ID", "")
+        headers = [("Request-Id", request_id)]
+        if environ.get("HTTP_EXPECT_INSTANCE", self.name) != self.name:
+            return self._answer(start_response, 421, headers, b"")
+        if self.mode == "shed":
+            headers.append(("Not-Executed", "1"))
+            return self._answer(start_response, 503, headers, b"")
+        self.runs.append((request_id, environ["PATH_INFO"]))
+        if self.mode == "hang":
+            eventlet.sleep(int(environ["HTTP_DEADLINE_MS"]) / 1000)
+        if self.mode != "unsigned":
+            headers.append(("Server-Signature", f"{self.name}.1"))
+        status = 500 if self.mode == "error" else 200
+        body = f"{self.name} {environ['PATH_INFO']}".encode()
+        if self.mode == "cut":
+            headers += [("Content-Length", str(len(body) + 9)), ("Connection", "close")]
+            start_response("200 -", headers)
+            return [body]
+        return self._answer(start_response, status, headers, body)
+
+    def _answer(self, start_response, status, headers, body):
+        start_response(f"{status} -", [*headers, ("Content-Length", str(len(body)))])
+        return [body]
--- /dev/null
+++ b/standins/metadata.py
@@ -0,0 +1,81 @@
+"""Stand-in for the users' metadata store: ranges, watches and lost history."""
+
+import base64
+import json
+import urllib.parse
+
+import eventlet
+import eventlet.wsgi
+
+
+class MetadataStandIn:
+    """
+    A store in memory, served by WSGI.
+
+    ``failure`` is a status that every call gets, or ``None``.
+    """
+
+    def __init__(self):
+        self.items = {}
+        self.events = []
+        self.revision = 1
+        self.first_kept = 1
+        self.failure = None
+        self.calls = 0
+        self._socket = eventlet.listen(("127.0.0.1", 0))
+        self.address = "{}:{}".format(*self._socket.getsockname())
+
+    def start(self):
+        """Serve until the process ends."""
+        eventlet.spawn(eventlet.wsgi.server, self._socket, self, log_output=False)
+
+    def put(self, key, value):
+        """Write a JSON value."""
+        self.revision += 1
+        text = base64.b64encode(json.dumps(value).encode()).decode()
+        item = {"key": key, "value": text, "rev": self.revision}
+        self.items[key] = item
+        self.events.append(item)
+
+    def delete(self, key):
+        """Remove a key."""
+        self.revision += 1
+        del self.items[key]
+        self.events.append({"key": key, "rev": self.revision, "deleted": True})
+
+    def forget_history(self):
+        """Answer 410 to watches from earlier revisions."""
+        self.first_kept = self.revision + 1
+
+    def __call__(self, environ, start_response):
+        self.calls += 1
+        query = dict(urllib.parse.parse_qsl(environ.get("QUERY_STRING", "")))
+        if self.failure is not None:
+            return self._answer(start_response, self.failure, {"error": "refused"})
+        if environ["PATH_INFO"] == "/kv-range":
+            items = [
+                item
+                for key, item in sorted(self.items.items())
+                if key > query.get("after", "")
+            ]
+            page = {"items": items[:2], "has_more": len(items) > 2}
+            return self._answer(start_response, 200, {**page, "at_rev": self.revision})
+        return self._watch(query, start_response)
+
+    def _watch(self, query, start_response):
+        after = int(query["after"])
+        for _ in range(int(query["wait_ms"]) // 20 + 1):
+            if after + 1 < self.first_kept:
+                return self._answer(start_response, 410, {"error": "compacted"})
+            events = [event for event in self.events if event["rev"] > after]
+            if events:
+                break
+            eventlet.sleep(0.02)
+        body = {"events": events, "at_rev": self.revision}
+        return self._answer(start_response, 200, body)
+
+    def _answer(self, start_response, status, value):
+        body = json.dumps(value).encode()
+        headers = [("Content-Type", "application/json")]
+        start_response(f"{status} -", [*headers, ("Content-Length", str(len(body)))])
+        return [body]
--- /dev/null
+++ b/tests/test_entry.py
@@ -0,0 +1,243 @@
+"""An entry VM as a process, between a caller, servers and a store of our own."""
+
+import json
+import os
+import pathlib
+import signal
+import socket
+import subprocess
+import sys
+import time
+
+import eventlet
+import pytest
+import urllib3
+
+from standins.instance import InstanceStandIn
+from standins.metadata import MetadataStandIn
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+WAIT_S = 20.0
+HOST = "a.example"
+
+
+def take_port():
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        return sock.getsockname()[1]
+
+
+def make_rule(name, prefix, kind, **action):
+    return {
+        "name": name,
+        "type": kind,
+        "goal_ms": 400,
+        "match": {"prefix": prefix},
+        "action": {"service": "stock", "timeout_ms": 1500, "max_attempts": 2, **action},
+    }
+
+
+def make_config(version, *rules):
+    limits = {
+        "max_header_bytes": 16384,
+        "max_body_bytes": 1000000,
+        "header_timeout_ms": 3000,
+        "idle_timeout_ms": 15000,
+    }
+    return {
+        "version": f"r{version}",
+        "limits": limits,
+        "listeners": [{"host": HOST, "rules": list(rules)}],
+        "upstreams": [{"name": "stock", "health_path": "/h", "max_conns": 360}],
+    }
+
+
+READ = make_rule("read", "/stock/", "idempotent")
+BOOK = make_rule("book", "/book/", "non_idempotent")
+
+
+class World:
+    """A store, servers and one entry process."""
+
+    def __init__(self, path):
+        self.store = MetadataStandIn()
+        self.store.start()
+        self.store.put("op/config", make_config(3, READ, BOOK))
+        self.store.put("servers/other", {"addr": 7})
+        self.servers = {}
+        names = ("caller", "ready", "directory", "peer", "metrics")
+        self.ports = {name: take_port() for name in names}
+        settings = {f"{n}_address": f"127.0.0.1:{p}" for n, p in self.ports.items()}
+        zones = [{"zone": "a", "region": "north"}]
+        settings |= {"vm": "vm-1", "zone": "a", "region": "north", "zones": zones}
+        settings |= {"seeds": [], "store_address": self.store.address, "grace_s": 6}
+        path.write_text(json.dumps(settings))
+        self.process = subprocess.Popen(
+            [sys.executable, "-W", "ignore", str(ROOT / "deploy" / "entry.py")],
+            env={**os.environ, "LAVENDERMAST_BOOT": str(path)},
+            stdout=path.with_suffix(".log").open("wb"),
+        )
+        self.log = path.with_suffix(".log")
+        self.http = urllib3.PoolManager(retries=False)
+        self.count = 0
+
+    def add(self, name, mode="ok"):
+        server = self.servers[name] = InstanceStandIn(name, "stock", "a", mode)
+        server.start()
+        self.store.put(f"servers/{name}", server.make_entry())
+        return server
+
+    def send(self, path="/stock/7", method="GET", timeout_ms=3000):
+        self.count += 1
+        return self.http.request(
+            method,
+            f"http://127.0.0.1:{self.ports['caller']}{path}",
+            headers={
+                "Host": HOST,
+                "Request-Id": f"id-{self.count}",
+                "Deadline-Ms": str(timeout_ms),
+            },
+        )
+
+    def wait_for(self, condition):
+        """Wait until a condition holds; a connection that is refused is no failure."""
+        deadline = time.monotonic() + WAIT_S
+        while time.monotonic() < deadline:
+            try:
+                if condition():
+                    return
+            except (urllib3.exceptions.HTTPError, OSError):
+                pass
+            eventlet.sleep(0.05)
+        raise AssertionError("the condition did not come true")
+
+    def read_metrics(self):
+        url = f"http://127.0.0.1:{self.ports['metrics']}/metrics"
+        return self.http.request("GET", url).data.decode()
+
+    def wait_ready(self, servers):
+        url = f"http://127.0.0.1:{self.ports['ready']}/readyz"
+        self.wait_for(lambda: self.http.request("GET", url).status == 200)
+        text = f'lavendermast_entry_servers{{service="stock"}} {servers}'
+        self.wait_for(lambda: text in self.read_metrics())
+
+    def stop(self):
+        self.process.kill()
+        self.process.wait()
+        return self.log.read_text()
+
+
+@pytest.fixture
+def world(tmp_path):
+    world = World(tmp_path / "entry.json")
+    yield world
+    world.stop()
+
+
+def test_request_is_served_and_explained(world):
+    """Guards the whole path: directory, route, server, answer, log and metrics."""
+    world.add("s1")
+    world.wait_ready(1)
+    url = f"http://127.0.0.1:{world.ports['directory']}/resolve?name={HOST}&zone=a"
+    answer = json.loads(world.http.request("GET", url).data)
+    assert answer["addresses"] == [f"127.0.0.1:{world.ports['caller']}"]
+    reply = world.send("/stock/7")
+    assert (reply.status, reply.data) == (200, b"s1 /stock/7")
+    assert reply.headers["Server-Signature"] == "s1.1"
+    assert reply.headers["Request-Id"] == "id-1"
+    assert world.send("/none/").status == 404
+    assert "lavendermast_entry_request_seconds_bucket" in world.read_metrics()
+    eventlet.sleep(0.2)
+    log = world.stop()
+    lines = [line for line in log.splitlines() if "request=id-1 " in line]
+    assert [line.split()[1] for line in lines] == [
+        "event=decision",
+        "event=attempt",
+        "event=request",
+    ]
+
+
+def test_hanging_server_costs_a_reader_little_and_runs_a_booking_once(world):
+    """Guards R4 and the second try: a gray server must not show to readers."""
+    world.add("s1", "hang")
+    world.add("s2")
+    world.wait_ready(2)
+    for _ in range(12):
+        started = time.monotonic()
+        assert world.send("/stock/7").status == 200
+        assert time.monotonic() - started < 1.4
+    statuses = [world.send("/book/1", "POST").status for _ in range(4)]
+    assert set(statuses) <= {200, 504}
+    runs = [run for server in world.servers.values() for run in server.runs]
+    bookings = [run[0] for run in runs if run[1] == "/book/1"]
+    assert len(bookings) == len(set(bookings)) == 4
+
+
+@pytest.mark.parametrize("mode", ["cut", "unsigned"])
+def test_spoiled_answer_never_reaches_a_caller(world, mode):
+    """Guards R2: a piece of an answer, or one that no server signed."""
+    world.add("s1", mode)
+    world.wait_ready(1)
+    assert world.send("/book/1", "POST").status == 502
+    world.add("s2")
+    world.wait_ready(2)
+    assert world.send("/stock/7").data == b"s2 /stock/7"
+
+
+def test_refusal_by_all_servers_is_told_as_not_run(world):
+    """Guards R3, and a caller that is not told when to come back."""
+    server = world.add("s1", "shed")
+    world.wait_ready(1)
+    reply = world.send("/book/1", "POST")
+    assert reply.status == 503
+    assert float(reply.headers["Retry-After"]) > 0
+    assert server.runs == []
+
+
+def test_draining_server_and_new_configuration_take_effect(world):
+    """Guards R5 and R7, also across lost history and a refusing store."""
+    world.add("s1")
+    world.add("s2")
+    world.wait_ready(2)
+    world.store.failure = 503
+    eventlet.sleep(0.3)
+    world.store.put("servers/s1", world.servers["s1"].make_entry("draining"))
+    world.store.put("op/config", make_config(9, READ))
+    world.store.forget_history()
+    world.store.failure = None
+    world.wait_for(lambda: world.send("/book/1", "POST").status == 404)
+    world.servers["s1"].runs.clear()
+    assert [world.send().status for _ in range(10)] == [200] * 10
+    assert world.servers["s1"].runs == []
+    world.store.put("op/config", make_config(8, READ, BOOK))
+    eventlet.sleep(0.5)
+    assert world.send("/book/1", "POST").status == 404
+
+
+def test_planned_stop_answers_everything(world):
+    """Guards R6: a request that a stopping process accepted is answered."""
+    world.add("s1", "hang")
+    world.wait_ready(1)
+    task = eventlet.spawn(world.send, "/book/1", "POST")
+    world.wait_for(lambda: world.servers["s1"].runs)
+    world.process.send_signal(signal.SIGTERM)
+    assert task.wait().status == 504
+    assert world.send("/none/").status == 404
+    world.wait_for(lambda: world.process.poll() is not None)
+    assert world.process.returncode == 0
+
+
+def test_settings_with_faults_are_refused_with_all_findings(tmp_path):
+    """Guards against a process that starts with half of its settings."""
+    path = tmp_path / "entry.json"
+    path.write_text('{"vm": "", "zone": "a", "store_address": "nowhere"}')
+    done = subprocess.run(
+        [sys.executable, "-W", "ignore", str(ROOT / "deploy" / "entry.py")],
+        env={**os.environ, "LAVENDERMAST_BOOT": str(path)},
+        capture_output=True,
+        timeout=60,
+    )
+    assert done.returncode == 2
+    text = done.stderr.decode()
+    assert "store_address" in text
+    assert "peer_address" in text
