--- a/standins/instance.py
+++ b/standins/instance.py
@@ -44,11 +44,16 @@
         status = 500 if self.mode == "error" else 200
         body = f"{self.name} {environ['PATH_INFO']}".encode()
         if self.mode == "cut":
-            headers += [("Content-Length", str(len(body) + 9)), ("Connection", "close")]
+            headers.append(("Content-Length", str(len(body) + 9)))
             start_response("200 -", headers)
-            return [body]
+            return self._break_off(body)
         return self._answer(start_response, status, headers, body)
 
     def _answer(self, start_response, status, headers, body):
         start_response(f"{status} -", [*headers, ("Content-Length", str(len(body)))])
         return [body]
+
+    def _break_off(self, body):
+        yield body
+        # An error in the middle of a body makes the server close the connection.
+        raise ConnectionAbortedError("cut on request")
