Reuse connections sooner for bookings after an idle one was reset

Cause: grown deployments have servers that forget idle connections; what is sent next is reset, and a booking may then have run. Change: after such a reset only connections that were idle for half as long carry non-repeatable requests of that service.

--- a/src/lavendermast/upstream.py
+++ b/src/lavendermast/upstream.py
@@ -23,6 +23,9 @@
 #: delay to arrive. Requests that must not run twice only reuse younger connections.
 FRESH_IDLE_S = 1.0
 MAX_IDLE_S = 30.0
+#: Servers may forget idle connections; after a reset only ones that were idle for half
+#: as long carry requests that must not run twice.
+IDLE_RESET_FACTOR = 0.5
 _KEEP_ALIVE = re.compile(r"timeout=([0-9]{1,6})")
 #: Time by which a connection is given up before the server would close it: a close
 #: takes one network delay to arrive, and servers round their limit.
@@ -140,6 +143,7 @@
     deadline: float
     cancelled: Cancellation | None
     connection: ServerConnection | None = None
+    idle_s: float | None = None  # how long a reused connection had been idle
     _timer: object = None
 
     def __enter__(self):
@@ -185,6 +189,7 @@
         self._connect_timeout_s = connect_timeout_s
         self.connections_opened = 0
         self._idle = collections.defaultdict(collections.deque)
+        self._safe_idle_s = {}
 
     @classmethod
     def from_config(cls, config, clock, protocol=None):
@@ -295,10 +300,15 @@
         while idle:
             connection = idle.pop()
             bound = _get_idle_bound(connection, repeatable)
-            if now - connection.idle_since <= bound and connection.is_quiet():
+            if not repeatable:
+                bound = min(bound, self._safe_idle_s.get(attempt.server.service, bound))
+            idle_s = now - connection.idle_since
+            if idle_s <= bound and connection.is_quiet():
+                attempt.idle_s = idle_s
                 attempt.connection = connection
                 return True
             connection.close()
+        attempt.idle_s = None
         attempt.connection = ServerConnection(*parse_address(attempt.server.address))
         self.connections_opened += 1
         with eventlet.Timeout(self._connect_timeout_s, _ConnectTimeoutError()):
@@ -337,9 +347,18 @@
             result.status = error.status
         if not sent and result.status is not AttemptStatus.CANCELLED:
             result.status = AttemptStatus.CONNECT_FAILED
+        if sent and attempt.idle_s is not None and isinstance(error, ConnectionError):
+            self._note_idle_reset(attempt)
         return result
 
 
+    def _note_idle_reset(self, attempt):
+        """Reuse connections of a service sooner, or not, for what must not repeat."""
+        service = attempt.server.service
+        known = self._safe_idle_s.get(service, attempt.idle_s)
+        self._safe_idle_s[service] = min(known, attempt.idle_s) * IDLE_RESET_FACTOR
+
+
 def _close(attempt):
     if attempt.connection is not None:
         attempt.connection.close()
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -1,5 +1,7 @@
 """Upstream: damaged, late and missing responses, and reuse of connections."""
 
+import struct
+
 import eventlet
 import pytest
 from eventlet.green import socket
@@ -352,3 +354,24 @@
     response.begin()
     body = b"".join(iter(response.read_piece, b""))
     assert (body, response.reusable, packets) == (b"".join(chunks), True, [])
+
+
+def reset(sock):
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    sock.close()
+
+
+def test_reset_of_an_idle_connection_shortens_reuse_for_bookings(start):
+    """Guards against losing one booking after another on forgotten connections."""
+    kept = OK_RESPONSE.replace(b"\r\n\r\n", b"\r\nKeep-Alive: timeout=10\r\n\r\n", 1)
+    server = start(kept, reset, kept, kept, kept)
+    upstream = make_upstream()
+    send(upstream, server)
+    eventlet.sleep(0.2)
+    assert send(upstream, server, method="POST").status is AttemptStatus.CUT
+    send(upstream, server)
+    eventlet.sleep(0.2)
+    assert send(upstream, server, method="POST").status is AttemptStatus.OK
+    assert upstream.connections_opened == 3
+    assert send(upstream, server, method="POST").status is AttemptStatus.OK
+    assert upstream.connections_opened == 3
