--- a/src/lavendermast/upstream.py
+++ b/src/lavendermast/upstream.py
@@ -351,7 +351,6 @@
             self._note_idle_reset(attempt)
         return result
 
-
     def _note_idle_reset(self, attempt):
         """Reuse connections of a service sooner, or not, for what must not repeat."""
         service = attempt.server.service
--- /dev/null
+++ b/tests/test_selection.py
@@ -0,0 +1,121 @@
+"""Choice of servers by an entry VM."""
+
+import collections
+import random
+import types
+
+import pytest
+
+from lavendermast.catalog import ListedServer
+from lavendermast.clock import ManualClock
+from lavendermast.entrymodel import EntryRoute, RequestKind, ServerRecord, SplitPart
+from lavendermast.evidencebook import EvidenceBook
+from lavendermast.models import AttemptResult, AttemptStatus, Server, ServerState
+from lavendermast.selection import ServerSelector
+
+ROUTE = EntryRoute(
+    "r", "h", "/", (SplitPart("stock"),), RequestKind.IDEMPOTENT, 4.0, 2.0
+)
+BYTES = 1500
+
+
+@pytest.fixture
+def world():
+    clock = ManualClock(100.0)
+    listed = [
+        ListedServer(ServerRecord(Server(name, "stock", region, zone, name), 6), 0, 0)
+        for name, region, zone in (
+            ("near", "north", "a"),
+            ("region", "north", "b"),
+            ("far", "south", "c"),
+        )
+    ]
+    book = EvidenceBook(clock, lambda name: ROUTE)
+    catalog = types.SimpleNamespace(get_servers=lambda service: listed)
+    selector = ServerSelector(catalog, book.get, "a", "north", clock, random.Random(1))
+    return types.SimpleNamespace(clock=clock, book=book, listed=listed, choose=selector)
+
+
+def observe(world, name, status=AttemptStatus.OK, times=4):
+    for _ in range(times):
+        attempt = world.book.start(name, ROUTE)
+        world.clock.advance(0.3)
+        result = AttemptResult(name, status, body=b"x" * BYTES)
+        succeeded = {AttemptStatus.OK: True, AttemptStatus.CUT: False}.get(status)
+        world.book.finish(name, ROUTE, attempt, result, succeeded)
+
+
+def choose(world, size=BYTES, **options):
+    return world.choose.choose("stock", size, **options).listed.server.name
+
+
+def test_equal_servers_are_chosen_by_distance(world):
+    """Guards against long answers that cross paid links."""
+    for name in ("far", "region", "near"):
+        observe(world, name)
+    assert {choose(world, 90_000) for _ in range(20)} == {"near"}
+
+
+def test_sick_near_server_loses_to_a_healthy_far_one(world):
+    """Guards against bookings for a server that is near and sick."""
+    observe(world, "near", AttemptStatus.CUT)
+    observe(world, "region", AttemptStatus.CUT)
+    observe(world, "far")
+    assert choose(world) == "far"
+
+
+def test_full_server_gives_way(world):
+    """Guards against queueing at one server while others have room."""
+    for name in ("near", "region"):
+        observe(world, name)
+    for _ in range(6):
+        world.book.start("near", ROUTE)
+    assert choose(world) == "region"
+
+
+def test_leaving_and_tried_servers_are_not_chosen(world):
+    """Guards R5, and a second try at the server that just failed."""
+    for name in ("near", "region"):
+        observe(world, name)
+    server = world.listed[0].record.server
+    leaving = Server(
+        server.name, "stock", "north", "a", server.address, ServerState.LEAVING
+    )
+    world.listed[0].record = ServerRecord(leaving, 6)
+    assert choose(world) == "region"
+    assert choose(world, excluded={"region"}) == "far"
+
+
+def test_idle_server_of_the_region_is_tried_now_and_then(world):
+    """Guards against starving a server that recovered, and against a crowd on it."""
+    observe(world, "region", AttemptStatus.CUT)
+    world.clock.advance(3.0)
+    observe(world, "near")
+    chosen = collections.Counter(choose(world, trial_idle_s=1.5) for _ in range(36))
+    assert 1 <= chosen["region"] <= 4
+    world.book.start("region", ROUTE)
+    assert choose(world, trial_idle_s=1.5) == "near"
+
+
+def test_shed_request_is_no_sign_of_sickness(world):
+    """Guards against ejecting a full server."""
+    observe(world, "near")
+    before = world.book.get("near").compute_sickness(world.clock.monotonic())
+    observe(world, "near", AttemptStatus.SHED, times=1)
+    after = world.book.get("near").compute_sickness(world.clock.monotonic())
+    assert after == pytest.approx(before, abs=0.05)
+
+
+def test_reports_reach_another_vm_although_one_copy_is_lost(world):
+    """Guards against a server that stays pending for ever after a lost datagram."""
+    other = EvidenceBook(world.clock, lambda name: ROUTE)
+    attempt = world.book.start("near", ROUTE)
+    other.apply_reports("vm-1", world.book.take_reports())
+    assert other.get("near").pending == 1
+    world.clock.advance(0.3)
+    result = AttemptResult("near", AttemptStatus.OK, body=b"x")
+    world.book.finish("near", ROUTE, attempt, result, True)
+    world.book.take_reports()
+    other.apply_reports("vm-1", world.book.take_reports())
+    assert other.get("near").pending == 0
+    assert other.get("near").attempts[0].succeeded
