Refuse a request at once when no server is listed; remove unused parts

Cause: without a listed server a request was held until its deadline and never offered. Change: after a tenth of the route's goal the caller is told not-run and when to come back; unused fields, a method and a wrong parameter doc are gone.

--- a/src/lavendermast/attempts.py
+++ b/src/lavendermast/attempts.py
@@ -15,8 +15,10 @@
 CHECK_INTERVAL_S = 0.06
 #: Servers that may refuse a request one after another before it is given up.
 MAX_REFUSALS = 4
-#: Pause before another server is asked when every one was tried.
-REFUSAL_PAUSE_S = 0.05
+#: Pause before the list is looked at again when no server is on it, and the share of
+#: the route's goal after which the request is refused.
+NO_SERVER_PAUSE_S = 0.05
+NO_SERVER_WAIT_SHARE = 0.1
 #: Time after which a caller whose request did not run should come back.
 RETRY_AFTER_S = 0.5
 #: Time for which a server that shed a request gets less.
@@ -43,7 +45,6 @@
     started: float
     cancellation: Cancellation
     attempt: object
-    sickness: float
 
 
 @attrs.define(eq=False)
@@ -72,14 +73,14 @@
     Sends requests to servers until there is a final reply.
 
     :param selector: chooses servers.
-    :param ledger: ``EvidenceBook`` that learns from each attempt.
-    :param budgets: function from a service to its ``RetryBudget``.
+    :param evidence: ``EvidenceBook`` that learns from each attempt.
+    :param budgets: function from a service to its ``WindowedRetryBudget``.
     """
 
-    def __init__(self, upstream, selector, ledger, budgets, clock, record_event):
+    def __init__(self, upstream, selector, evidence, budgets, clock, record_event):
         self._upstream = upstream
         self._selector = selector
-        self._evidence = ledger
+        self._evidence = evidence
         self._budgets = budgets
         self._clock = clock
         self._record_event = record_event
@@ -122,9 +123,14 @@
     def _start_next(self, race, left):
         """Start another attempt when none is running; return whether one was."""
         if race.failure is None:
-            # No server was listed; one may appear while there is time.
-            self._clock.sleep(min(REFUSAL_PAUSE_S, left))
-            return self._start_attempt(race, "first") or left > MIN_ATTEMPT_S
+            # No server is listed. One may appear within a moment; after that the caller
+            # is told at once when to come back.
+            waited = self._clock.monotonic() - race.request.arrived
+            if waited > race.route.goal_s * NO_SERVER_WAIT_SHARE:
+                return False
+            self._clock.sleep(min(NO_SERVER_PAUSE_S, left))
+            self._start_attempt(race, "first")
+            return True
         if race.may_have_run and not race.route.idempotent:
             return False
         if race.runs >= race.route.max_attempts or race.refusals >= MAX_REFUSALS:
@@ -174,7 +180,6 @@
             self._clock.monotonic(),
             Cancellation(),
             self._evidence.start(server.name, route),
-            candidate.sickness,
         )
         race.running[running.number] = running
         self._record_event(
--- a/src/lavendermast/catalogsync.py
+++ b/src/lavendermast/catalogsync.py
@@ -62,7 +62,6 @@
         self._lost_history = False
         self._fetching = False
         self.reachable = True
-        self.last_read = 0.0
         network.register(StoredChanges, self._handle_changes)
         network.register(FetchChanges, self._handle_fetch)
         fleet.on_presence.append(self._consider_fetch)
@@ -127,7 +126,6 @@
 
     def _note_success(self):
         self._retry_s = FIRST_RETRY_S
-        self.last_read = self._clock.monotonic()
         if not self.reachable:
             self.reachable = True
             self._catalog.note_outage_end()
--- a/src/lavendermast/durations.py
+++ b/src/lavendermast/durations.py
@@ -62,10 +62,3 @@
         after = self._survival[index + 1] if index + 1 < len(self._survival) else 0.0
         share = here + (after - here) * part
         return TAIL_SHARE + (1 - TAIL_SHARE) * max(share, 0.0)
-
-    def find_age(self, survival):
-        """Return the age in seconds at which so few healthy answers are still due."""
-        for bound in BOUNDS:
-            if self.compute_survival(bound) <= survival:
-                return bound
-        return BOUNDS[-1]
--- a/src/lavendermast/evidencebook.py
+++ b/src/lavendermast/evidencebook.py
@@ -25,7 +25,7 @@
     """
     Evidence about each server and answer times of each route.
 
-    :param route_names: callable that returns the routes in force by name.
+    :param find_route: function from a route's name to the route in force, or ``None``.
     """
 
     def __init__(self, clock, find_route):
@@ -64,14 +64,14 @@
         now = self._clock.monotonic()
         attempt = self._servers[server_name].start(now, self.get_durations(route))
         number = next(self._numbers)
-        self._own[attempt] = (number, server_name, route.name)
+        self._own[attempt] = number
         self._outbox.append([REPORT_COPIES, number, server_name, route.name, attempt])
         return attempt
 
     def finish(self, server_name, route, attempt, result, succeeded):
         """Count the end of an own attempt."""
         now = self._clock.monotonic()
-        number, _, _ = self._own.pop(attempt)
+        number = self._own.pop(attempt)
         evidence = self._servers[server_name]
         if result.status in _NEUTRAL:
             self._remove(evidence, attempt)
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -167,6 +167,15 @@
     assert len(upstream.sent) == 2
 
 
+def test_request_without_a_listed_server_is_refused_at_once():
+    """Guards against holding a request until its deadline without offering it."""
+    reply, upstream, _, seconds = run([], make_route(), timeout_s=3.0, servers=())
+    assert (reply.status, reply.outcome) == (503, Outcome.NOT_RUN)
+    assert reply.retry_after > 0
+    assert upstream.sent == []
+    assert seconds < 0.3
+
+
 def test_every_attempt_has_a_decision_with_its_inputs():
     """Guards against a failure that the log cannot explain."""
     _, _, events, _ = run([(0.0, SHED), (0.0, OK)], make_route())
