Load entry settings by the common loader; remove copies and unused state

Cause: a second reading found entrysettings.py to be a second loader and validator beside settings.py without lines in its findings, a refusal body made by hand beside RequestError.make_body, the slack formula twice, the set of other zones twice, and unused lists in the node and the fleet. Change: settings.load_entry_settings shares one loader with load_process_settings; the rest calls or derives the one piece. Conclusion: findings now name their line, and a repeated key is refused.

--- a/src/lavendermast/entry.py
+++ b/src/lavendermast/entry.py
@@ -1,6 +1,5 @@
 """The WSGI applications of an entry VM: requests, readiness and the directory."""
 
-import json
 import urllib.parse
 
 import attrs
@@ -167,14 +166,13 @@
 
 def refuse(error):
     """Return the reply to a request that is refused before any attempt."""
-    body = json.dumps({"reason": error.reason, "detail": error.detail}).encode()
     headers = [("Content-Type", "application/json")]
     return Reply(
         Outcome.NOT_RUN,
         error.reason,
         error.status,
         headers,
-        body,
+        error.make_body(),
         retry_after=error.retry_after,
     )
 
--- a/src/lavendermast/entrydaemon.py
+++ b/src/lavendermast/entrydaemon.py
@@ -16,9 +16,9 @@
 
 from lavendermast.clock import SystemClock  # noqa: E402
 from lavendermast.entrynode import EntryNode  # noqa: E402
-from lavendermast.entrysettings import load_entry_settings  # noqa: E402
 from lavendermast.exceptions import SettingsError  # noqa: E402
 from lavendermast.platform.adapter import Platform, get_settings_path  # noqa: E402
+from lavendermast.settings import load_entry_settings  # noqa: E402
 
 
 def run_entry(path):
--- a/src/lavendermast/entrynode.py
+++ b/src/lavendermast/entrynode.py
@@ -17,7 +17,6 @@
     ReadyApplication,
 )
 from lavendermast.entrymeasures import MetricsApplication, build_board
-from lavendermast.entrysettings import load_entry_settings
 from lavendermast.evidencebook import EvidenceBook
 from lavendermast.evidencesharing import EvidenceSharing
 from lavendermast.exceptions import SettingsError
@@ -27,6 +26,7 @@
 from lavendermast.peers import PeerNetwork
 from lavendermast.retries import WindowedRetryBudget
 from lavendermast.selection import ServerSelector
+from lavendermast.settings import load_entry_settings
 from lavendermast.upstream import Upstream
 from lavendermast.utils import parse_address
 from lavendermast.zonefleet import MIN_ACTIVE, ZoneFleet
@@ -77,7 +77,6 @@
         self._routes = {}
         self._rate = 0.0
         self._counted = 0
-        self._tasks = []
         self._regions = {item.zone: item.region for item in settings.zones}
         boot_id = int(self.clock.time() * 1000)
         self.network = PeerNetwork.from_settings(
@@ -157,7 +156,7 @@
             self.sharing.run_summaries,
             self._maintain,
         ):
-            self._tasks.append(eventlet.spawn(self._run_task, run))
+            eventlet.spawn(self._run_task, run)
         self._metrics.start()
         self._ready.start()
         self._directory.start()
@@ -242,16 +241,18 @@
             settings = self.settings
             budget = self._budgets[service] = WindowedRetryBudget(
                 settings.retry_share * RETRY_PART_USED,
-                settings.retry_slack * RETRY_PART_USED / self._count_active(),
+                self._compute_slack(),
                 settings.retry_window_s,
                 self.clock,
             )
         return budget
 
-    def _count_active(self):
-        """Return the VMs that callers are sent to, at least the fewest of each zone."""
+    def _compute_slack(self):
+        """Return this VM's part of the slack that the fleet's active VMs share."""
         active = sum(len(self.fleet.get_active(zone)) for zone in self._regions)
-        return max(active, len(self._regions) * MIN_ACTIVE)
+        # A zone that is not known yet has at least the fewest active VMs.
+        active = max(active, len(self._regions) * MIN_ACTIVE)
+        return self.settings.retry_slack * RETRY_PART_USED / active
 
     def _answer_directory(self, query):
         region, zone = self.platform.read_query(query)
@@ -288,7 +289,7 @@
 
     def _fit_budgets(self):
         """Divide the fleet's slack among the VMs that are active now."""
-        slack = self.settings.retry_slack * RETRY_PART_USED / self._count_active()
+        slack = self._compute_slack()
         for budget in self._budgets.values():
             budget.set_slack(slack)
 
--- a/src/lavendermast/settings.py
+++ b/src/lavendermast/settings.py
@@ -9,7 +9,7 @@
 from .exceptions import SettingsError
 from .findings import Finding, Source
 from .jsontext import JsonTextError, parse_json
-from .settings_model import Config, ProcessSettings
+from .settings_model import Config, EntrySettings, ProcessSettings
 
 #: The store holds values of up to 1 MB.
 MAX_BUNDLE_BYTES = 1_000_000
@@ -51,18 +51,33 @@
 
     :param path: JSON file; raises ``SettingsError`` with every finding.
     """
+    value = _load_checked(path, "ProcessSettings", _check_process)
+    return ProcessSettings.from_config(value)
+
+
+def load_entry_settings(path):
+    """
+    Return the settings of an entry process on the users' platform.
+
+    :param path: JSON file; raises ``SettingsError`` with every finding.
+    """
+    return EntrySettings.from_config(_load_checked(path, "EntrySettings"))
+
+
+def _load_checked(path, definition, check=None):
+    """Return a file's value that meets a schema definition and a further check."""
     findings = []
     source = _read_source(path, findings)
     if source is None:
         raise SettingsError(findings)
     value = source.text.value
-    found = settings_checks.check_schema(value, "ProcessSettings")
-    if not found:
-        found = list(_check_process(value))
+    found = settings_checks.check_schema(value, definition)
+    if not found and check is not None:
+        found = list(check(value))
     findings += [source.locate(*item) for item in found]
     if findings:
         raise SettingsError(findings)
-    return ProcessSettings.from_config(value)
+    return value
 
 
 def _check_process(value):
--- a/src/lavendermast/zonefleet.py
+++ b/src/lavendermast/zonefleet.py
@@ -83,7 +83,6 @@
         self._next_seed = 0.0
         self._next_far = 0.0
         self._seed = 0
-        self._live = ()
         network.boot_id = boot_id
         network.register(Presence, self._handle_presence)
 
@@ -178,16 +177,19 @@
         listed = [vm for vm in self.vms.values() if vm.zone == self.own.zone]
         if now >= self._next_far:
             self._next_far = now + SUMMARY_S
-            for other in {vm.zone for vm in self.vms.values()} - {self.own.zone}:
+            for other in self._get_other_zones():
                 names = self.get_zone_names(other)[:SUMMARY_VMS]
                 listed += [self.vms[name] for name in names if name in self.vms]
         return [_describe_vm(vm, now) for vm in listed]
 
+    def _get_other_zones(self):
+        return {vm.zone for vm in self.vms.values()} - {self.own.zone}
+
     def _send_summaries(self, now):
         ready = [vm for vm in self.get_ready(self.own.zone) if vm is not self.own]
         others = [_describe_vm(vm, now) for vm in ready[:SUMMARY_VMS]]
         addresses = []
-        for zone in {vm.zone for vm in self.vms.values()} - {self.own.zone}:
+        for zone in self._get_other_zones():
             names = [n for n in self.get_zone_names(zone) if n in self.vms]
             if names:
                 name = names[int(now / SUMMARY_S) % min(len(names), 2)]
