Cut control datagrams and name VMs by their whole processor

The 18 large VMs of the grown sites were taken for small ones, because the speed of their core was not in the settings, so five to eight VMs a zone were active and all of a region told each other everything. Change: cpu_speed in the settings; a VM's capacity is share x speed, and the capacities of the named VMs are added. Attempt reports go out every 100 ms instead of 50 and need no timer in VMs without attempts. The three hubs of a zone take turns in telling it. Requests without a second attempt are looked at every 200 ms.

--- a/src/lavendermast/attempts.py
+++ b/src/lavendermast/attempts.py
@@ -13,6 +13,8 @@
 HEDGE_PROBABILITY = 0.5
 #: Interval at which pending attempts are judged again.
 CHECK_INTERVAL_S = 0.06
+#: The same for requests that get no second attempt; only a caller's leaving is noticed.
+CHECK_INTERVAL_ONCE_S = 0.2
 #: Servers that may refuse a request one after another before it is given up.
 MAX_REFUSALS = 4
 #: Pause before the list is looked at again when no server is on it, and the share of
@@ -102,6 +104,8 @@
 
     def _run_race(self, race, caller_gone):
         self._start_attempt(race, "first")
+        may_hedge = race.route.idempotent and race.route.max_attempts > 1
+        interval = CHECK_INTERVAL_S if may_hedge else CHECK_INTERVAL_ONCE_S
         while True:
             now = self._clock.monotonic()
             left = race.request.deadline - now
@@ -112,7 +116,7 @@
             if not race.running and not self._start_next(race, left):
                 return self._make_failure(race, None)
             try:
-                running, result = race.results.get(timeout=min(CHECK_INTERVAL_S, left))
+                running, result = race.results.get(timeout=min(interval, left))
             except Empty:
                 self._consider_hedge(race)
                 continue
--- a/src/lavendermast/evidencebook.py
+++ b/src/lavendermast/evidencebook.py
@@ -26,6 +26,8 @@
     Evidence about each server and answer times of each route.
 
     :param find_route: function from a route's name to the route in force, or ``None``.
+
+    ``on_report`` is called when there is something for :meth:`take_reports`.
     """
 
     def __init__(self, clock, find_route):
@@ -38,6 +40,7 @@
         self._own = {}
         self._outbox = collections.deque()
         self._foreign = collections.OrderedDict()
+        self.on_report = lambda: None
 
     def get(self, server_name):
         """Return the evidence about a server."""
@@ -65,7 +68,7 @@
         attempt = self._servers[server_name].start(now, self.get_durations(route))
         number = next(self._numbers)
         self._own[attempt] = number
-        self._outbox.append([REPORT_COPIES, number, server_name, route.name, attempt])
+        self._add_report(number, server_name, route, attempt)
         return attempt
 
     def finish(self, server_name, route, attempt, result, succeeded):
@@ -75,16 +78,20 @@
         evidence = self._servers[server_name]
         if result.status in _NEUTRAL:
             self._remove(evidence, attempt)
-            self._outbox.append([REPORT_COPIES, number, server_name, route.name, None])
+            self._add_report(number, server_name, route, None)
             return
         evidence.finish(attempt, now, succeeded)
-        self._outbox.append([REPORT_COPIES, number, server_name, route.name, attempt])
+        self._add_report(number, server_name, route, attempt)
         if succeeded:
             self.get_durations(route).add(now - attempt.started)
             size = len(result.body)
             mean = self.get_answer_bytes(route)
             self._answer_bytes[route.name] = mean + (size - mean) * SIZE_WEIGHT
 
+    def _add_report(self, number, server_name, route, attempt):
+        self._outbox.append([REPORT_COPIES, number, server_name, route.name, attempt])
+        self.on_report()
+
     def take_reports(self):
         """Return reports on own attempts to send now."""
         now = self._clock.monotonic()
--- a/src/lavendermast/evidencesharing.py
+++ b/src/lavendermast/evidencesharing.py
@@ -1,8 +1,10 @@
 """Shares evidence about servers: attempts in a region, summaries between regions."""
 
+from eventlet.event import Event
+
 from lavendermast.messages_model import AttemptReports, ServerSummaries
 
-REPORT_INTERVAL_S = 0.05
+REPORT_INTERVAL_S = 0.1
 #: With many active VMs each one reports more rarely, which bounds what all receive.
 REPORT_INTERVAL_PER_VM_S = 0.009
 #: Summaries cross paid links; 0.5 s is the time in which a sick server shows itself.
@@ -26,6 +28,8 @@
         self._fleet = fleet
         self._network = network
         self._clock = clock
+        self._reports_waiting = Event()
+        evidence.on_report = self._note_report
         network.register(AttemptReports, self._handle_reports)
         network.register(ServerSummaries, self._handle_summaries)
 
@@ -34,14 +38,20 @@
         zones = self._get_zones(self._settings.region)
         interval = REPORT_INTERVAL_S
         while True:
+            # Most VMs make no attempts, so an idle one has no timer.
+            self._reports_waiting.wait()
             self._clock.sleep(interval)
             reports = self._evidence.take_reports()
-            if reports:
-                addresses = self._fleet.find_addressees(zones)
-                self._network.broadcast(addresses, AttemptReports(reports))
-                interval = max(
-                    REPORT_INTERVAL_S, REPORT_INTERVAL_PER_VM_S * len(addresses)
-                )
+            if not reports:
+                self._reports_waiting = Event()
+                continue
+            addresses = self._fleet.find_addressees(zones)
+            self._network.broadcast(addresses, AttemptReports(reports))
+            interval = max(REPORT_INTERVAL_S, REPORT_INTERVAL_PER_VM_S * len(addresses))
+
+    def _note_report(self):
+        if not self._reports_waiting.ready():
+            self._reports_waiting.send()
 
     def run_summaries(self):
         """Send summaries to other regions while it is this VM's turn."""
--- a/src/lavendermast/messages_model.py
+++ b/src/lavendermast/messages_model.py
@@ -466,7 +466,7 @@
     state: str = "alive"
     age_ms: int = 0
     rate: float = 0.0
-    cpu_share: float = 0.0
+    cores: float = 0.0
 
     def to_dict(self):
         """Return the fields as pycapnp accepts them."""
@@ -478,7 +478,7 @@
             "state": self.state,
             "ageMs": self.age_ms,
             "rate": self.rate,
-            "cpuShare": self.cpu_share,
+            "cores": self.cores,
         }
 
     @classmethod
@@ -492,7 +492,7 @@
             state=str(reader.state),
             age_ms=reader.ageMs,
             rate=reader.rate,
-            cpu_share=reader.cpuShare,
+            cores=reader.cores,
         )
 
 
--- a/src/lavendermast/schema/messages.capnp
+++ b/src/lavendermast/schema/messages.capnp
@@ -144,7 +144,7 @@
   ageMs @5 :UInt32;
   # Requests of callers in a second, and the share of a core that it may use.
   rate @6 :Float32;
-  cpuShare @7 :Float32;
+  cores @7 :Float32;
 }
 
 # A sign of life with what the sender knows of others and the age of its state.
--- a/src/lavendermast/settings_model.py
+++ b/src/lavendermast/settings_model.py
@@ -155,6 +155,7 @@
     :param seeds: Peer addresses of VMs to ask for others; they may be stale or down.
     :param store_address: Address of the store that operators and servers write to.
     :param cpu_share: Share of a core that this process may use.
+    :param cpu_speed: Speed of that core, in cores of the usual speed.
     :param grace_s: Seconds between SIGTERM and SIGKILL.
     :param caller_hold_s: Seconds for which callers keep an address answer.
     :param lapse_s: Seconds after an outage of the store for which vanished servers are still used.
@@ -175,6 +176,7 @@
     seeds: tuple[str, ...]
     store_address: str
     cpu_share: float
+    cpu_speed: float
     grace_s: float
     caller_hold_s: float
     lapse_s: float
@@ -198,6 +200,7 @@
             seeds=tuple(data["seeds"]),
             store_address=data["store_address"],
             cpu_share=data.get("cpu_share", 1),
+            cpu_speed=data.get("cpu_speed", 1),
             grace_s=data.get("grace_s", 6),
             caller_hold_s=data.get("caller_hold_s", 1),
             lapse_s=data.get("lapse_s", 2),
--- a/src/lavendermast/zonefleet.py
+++ b/src/lavendermast/zonefleet.py
@@ -20,7 +20,7 @@
 MAX_OTHERS = 10
 #: Interval at which one seed is asked again, so that separated parts find each other.
 SEED_INTERVAL_S = 5.0
-#: Requests in a second that a VM with a whole core takes before another one is named;
+#: Requests in a second that a VM takes for each core before another one is named;
 #: about a tenth of what it could forward, since spikes come within a second.
 TARGET_RATE = 30.0
 MIN_ACTIVE = 2
@@ -33,7 +33,7 @@
 
     :param heard_at: monotonic time of its last sign of life.
     :param rate: requests of callers in a second.
-    :param cpu_share: share of a core that it may use.
+    :param cores: processor that it may use, in cores of the usual speed.
     :param told: its last own ``Presence``, or ``None`` if others told of it.
     """
 
@@ -44,7 +44,7 @@
     state: str
     heard_at: float
     rate: float = 0.0
-    cpu_share: float = 1.0
+    cores: float = 1.0
     told: Presence | None = None
     told_at: float = 0.0
 
@@ -75,7 +75,7 @@
             settings.peer_address,
             boot_id,
             "starting",
-            cpu_share=settings.cpu_share,
+            cores=settings.cpu_share * settings.cpu_speed,
         )
         self.vms = {}
         self.on_presence = []
@@ -83,6 +83,7 @@
         self._next_seed = 0.0
         self._next_far = 0.0
         self._seed = 0
+        self._beats = 0
         network.boot_id = boot_id
         network.register(Presence, self._handle_presence)
 
@@ -103,10 +104,15 @@
         now = self._clock.monotonic()
         self._forget_silent(now)
         zone = self.get_zone_names()
-        hub = self.own.vm in zone[:HUBS_PER_ZONE]
-        names = zone if hub else zone[:HUBS_PER_ZONE]
+        hubs = zone[:HUBS_PER_ZONE]
+        self._beats += 1
+        # The hubs take turns in telling the zone, so that it hears one list a beat.
+        tells = self.own.vm in hubs and hubs.index(self.own.vm) == (
+            self._beats % len(hubs)
+        )
+        names = zone if tells else hubs
         addresses = [self.vms[name].peer_address for name in names if name in self.vms]
-        self._send(addresses, self._list_others(now) if hub else ())
+        self._send(addresses, self._list_others(now) if tells else ())
         if zone[0] == self.own.vm and now >= self._next_summary:
             self._next_summary = now + SUMMARY_S
             self._send_summaries(now)
@@ -135,7 +141,7 @@
         if zone == self.own.zone and self.own.state == "alive":
             ready.append(self.own)
         # Sizes come as 32-bit numbers from others and as 64-bit ones from the settings.
-        return sorted(ready, key=lambda vm: (-round(vm.cpu_share, 3), vm.vm))
+        return sorted(ready, key=lambda vm: (-round(vm.cores, 3), vm.vm))
 
     def get_active(self, zone):
         """Return the VMs of a zone that its callers are sent to."""
@@ -154,13 +160,13 @@
     def _count_active(self, ready):
         """Return how many of the VMs, largest first, carry the zone's requests."""
         rate = sum(vm.rate for vm in ready)
-        count = MIN_ACTIVE
-        while (
-            count < len(ready)
-            and rate > count * TARGET_RATE * ready[count - 1].cpu_share
-        ):
+        count, capacity = 0, 0.0
+        for vm in ready:
+            if count >= MIN_ACTIVE and rate <= capacity:
+                break
             count += 1
-        return count
+            capacity += TARGET_RATE * vm.cores
+        return max(count, MIN_ACTIVE)
 
     def _make_presence(self, reply_wanted=False, others=()):
         self.own = attrs.evolve(self.own, rate=self._get_rate())
@@ -246,7 +252,7 @@
             known.heard_at = heard_at
             known.state, known.boot_id = presence.state, presence.boot_id
             known.peer_address = presence.peer_address
-            known.rate, known.cpu_share = presence.rate, presence.cpu_share
+            known.rate, known.cores = presence.rate, presence.cores
             return known
         if now - heard_at > self._get_silence(presence.zone):
             return None
@@ -258,7 +264,7 @@
             presence.state,
             heard_at,
             presence.rate,
-            presence.cpu_share,
+            presence.cores,
         )
         self.vms[presence.vm] = known
         self._log_change(presence.vm, presence.zone, presence.state)
@@ -290,5 +296,5 @@
         vm.state,
         age_ms,
         vm.rate,
-        vm.cpu_share,
+        vm.cores,
     )
--- a/tests/test_zonefleet.py
+++ b/tests/test_zonefleet.py
@@ -89,7 +89,7 @@
 
 def make_vm(name, wire, clock, source):
     settings = types.SimpleNamespace(
-        vm=name, zone=name[0], peer_address=name, seeds=SEEDS, cpu_share=0.5
+        vm=name, zone=name[0], peer_address=name, seeds=SEEDS, cpu_share=0.5, cpu_speed=1
     )
     transport = WiredTransport(name, wire, clock)
     vm = types.SimpleNamespace(name=name, rate=0.0, events=[])
@@ -161,7 +161,7 @@
     """Guards against work that does not follow the sizes of the VMs."""
     for name in ("a5", "a6"):
         own = fleet.vms[name].fleet.own
-        fleet.vms[name].fleet.own = attrs.evolve(own, cpu_share=0.9)
+        fleet.vms[name].fleet.own = attrs.evolve(own, cores=0.9)
     beat(fleet, 8)
     assert get_active(fleet.vms["a1"], "a") == ["a5", "a6"]
     assert get_active(fleet.vms["a6"], "a") == ["a5", "a6"]
