Keep the floor of a service's servers while requests fail

With 2.3 requests/s a server, work that cannot repeat goes to the servers with the latest successes, and one left out gets costlier with time. Conclusion: the rule binds only in windows with failures, so calm seconds choose as before.

--- a/src/lavendermast/attempts.py
+++ b/src/lavendermast/attempts.py
@@ -168,7 +168,7 @@
         elif reason == "first" and self._budgets(race.service).has_room():
             trial_idle_s = TRIAL_IDLE_S
         candidate = self._selector.choose(
-            race.service, size, race.excluded, trial_idle_s
+            race.service, size, race.excluded, trial_idle_s, reason == "first"
         )
         if candidate is None and race.excluded and not race.running:
             race.excluded.clear()
--- a/src/lavendermast/catalogsync.py
+++ b/src/lavendermast/catalogsync.py
@@ -16,8 +16,8 @@
 LAST_RETRY_S = 1.5
 CHECK_S = 0.2
 FETCH_TIMEOUT_S = 1.0
-#: A VM whose sign of life is older than this is not relied on to read for the zone: hubs
-#: tell the zone every 1.2 s, and one datagram may be lost.
+#: A VM whose sign of life is older is not relied on to read for the zone. Each
+#: hub tells the zone every 1.2 s, and one datagram may be lost.
 READER_SILENCE_S = 2.6
 
 
--- a/src/lavendermast/selection.py
+++ b/src/lavendermast/selection.py
@@ -1,7 +1,10 @@
 """Choice of the backend server for an attempt of an entry VM."""
 
+import operator
+
 import attrs
 
+from lavendermast.coverage import IDLE_S, Coverage, is_short
 from lavendermast.models import ServerState
 
 #: Costs are in shares of a request's worth. A sick server fails 0.7 of its requests.
@@ -25,6 +28,9 @@
 JITTER = 0.01
 
 
+get_cost = operator.attrgetter("cost")
+
+
 @attrs.define(eq=False)
 class Candidate:
     """A server with what decides about it."""
@@ -53,8 +59,11 @@
         self._clock = clock
         self._random = random
         self._trial_credit = 0.0
+        self._coverage = Coverage(evidence)
 
-    def choose(self, service, answer_bytes, excluded=(), trial_idle_s=None):
+    def choose(
+        self, service, answer_bytes, excluded=(), trial_idle_s=None, is_first=False
+    ):
         """
         Return the best ``Candidate``, or ``None`` when no server is listed.
 
@@ -62,33 +71,59 @@
         :param excluded: names of servers not to use.
         :param trial_idle_s: idle seconds after which a server may be tried whatever is
             believed of it, ``None`` for no trial.
+        :param is_first: whether the attempt is the request's first; only these are used
+            to keep the floor.
         """
         now = self._clock.monotonic()
-        best, trial = None, None
-        may_try = trial_idle_s is not None and self._add_trial_credit()
-        for listed in self._catalog.get_servers(service):
-            server = listed.server
-            if server.state is not ServerState.LIVE or server.name in excluded:
-                continue
-            candidate = self._assess(listed, answer_bytes, now)
-            if best is None or candidate.cost < best.cost:
-                best = candidate
-            if may_try and self._is_trial_due(listed, candidate, now, trial_idle_s):
-                candidate.trial = True
-                if trial is None or candidate.cost < trial.cost:
-                    trial = candidate
-        if trial is None:
-            return best
+        candidates = [
+            self._assess(listed, answer_bytes, now)
+            for listed in self._catalog.get_servers(service)
+            if listed.server.state is ServerState.LIVE
+            and listed.server.name not in excluded
+        ]
+        if not candidates:
+            return None
+        chosen = None
+        if is_first:
+            chosen = self._find_uncovered(service, candidates, now)
+        if chosen is None and trial_idle_s is not None:
+            chosen = self._find_trial(candidates, now, trial_idle_s)
+        if chosen is not None:
+            chosen.trial = True
+            return chosen
+        return min(candidates, key=get_cost)
+
+    def _find_uncovered(self, service, candidates, now):
+        """Return a server that needs a request to keep the floor, or ``None``."""
+        near = [c for c in candidates if c.listed.server.region == self._region]
+        idle = [c for c in near if self._is_idle(c.listed, now, IDLE_S)]
+        if not idle or not is_short(len(near) - len(idle), len(near)):
+            return None
+        names = [candidate.listed.server.name for candidate in near]
+        if not self._coverage.is_failing(service, names, now):
+            return None
+        return min(idle, key=get_cost)
+
+    def _find_trial(self, candidates, now, idle_s):
+        """Return a server that is due for a trial, if there may be one now."""
+        if not self._add_trial_credit():
+            return None
+        due = [c for c in candidates if self._is_trial_due(c, now, idle_s)]
+        if not due:
+            return None
         self._trial_credit -= 1.0
-        return trial
+        return min(due, key=get_cost)
 
     def _add_trial_credit(self):
         self._trial_credit = min(self._trial_credit + TRIAL_SHARE, 1.0)
         return self._trial_credit >= 1.0
 
-    def _is_trial_due(self, listed, candidate, now, idle_s):
-        if candidate.pending or listed.server.region != self._region:
+    def _is_trial_due(self, candidate, now, idle_s):
+        if candidate.pending or candidate.listed.server.region != self._region:
             return False
+        return self._is_idle(candidate.listed, now, idle_s)
+
+    def _is_idle(self, listed, now, idle_s):
         evidence = self._evidence(listed.server.name)
         return now - max(evidence.last_started, listed.listed_at) > idle_s
 
--- a/tests/test_selection.py
+++ b/tests/test_selection.py
@@ -97,6 +97,29 @@
     assert choose(world, trial_idle_s=1.5) == "near"
 
 
+@pytest.mark.parametrize(("lost", "covered"), [(0, False), (12, True)])
+def test_floor_is_kept_while_requests_fail(world, lost, covered):
+    """Guards against sound servers without requests while others lose theirs."""
+    world.listed += [
+        ListedServer(ServerRecord(Server(f"x{n}", "stock", "north", "b", ""), 6), 0, 0)
+        for n in range(8)
+    ]
+    for _ in range(3):
+        observe(world, "near", times=1)
+        observe(world, "region", times=1)
+    for _ in range(lost):
+        attempt = world.book.start("region", ROUTE)
+        result = AttemptResult("region", AttemptStatus.CUT)
+        world.book.finish("region", ROUTE, attempt, result, False)
+    world.clock.advance(0.35)
+    used = set()
+    for _ in range(8):
+        name = choose(world, is_first=True)
+        used.add(name)
+        world.book.start(name, ROUTE)
+    assert (len(used - {"far"}) >= 7) is covered
+
+
 def test_shed_request_is_no_sign_of_sickness(world):
     """Guards against ejecting a full server."""
     observe(world, "near")
--- a/tests/test_zonefleet.py
+++ b/tests/test_zonefleet.py
@@ -89,7 +89,12 @@
 
 def make_vm(name, wire, clock, source):
     settings = types.SimpleNamespace(
-        vm=name, zone=name[0], peer_address=name, seeds=SEEDS, cpu_share=0.5, cpu_speed=1
+        vm=name,
+        zone=name[0],
+        peer_address=name,
+        seeds=SEEDS,
+        cpu_share=0.5,
+        cpu_speed=1,
     )
     transport = WiredTransport(name, wire, clock)
     vm = types.SimpleNamespace(name=name, rate=0.0, events=[])
