--- a/bench/soak.py
+++ b/bench/soak.py
@@ -4,11 +4,12 @@
     python -W ignore -m bench.soak --seeds 1 50 --seconds 20
 
 Each seed starts a store, servers and entry processes on loopback, sends requests of
-callers, and injects faults in overlapping series: proxies that delay, cut one way, silence
-and reset; processes that are stopped, paused, killed and restarted; a store that refuses
-or forgets its history; servers that hang, shed, cut, leave and come back under another
-name. The entry processes decide nothing by the time of day and write no files, so clocks
-and disks are not among the faults. Findings are printed with their seed.
+callers, and injects faults in overlapping series: proxies that delay, cut one way,
+silence and reset; processes that are stopped, paused, killed and restarted; a store
+that refuses or forgets its history; servers that hang, shed, cut, leave and come back
+under another name. The entry processes decide nothing by the time of day and write no
+files, so clocks and disks are not among the faults. Findings are printed with their
+seed.
 """
 
 import argparse
