--- a/bench/soakchecks.py
+++ b/bench/soakchecks.py
@@ -1,6 +1,8 @@
 """Promises that the soak checks from what callers and servers saw."""
 
 import collections
+import contextlib
+import time
 
 import attrs
 
@@ -53,6 +55,16 @@
     moves: list = attrs.Factory(list)
     overdue_stops: list = attrs.Factory(list)
 
+    @contextlib.contextmanager
+    def disturb(self, vm):
+        """Note that a VM, or with an empty name all of them, is not in touch."""
+        interval = [time.monotonic(), float("inf")]
+        self.disturbed[vm].append(interval)
+        try:
+            yield
+        finally:
+            interval[1] = time.monotonic()
+
     def is_calm(self, vm, start, end):
         """Return whether a VM was in touch over a time."""
         return not any(
