Reuse connections again after resets; keep doubtful servers from bookings

Each lost answer that ended with a reset halved the reuse of its service's connections for good, although the server had worked on it and forgotten no connection. Change: only a reset within a round trip of the sending shortens reuse, for 10 s. Work that cannot repeat is no trial while a server is sick with a probability over 0.45. The floor's share comes from the settings.

--- a/src/lavendermast/attempts.py
+++ b/src/lavendermast/attempts.py
@@ -5,7 +5,7 @@
 from eventlet.queue import Empty, LightQueue
 
 from lavendermast.models import AttemptResult, AttemptStatus, Outcome, Reply
-from lavendermast.selection import TRIAL_IDLE_ONCE_S, TRIAL_IDLE_S
+from lavendermast.selection import TRIAL, TRIAL_ONCE
 from lavendermast.suspicion import compute_lost_probability
 from lavendermast.upstream import Cancellation
 
@@ -162,13 +162,13 @@
     def _start_attempt(self, race, reason):
         route = race.route
         size = self._evidence.get_answer_bytes(route)
-        trial_idle_s = None
+        trial = None
         if reason == "first" and not route.idempotent:
-            trial_idle_s = TRIAL_IDLE_ONCE_S
+            trial = TRIAL_ONCE
         elif reason == "first" and self._budgets(race.service).has_room():
-            trial_idle_s = TRIAL_IDLE_S
+            trial = TRIAL
         candidate = self._selector.choose(
-            race.service, size, race.excluded, trial_idle_s, reason == "first"
+            race.service, size, race.excluded, trial, reason == "first"
         )
         if candidate is None and race.excluded and not race.running:
             race.excluded.clear()
--- a/src/lavendermast/coverage.py
+++ b/src/lavendermast/coverage.py
@@ -2,12 +2,9 @@
 
 from lavendermast.suspicion import compute_lost_probability
 
-#: The users' floor: below this share of the sound servers with requests within two
-#: seconds, while a tenth of the requests fail, the others count as starved.
-FLOOR_SHARE = 0.7
-#: Kept above the floor, since a VM does not know which servers are sound, and earlier
-#: than two seconds, since reports take time and a choice takes effect later.
-KEPT_SHARE = FLOOR_SHARE + 0.05
+#: What is kept above the floor, since a VM does not know which servers are sound.
+MARGIN = 0.05
+#: The floor counts requests of two seconds; reports and a choice take some of it.
 IDLE_S = 1.5
 #: Share of lost requests from which on the floor is kept; the users' bound is a tenth.
 #: At 0.06 the requests sent to doubtful servers kept the share above it.
@@ -25,12 +22,24 @@
     Watches the share of lost requests by service.
 
     :param evidence: function from a server's name to its ``ServerEvidence``.
+    :param floor_share: share of the sound servers that have to get requests while many
+        requests fail.
     """
 
-    def __init__(self, evidence):
+    def __init__(self, evidence, floor_share):
         self._evidence = evidence
+        self._kept_share = min(floor_share + MARGIN, 1.0)
         self._shares = {}
 
+    def is_short(self, covered, listed):
+        """
+        Return whether too few of the listed servers have had requests of late.
+
+        >>> [Coverage(None, 0.7).is_short(covered, 10) for covered in (7, 8)]
+        [True, False]
+        """
+        return covered < self._kept_share * listed
+
     def is_failing(self, service, names, now):
         """
         Return whether so many requests fail that the floor has to be kept.
@@ -58,13 +67,3 @@
                     sickness = evidence.compute_sickness(now)
                     lost += compute_lost_probability(sickness, survival)
         return lost / count if count else 0.0
-
-
-def is_short(covered, listed):
-    """
-    Return whether too few of the listed servers have had requests of late.
-
-    >>> [is_short(covered, 10) for covered in (7, 8)]
-    [True, False]
-    """
-    return covered < KEPT_SHARE * listed
--- a/src/lavendermast/entrynode.py
+++ b/src/lavendermast/entrynode.py
@@ -11,6 +11,7 @@
 from lavendermast.catalogsync import CatalogSync
 from lavendermast.clock import SystemClock
 from lavendermast.codec import FrameCodec
+from lavendermast.coverage import Coverage
 from lavendermast.entry import (
     DirectoryApplication,
     EntryApplication,
@@ -118,6 +119,7 @@
             settings.region,
             self.clock,
             random.Random(),
+            Coverage(self.evidence.get, settings.floor_share),
         )
         self.runner = AttemptRunner(
             self.upstream,
--- a/src/lavendermast/selection.py
+++ b/src/lavendermast/selection.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from lavendermast.coverage import IDLE_S, Coverage, is_short
+from lavendermast.coverage import IDLE_S
 from lavendermast.models import ServerState
 
 #: Costs are in shares of a request's worth. A sick server fails 0.7 of its requests.
@@ -18,10 +18,6 @@
 ZONE_COST = 0.004
 REGION_COST_PER_BYTE = 2.0 / 90_000
 ZONE_COST_PER_BYTE = 0.4 / 90_000
-#: A server of the region that was not asked for this long gets one request to show how
-#: it is, so that none is left out. Work that cannot be sent again waits longer.
-TRIAL_IDLE_S = 1.5
-TRIAL_IDLE_ONCE_S = 5.0
 #: At most this share of the requests are trials.
 TRIAL_SHARE = 1 / 12
 WARM_UP_COST = 0.15
@@ -31,6 +27,26 @@
 get_cost = operator.attrgetter("cost")
 
 
+@attrs.frozen
+class TrialRule:
+    """
+    When a request may go to a server to show how that one is.
+
+    :param idle_s: seconds without a request after which a server is tried.
+    :param max_sickness: probability of sickness above which it is not.
+    """
+
+    idle_s: float
+    max_sickness: float = 1.0
+
+
+#: A server of the region gets one request now and then, so that none is left out.
+TRIAL = TrialRule(1.5)
+#: Work that cannot be sent again waits longer, and until a sick phase, which lasts 5 to
+#: 10 s, is likely to be over: 29% of the trials without this bound were lost.
+TRIAL_ONCE = TrialRule(5.0, 0.45)
+
+
 @attrs.define(eq=False)
 class Candidate:
     """A server with what decides about it."""
@@ -49,9 +65,10 @@
 
     :param catalog: the listed servers.
     :param evidence: function from a server's name to its ``ServerEvidence``.
+    :param coverage: a :class:`~lavendermast.coverage.Coverage`.
     """
 
-    def __init__(self, catalog, evidence, zone, region, clock, random):
+    def __init__(self, catalog, evidence, zone, region, clock, random, coverage):
         self._catalog = catalog
         self._evidence = evidence
         self._zone = zone
@@ -59,18 +76,15 @@
         self._clock = clock
         self._random = random
         self._trial_credit = 0.0
-        self._coverage = Coverage(evidence)
+        self._coverage = coverage
 
-    def choose(
-        self, service, answer_bytes, excluded=(), trial_idle_s=None, is_first=False
-    ):
+    def choose(self, service, answer_bytes, excluded=(), trial=None, is_first=False):
         """
         Return the best ``Candidate``, or ``None`` when no server is listed.
 
         :param answer_bytes: expected size of the answer.
         :param excluded: names of servers not to use.
-        :param trial_idle_s: idle seconds after which a server may be tried whatever is
-            believed of it, ``None`` for no trial.
+        :param trial: a :class:`TrialRule`, ``None`` for no trial.
         :param is_first: whether the attempt is the request's first; only these are used
             to keep the floor.
         """
@@ -90,8 +104,8 @@
         chosen = None
         if is_first:
             chosen = self._find_uncovered(service, candidates, now)
-        if chosen is None and trial_idle_s is not None:
-            chosen = self._find_trial(candidates, now, trial_idle_s)
+        if chosen is None and trial is not None:
+            chosen = self._find_trial(candidates, now, trial)
         if chosen is not None:
             chosen.trial = True
             return chosen
@@ -101,18 +115,18 @@
         """Return a server that needs a request to keep the floor, or ``None``."""
         near = [c for c in candidates if c.listed.server.region == self._region]
         idle = [c for c in near if self._is_idle(c.listed, now, IDLE_S)]
-        if not idle or not is_short(len(near) - len(idle), len(near)):
+        if not idle or not self._coverage.is_short(len(near) - len(idle), len(near)):
             return None
         names = [candidate.listed.server.name for candidate in near]
         if not self._coverage.is_failing(service, names, now):
             return None
         return min(idle, key=get_cost)
 
-    def _find_trial(self, candidates, now, idle_s):
+    def _find_trial(self, candidates, now, rule):
         """Return a server that is due for a trial, if there may be one now."""
         if not self._add_trial_credit():
             return None
-        due = [c for c in candidates if self._is_trial_due(c, now, idle_s)]
+        due = [c for c in candidates if self._is_trial_due(c, now, rule)]
         if not due:
             return None
         self._trial_credit -= 1.0
@@ -122,10 +136,12 @@
         self._trial_credit = min(self._trial_credit + TRIAL_SHARE, 1.0)
         return self._trial_credit >= 1.0
 
-    def _is_trial_due(self, candidate, now, idle_s):
+    def _is_trial_due(self, candidate, now, rule):
         if candidate.pending or candidate.listed.server.region != self._region:
             return False
-        return self._is_idle(candidate.listed, now, idle_s)
+        if candidate.sickness > rule.max_sickness:
+            return False
+        return self._is_idle(candidate.listed, now, rule.idle_s)
 
     def _is_idle(self, listed, now, idle_s):
         evidence = self._evidence(listed.server.name)
--- a/src/lavendermast/settings_model.py
+++ b/src/lavendermast/settings_model.py
@@ -162,6 +162,7 @@
     :param retry_share: Further attempts as a share of a service's requests.
     :param retry_window_s: Seconds over which further attempts are counted.
     :param retry_slack: Further attempts that the whole fleet may add to that share.
+    :param floor_share: Share of a service's sound servers that get requests even while many fail.
     """
 
     vm: str
@@ -183,6 +184,7 @@
     retry_share: float
     retry_window_s: float
     retry_slack: float
+    floor_share: float
 
     @classmethod
     def from_config(cls, data):
@@ -207,6 +209,7 @@
             retry_share=data.get("retry_share", 0.2),
             retry_window_s=data.get("retry_window_s", 10),
             retry_slack=data.get("retry_slack", 60),
+            floor_share=data.get("floor_share", 0.7),
         )
 
 
--- a/src/lavendermast/upstream.py
+++ b/src/lavendermast/upstream.py
@@ -1,6 +1,7 @@
 """One attempt at one backend server over pooled connections."""
 
 import collections
+import math
 import re
 from http.client import InvalidURL
 
@@ -26,6 +27,11 @@
 #: Servers may forget idle connections; after a reset only ones that were idle for half
 #: as long carry requests that must not run twice.
 IDLE_RESET_FACTOR = 0.5
+#: Such a reset comes within a round trip, 40 ms between regions; a later one is the
+#: failure of a server at work.
+IDLE_RESET_S = 0.06
+#: Time after the last such reset in which connections are reused for less long.
+IDLE_RESET_MEMORY_S = 10.0
 _KEEP_ALIVE = re.compile(r"timeout=([0-9]{1,6})")
 #: Time by which a connection is given up before the server would close it: a close
 #: takes one network delay to arrive, and servers round their limit.
@@ -144,6 +150,7 @@
     cancelled: Cancellation | None
     connection: ServerConnection | None = None
     idle_s: float | None = None  # how long a reused connection had been idle
+    sent_at: float = 0.0
     _timer: object = None
 
     def __enter__(self):
@@ -285,6 +292,7 @@
                 _close(attempt)
                 return AttemptResult(attempt.server.name, AttemptStatus.EXPIRED)
             attempt.connection.response_class = self._protocol.make_response(request)
+            attempt.sent_at = self._clock.monotonic()
             try:
                 response = attempt.connection.exchange()
             except NotSentError:
@@ -301,7 +309,7 @@
             connection = idle.pop()
             bound = _get_idle_bound(connection, repeatable)
             if not repeatable:
-                bound = min(bound, self._safe_idle_s.get(attempt.server.service, bound))
+                bound = min(bound, self._get_safe_idle(attempt.server.service, now))
             idle_s = now - connection.idle_since
             if idle_s <= bound and connection.is_quiet():
                 attempt.idle_s = idle_s
@@ -353,9 +361,21 @@
 
     def _note_idle_reset(self, attempt):
         """Reuse connections of a service sooner, or not, for what must not repeat."""
+        now = self._clock.monotonic()
+        if now - attempt.sent_at > IDLE_RESET_S:
+            return
         service = attempt.server.service
-        known = self._safe_idle_s.get(service, attempt.idle_s)
-        self._safe_idle_s[service] = min(known, attempt.idle_s) * IDLE_RESET_FACTOR
+        known = min(self._get_safe_idle(service, now), attempt.idle_s)
+        until = now + IDLE_RESET_MEMORY_S
+        self._safe_idle_s[service] = (known * IDLE_RESET_FACTOR, until)
+
+    def _get_safe_idle(self, service, now):
+        """Return how long a connection may have been idle after recent resets."""
+        bound, until = self._safe_idle_s.get(service, (math.inf, math.inf))
+        if now < until:
+            return bound
+        del self._safe_idle_s[service]
+        return math.inf
 
 
 def _close(attempt):
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -8,6 +8,7 @@
 from lavendermast.attempts import AttemptRunner
 from lavendermast.catalog import ListedServer
 from lavendermast.clock import SystemClock
+from lavendermast.coverage import Coverage
 from lavendermast.entrymodel import EntryRoute, RequestKind, ServerRecord, SplitPart
 from lavendermast.evidencebook import EvidenceBook
 from lavendermast.models import (
@@ -68,8 +69,9 @@
     clock = SystemClock()
     events = []
     book = EvidenceBook(clock, lambda name: route)
+    catalog, coverage = FixedCatalog(servers), Coverage(book.get, 0.7)
     selector = ServerSelector(
-        FixedCatalog(servers), book.get, "a", "r", clock, random.Random(1)
+        catalog, book.get, "a", "r", clock, random.Random(1), coverage
     )
     upstream = ScriptedUpstream(script)
     budget = WindowedRetryBudget(0.2 if reserve else 0.0, reserve, 10.0, clock)
--- a/tests/test_selection.py
+++ b/tests/test_selection.py
@@ -8,10 +8,11 @@
 
 from lavendermast.catalog import ListedServer
 from lavendermast.clock import ManualClock
+from lavendermast.coverage import Coverage
 from lavendermast.entrymodel import EntryRoute, RequestKind, ServerRecord, SplitPart
 from lavendermast.evidencebook import EvidenceBook
 from lavendermast.models import AttemptResult, AttemptStatus, Server, ServerState
-from lavendermast.selection import ServerSelector
+from lavendermast.selection import TRIAL, TRIAL_ONCE, ServerSelector
 
 ROUTE = EntryRoute(
     "r", "h", "/", (SplitPart("stock"),), RequestKind.IDEMPOTENT, 4.0, 2.0
@@ -32,7 +33,10 @@
     ]
     book = EvidenceBook(clock, lambda name: ROUTE)
     catalog = types.SimpleNamespace(get_servers=lambda service: listed)
-    selector = ServerSelector(catalog, book.get, "a", "north", clock, random.Random(1))
+    coverage = Coverage(book.get, 0.7)
+    selector = ServerSelector(
+        catalog, book.get, "a", "north", clock, random.Random(1), coverage
+    )
     return types.SimpleNamespace(clock=clock, book=book, listed=listed, choose=selector)
 
 
@@ -91,10 +95,23 @@
     observe(world, "region", AttemptStatus.CUT)
     world.clock.advance(3.0)
     observe(world, "near")
-    chosen = collections.Counter(choose(world, trial_idle_s=1.5) for _ in range(36))
+    chosen = collections.Counter(choose(world, trial=TRIAL) for _ in range(36))
     assert 1 <= chosen["region"] <= 4
     world.book.start("region", ROUTE)
-    assert choose(world, trial_idle_s=1.5) == "near"
+    assert choose(world, trial=TRIAL) == "near"
+
+
+def test_work_that_cannot_repeat_is_no_trial_of_a_sick_server(world):
+    """Guards against bookings lost to a server that was sick a few seconds ago."""
+    observe(world, "region", AttemptStatus.CUT)
+    world.clock.advance(6.0)
+    observe(world, "near")
+    chosen = {choose(world, trial=TRIAL_ONCE) for _ in range(24)}
+    assert chosen == {"near"}
+    world.clock.advance(8.0)
+    observe(world, "near")
+    chosen = {choose(world, trial=TRIAL_ONCE) for _ in range(24)}
+    assert chosen == {"near", "region"}
 
 
 @pytest.mark.parametrize(("lost", "covered"), [(0, False), (12, True)])
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -7,11 +7,11 @@
 from eventlet.green import socket
 from hypothesis import given, strategies as st
 
-from lavendermast.clock import SystemClock
+from lavendermast.clock import ManualClock, SystemClock
 from lavendermast.exceptions import FramingError, RequestError, TruncatedResponseError
 from lavendermast.framing import ServerResponse
 from lavendermast.models import AttemptStatus, CallerRequest, Server
-from lavendermast.upstream import Cancellation, Upstream
+from lavendermast.upstream import IDLE_RESET_MEMORY_S, Cancellation, Upstream
 
 OK_RESPONSE = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
 CHUNKED = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
@@ -375,3 +375,44 @@
     assert upstream.connections_opened == 3
     assert send(upstream, server, method="POST").status is AttemptStatus.OK
     assert upstream.connections_opened == 3
+
+
+def reset_late(sock):
+    """Break off as a server that had worked on the request."""
+    eventlet.sleep(0.12)
+    reset(sock)
+
+
+def test_reset_after_work_is_no_sign_of_a_forgotten_connection(start):
+    """Guards against a new connection for each booking after one lost answer."""
+    kept = OK_RESPONSE.replace(b"\r\n\r\n", b"\r\nKeep-Alive: timeout=10\r\n\r\n", 1)
+    server = start(kept, reset_late, kept, kept)
+    upstream = make_upstream()
+    send(upstream, server)
+    assert send(upstream, server, method="POST").status is AttemptStatus.CUT
+    send(upstream, server)
+    eventlet.sleep(0.2)
+    assert send(upstream, server, method="POST").status is AttemptStatus.OK
+    assert upstream.connections_opened == 2
+
+
+def test_shorter_reuse_ends_some_time_after_the_last_reset(start):
+    """Guards against new connections for the rest of a process's life."""
+    kept = OK_RESPONSE.replace(b"\r\n\r\n", b"\r\nKeep-Alive: timeout=10\r\n\r\n", 1)
+    server = start(kept, reset, kept, kept)
+    clock = ManualClock(100.0)
+    upstream = Upstream(clock, 1000, {"stock": 4})
+
+    def make(method):
+        return upstream.send(
+            make_request(method), server.server, clock.monotonic() + 5.0
+        )
+
+    make("GET")
+    clock.advance(1.0)
+    assert make("POST").status is AttemptStatus.CUT
+    clock.advance(IDLE_RESET_MEMORY_S + 1.0)
+    make("GET")
+    clock.advance(2.0)
+    assert make("POST").status is AttemptStatus.OK
+    assert upstream.connections_opened == 2
