Check the settings of an entry process from the command line

Change: lavendermast check takes a file too and prints all findings with their places. Figures: the new test names three findings in one run. Conclusion: status and explain for entry processes are still open.

--- a/src/lavendermast/cli.py
+++ b/src/lavendermast/cli.py
@@ -18,7 +18,7 @@
 from . import incident_output, report
 from .exceptions import LavendermastError, SettingsError
 from .incident import Filter, Incident
-from .settings import encode_bundle, load_bundle, merge_site
+from .settings import encode_bundle, load_bundle, load_entry_settings, merge_site
 from .settings_checks import fill_defaults
 
 DIGEST_CHARACTERS = 16
@@ -41,17 +41,23 @@
     page = "page"
 
 
-def check(directory: pathlib.Path):
+def check(path: pathlib.Path):
     """
-    Check an operators' directory: base.json and sites/<site>.json.
+    Check an operators' directory, or a file with an entry process's settings.
+
+    A directory holds base.json and sites/<site>.json.
 
     Prints every finding as FILE:LINE: PATH: MESSAGE. Exit code 0 means that the
     settings may be rolled out, 1 that there are findings.
 
-    :param directory: directory that holds base.json.
+    :param path: directory that holds base.json, or a JSON file.
     """
     try:
-        bundle = load_bundle(directory)
+        if path.is_file():
+            settings = load_entry_settings(path)
+            print(f"settings of {settings.vm} are valid", file=sys.stderr)
+            return 0
+        bundle = load_bundle(path)
     except SettingsError as error:
         for finding in error.findings:
             print(finding)
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -68,6 +68,23 @@
     ).encode()
 
 
+def test_settings_of_an_entry_process_are_checked_with_all_findings(tmp_path, capsys):
+    """Guards against a process that ends at its start on the users' machines."""
+    path = tmp_path / "entry.json"
+    names = ("caller", "ready", "directory", "peer", "metrics", "store")
+    settings = {f"{name}_address": "127.0.0.1:1" for name in names}
+    settings |= {"vm": "v", "zone": "a", "region": "r", "zones": [], "seeds": []}
+    path.write_text(json.dumps(settings))
+    assert run("check", path) == 0
+    del settings["seeds"]
+    path.write_text(json.dumps({**settings, "cpu_share": 0, "colour": 1}))
+    assert run("check", path) == 1
+    captured = capsys.readouterr()
+    for name in ("seeds", "cpu_share", "colour"):
+        assert name in captured.out
+    assert "3 findings" in captured.err
+
+
 def test_check_tells_valid_from_invalid_settings(tmp_path, capsys):
     """Guards against a pipeline that rolls out what the fleet would refuse."""
     assert run("check", EXAMPLES / "latvia") == 0
