Tidy comments of the floor and of the selection

Cause: the reading of the whole change found a note on how a value was found and one comment for two constants. Change: comments only. Conclusion: none.

--- a/src/lavendermast/coverage.py
+++ b/src/lavendermast/coverage.py
@@ -7,11 +7,10 @@
 #: The floor counts requests of two seconds; reports and a choice take some of it.
 IDLE_S = 1.5
 #: Share of lost requests from which on the floor is kept; the users' bound is a tenth.
-#: At 0.06 the requests sent to doubtful servers kept the share above it.
 FAILING_SHARE = 0.085
-#: Attempts that began in this span tell the share that is lost; younger ones than
-#: its second bound have no results yet.
+#: The share is taken over the attempts that began within this time.
 RECENT_S = 3.0
+#: Younger attempts have no results yet.
 YOUNG_S = 0.3
 #: A share is reused for this time, because it takes a look at all attempts.
 CACHE_S = 0.25
--- a/src/lavendermast/selection.py
+++ b/src/lavendermast/selection.py
@@ -23,7 +23,6 @@
 WARM_UP_COST = 0.15
 JITTER = 0.01
 
-
 get_cost = operator.attrgetter("cost")
 
 
