Reset proxied connections after their tasks have ended

LoopbackProxy closed a socket that its own task was still reading. The hub kept the task registered under the closed descriptor; the pipe of the next process start got the same number. Sockets report a reused number to the hub, pipes do not.

Conclusion: a fault of the harness, not of the product, which starts no processes.

--- a/standins/loopbackproxy.py
+++ b/standins/loopbackproxy.py
@@ -5,6 +5,7 @@
 import struct
 
 import eventlet
+import greenlet
 
 READ_BYTES = 16384
 #: Pause between looks at a cut direction, in seconds.
@@ -41,9 +42,8 @@
 
     def reset_all(self):
         """Reset the open connections on both sides."""
-        for pair in list(self._open):
-            for sock in pair:
-                _reset(sock)
+        for connection in list(self._open):
+            connection.reset()
 
     def _accept(self):
         while True:
@@ -60,35 +60,64 @@
         except OSError:
             _reset(caller)
             return
-        pair = (caller, server)
-        self._open.add(pair)
-        other = eventlet.spawn(self._pump, server, caller, "out")
-        self._pump(caller, server, "in")
-        other.wait()
-        self._open.discard(pair)
-        for sock in pair:
+        connection = _Connection(self, caller, server)
+        self._open.add(connection)
+        connection.carry()
+        self._open.discard(connection)
+
+
+class _Connection:
+    """One forwarded connection and the tasks of its two directions."""
+
+    def __init__(self, proxy, caller, server):
+        self._proxy, self._sockets = proxy, (caller, server)
+        self._pumps = [
+            eventlet.spawn(self._pump, caller, server, "in"),
+            eventlet.spawn(self._pump, server, caller, "out"),
+        ]
+
+    def carry(self):
+        """Wait until both directions have ended and close the sockets."""
+        for pump in self._pumps:
+            with contextlib.suppress(greenlet.GreenletExit):
+                pump.wait()
+        for sock in self._sockets:
             sock.close()
 
+    def reset(self):
+        """
+        Reset both sides.
+
+        The tasks end before the sockets close: a task that still reads a closed
+        descriptor keeps it registered at the hub, where the next file with the same
+        number meets it.
+        """
+        for sock in self._sockets:
+            _set_reset_on_close(sock)
+        for pump in self._pumps:
+            pump.kill()
+
     def _pump(self, source, sink, direction):
         try:
             while data := source.recv(READ_BYTES):
-                if self.delay_s:
-                    eventlet.sleep(self.delay_s)
-                while direction in self.cut:
+                if self._proxy.delay_s:
+                    eventlet.sleep(self._proxy.delay_s)
+                while direction in self._proxy.cut:
                     eventlet.sleep(CUT_CHECK_S)
                 sink.sendall(data)
-        except (OSError, EOFError):
-            # Eventlet raises EOFError for a socket that another task closed.
-            _reset(sink)
+        except OSError:
+            eventlet.spawn_n(self.reset)
             return
         with contextlib.suppress(OSError):
             sink.shutdown(socket.SHUT_WR)
 
 
 def _reset(sock):
-    """Close a socket so that its peer sees a reset."""
+    """Close a socket that no task uses so that its peer sees a reset."""
+    _set_reset_on_close(sock)
+    sock.close()
+
+
+def _set_reset_on_close(sock):
     with contextlib.suppress(OSError):
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
-    with contextlib.suppress(OSError):
-        sock.shutdown(socket.SHUT_RD)
-    sock.close()
