Note a soak VM's disturbances with the account's context manager

Cause: SoakVm kept intervals by hand beside Account.disturb, so the form of an interval was known in two places.

Change: an ExitStack holds the account's context manager from kill or pause to recovery.

Conclusion: one place knows what a disturbance is.

--- a/bench/soakworld.py
+++ b/bench/soakworld.py
@@ -43,7 +43,7 @@
         self._log = (folder / f"{name}.log").open("ab")
         self._path = folder / f"{name}.json"
         self._process = None
-        self._down_since = None
+        self._disturbance = contextlib.ExitStack()
         self.store_proxy = LoopbackProxy(store.address)
 
     def write_settings(self, seeds):
@@ -73,17 +73,10 @@
         ):
             while not self.is_ready():
                 eventlet.sleep(0.1)
-        self._end_disturbance()
+        self._disturbance.close()
 
     def _disturb(self):
-        if self._down_since is None:
-            self._down_since = time.monotonic()
-            self._account.disturbed[self.name].append([self._down_since, float("inf")])
-
-    def _end_disturbance(self):
-        if self._down_since is not None:
-            self._account.disturbed[self.name][-1][1] = time.monotonic()
-            self._down_since = None
+        self._disturbance.enter_context(self._account.disturb(self.name))
 
     def is_ready(self):
         """Return whether the process says that it takes callers."""
@@ -113,7 +106,7 @@
         """Let a frozen process run again."""
         self._signal(signal.SIGCONT)
         if self._process is not None and self._process.poll() is None:
-            self._end_disturbance()
+            self._disturbance.close()
 
     def reload(self):
         """Send SIGHUP."""
