Tell picks for the floor apart and reload the floor's share

Cause: a pick that keeps the floor was logged as reason=trial; SIGHUP kept the old floor_share; the region's candidates were filtered a second time and their idle times were computed before the cheaper, cached share of lost requests.

Change: reason=floor; reload sets Coverage.floor_share and logs it; the floor and trials get the local candidates that choose has split off already.

Conclusion: no change in routing.

--- a/src/lavendermast/attempts.py
+++ b/src/lavendermast/attempts.py
@@ -193,7 +193,7 @@
             service=race.service,
             attempt=running.number,
             server=server.name,
-            reason="trial" if candidate.trial else reason,
+            reason=candidate.reason or reason,
             sickness=round(candidate.sickness, 3),
             pending=candidate.pending,
             evidence_age_ms=candidate.evidence_age_ms,
--- a/src/lavendermast/coverage.py
+++ b/src/lavendermast/coverage.py
@@ -27,7 +27,7 @@
 
     def __init__(self, evidence, floor_share):
         self._evidence = evidence
-        self._kept_share = min(floor_share + MARGIN, 1.0)
+        self.floor_share = floor_share
         self._shares = {}
 
     def is_short(self, covered, listed):
@@ -37,7 +37,7 @@
         >>> [Coverage(None, 0.7).is_short(covered, 10) for covered in (7, 8)]
         [True, False]
         """
-        return covered < self._kept_share * listed
+        return covered < min(self.floor_share + MARGIN, 1.0) * listed
 
     def is_failing(self, service, names, now):
         """
--- a/src/lavendermast/entrynode.py
+++ b/src/lavendermast/entrynode.py
@@ -112,6 +112,7 @@
         self.upstream = Upstream(
             self.clock, BUFFER_BYTES, {}, platform.protocol, CONNECT_TIMEOUT_S
         )
+        self._coverage = Coverage(self.evidence.get, settings.floor_share)
         selector = ServerSelector(
             self.catalog,
             self.evidence.get,
@@ -119,7 +120,7 @@
             settings.region,
             self.clock,
             random.Random(),
-            Coverage(self.evidence.get, settings.floor_share),
+            self._coverage,
         )
         self.runner = AttemptRunner(
             self.upstream,
@@ -204,8 +205,13 @@
             return
         self.settings = settings
         self.fleet.seeds = settings.seeds
+        self._coverage.floor_share = settings.floor_share
         self._budgets.clear()
-        self.log.record("reloaded", seeds=",".join(settings.seeds))
+        self.log.record(
+            "reloaded",
+            seeds=",".join(settings.seeds),
+            floor_share=settings.floor_share,
+        )
 
     def is_ready(self):
         """Return whether callers should be sent here."""
--- a/src/lavendermast/selection.py
+++ b/src/lavendermast/selection.py
@@ -48,14 +48,18 @@
 
 @attrs.define(eq=False)
 class Candidate:
-    """A server with what decides about it."""
+    """
+    A server with what decides about it.
+
+    :param reason: ``trial`` or ``floor`` when it was not chosen for its cost.
+    """
 
     listed: object
     cost: float
     sickness: float
     pending: int
     evidence_age_ms: int | None
-    trial: bool = False
+    reason: str = ""
 
 
 class ServerSelector:
@@ -100,45 +104,47 @@
             candidates += [self._assess(listed, answer_bytes, now) for listed in far]
         if not candidates:
             return None
-        chosen = None
+        local = candidates[: len(near)]
         if is_first:
-            chosen = self._find_uncovered(service, candidates, now)
-        if chosen is None and trial is not None:
-            chosen = self._find_trial(candidates, now, trial)
-        if chosen is not None:
-            chosen.trial = True
-            return chosen
+            uncovered = self._find_uncovered(service, local, now)
+            if uncovered is not None:
+                return uncovered
+        if trial is not None:
+            due = self._find_trial(local, now, trial)
+            if due is not None:
+                return due
         return min(candidates, key=get_cost)
 
-    def _find_uncovered(self, service, candidates, now):
+    def _find_uncovered(self, service, local, now):
         """Return a server that needs a request to keep the floor, or ``None``."""
-        near = [c for c in candidates if c.listed.server.region == self._region]
-        idle = [c for c in near if self._is_idle(c.listed, now, IDLE_S)]
-        if not idle or not self._coverage.is_short(len(near) - len(idle), len(near)):
-            return None
-        names = [candidate.listed.server.name for candidate in near]
+        names = [candidate.listed.server.name for candidate in local]
         if not self._coverage.is_failing(service, names, now):
             return None
-        return min(idle, key=get_cost)
+        idle = [c for c in local if self._is_idle(c.listed, now, IDLE_S)]
+        if not idle or not self._coverage.is_short(len(local) - len(idle), len(local)):
+            return None
+        chosen = min(idle, key=get_cost)
+        chosen.reason = "floor"
+        return chosen
 
-    def _find_trial(self, candidates, now, rule):
+    def _find_trial(self, local, now, rule):
         """Return a server that is due for a trial, if there may be one now."""
         if not self._add_trial_credit():
             return None
-        due = [c for c in candidates if self._is_trial_due(c, now, rule)]
+        due = [c for c in local if self._is_trial_due(c, now, rule)]
         if not due:
             return None
         self._trial_credit -= 1.0
-        return min(due, key=get_cost)
+        chosen = min(due, key=get_cost)
+        chosen.reason = "trial"
+        return chosen
 
     def _add_trial_credit(self):
         self._trial_credit = min(self._trial_credit + TRIAL_SHARE, 1.0)
         return self._trial_credit >= 1.0
 
     def _is_trial_due(self, candidate, now, rule):
-        if candidate.pending or candidate.listed.server.region != self._region:
-            return False
-        if candidate.sickness > rule.max_sickness:
+        if candidate.pending or candidate.sickness > rule.max_sickness:
             return False
         return self._is_idle(candidate.listed, now, rule.idle_s)
 
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -107,6 +107,22 @@
     assert world.send("/book/1", "POST").status == 404
 
 
+def test_changed_settings_take_effect_on_sighup(world, tmp_path):
+    """Guards against a reload that reports success and keeps the old values."""
+    world.add("s1")
+    world.wait_ready(1)
+    path = tmp_path / "entry.json"
+    settings = json.loads(path.read_text())
+    settings |= {"seeds": ["127.0.0.1:9"], "floor_share": 0.5}
+    path.write_text(json.dumps(settings))
+    world.process.send_signal(signal.SIGHUP)
+    assert world.send("/stock/7").status == 200
+    eventlet.sleep(0.3)
+    log = world.stop()
+    assert "event=reloaded" in log
+    assert "seeds=127.0.0.1:9 floor_share=0.5" in log
+
+
 def test_planned_stop_answers_everything(world):
     """Guards R6: a request that a stopping process accepted is answered."""
     world.add("s1", "hang")
--- a/tests/test_selection.py
+++ b/tests/test_selection.py
@@ -129,12 +129,14 @@
         result = AttemptResult("region", AttemptStatus.CUT)
         world.book.finish("region", ROUTE, attempt, result, False)
     world.clock.advance(0.35)
-    used = set()
+    used, reasons = set(), set()
     for _ in range(8):
-        name = choose(world, is_first=True)
-        used.add(name)
-        world.book.start(name, ROUTE)
+        chosen = world.choose.choose("stock", BYTES, is_first=True)
+        used.add(chosen.listed.server.name)
+        reasons.add(chosen.reason)
+        world.book.start(chosen.listed.server.name, ROUTE)
     assert (len(used - {"far"}) >= 7) is covered
+    assert ("floor" in reasons) is covered
 
 
 def test_shed_request_is_no_sign_of_sickness(world):
