--- a/src/lavendermast/attempts.py
+++ b/src/lavendermast/attempts.py
@@ -27,11 +27,15 @@
 SHED_PAUSE_S = 0.4
 #: An attempt shorter than this is of no use to anybody.
 MIN_ATTEMPT_S = 0.02
+#: A server answers 504 when the time that it was given has passed, which is up to one
+#: network delay between regions before the deadline here.
+EXPIRY_MARGIN_S = 0.1
 #: Statuses that say how a server is, and whether it is well.
 _SUCCESS = {
     AttemptStatus.OK: True,
     AttemptStatus.ERROR: False,
     AttemptStatus.CUT: False,
+    AttemptStatus.CONNECT_FAILED: False,
 }
 _STATUS_CODES = {
     AttemptStatus.TIMEOUT: 504,
@@ -216,9 +220,8 @@
         race.results.put((running, result))
 
     def _finish_attempt(self, race, running, result):
-        succeeded = _SUCCESS.get(result.status)
-        if result.status is AttemptStatus.CONNECT_FAILED:
-            succeeded = False
+        left = race.request.deadline - self._clock.monotonic()
+        succeeded = judge_attempt(result, left)
         self._evidence.finish(
             running.server.name, race.route, running.attempt, result, succeeded
         )
@@ -286,6 +289,20 @@
         )
 
 
+def judge_attempt(result, left):
+    """
+    Return whether an attempt's end shows a well server, ``None`` if it does not tell.
+
+    A route's timeout may be too short for well servers too, so of an attempt that ran
+    into its deadline only the age counts.
+
+    :param left: seconds until the request's deadline.
+    """
+    if result.http_status == 504 and left < EXPIRY_MARGIN_S:
+        return None
+    return _SUCCESS.get(result.status)
+
+
 def make_answer(race, result):
     """Return the reply that passes a server's answer on."""
     return Reply(
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -5,7 +5,7 @@
 import eventlet
 import pytest
 
-from lavendermast.attempts import AttemptRunner
+from lavendermast.attempts import AttemptRunner, judge_attempt
 from lavendermast.catalog import ListedServer
 from lavendermast.clock import SystemClock
 from lavendermast.coverage import Coverage
@@ -119,6 +119,24 @@
     assert len(upstream.sent) == 1
 
 
+@pytest.mark.parametrize(
+    ("status", "code", "left", "succeeded"),
+    [
+        (OK, 200, 0.02, True),
+        (ERROR, 500, 0.02, False),
+        (ERROR, 504, 0.5, False),
+        (ERROR, 504, 0.002, None),
+        (ERROR, 504, -0.001, None),
+        (AttemptStatus.CONNECT_FAILED, 0, 0.5, False),
+        (AttemptStatus.TIMEOUT, 0, 0.0, None),
+    ],
+)
+def test_end_at_the_deadline_accuses_no_server(status, code, left, succeeded):
+    """Guards against servers that look sick because a route's timeout is too short."""
+    result = AttemptResult("s1", status, http_status=code)
+    assert judge_attempt(result, left) is succeeded
+
+
 def test_non_idempotent_request_is_never_hedged():
     """Guards against a booking that runs at two servers because one is slow."""
     route = make_route(RequestKind.NON_IDEMPOTENT, 3)
