Keep the floor by the whole service's lost requests and for sound servers

Change: summaries between regions carry each region's counts; attempts that may be repeated count as the product of their loss; twelve requests are the least. Servers sick with a probability over 0.45 do not count as sound until the share is over 0.12.

--- a/src/lavendermast/catalog.py
+++ b/src/lavendermast/catalog.py
@@ -76,12 +76,12 @@
         return self._servers.get(name)
 
     def get_region_servers(self, region):
-        """Return the names of the servers in a region."""
-        return [
-            name
-            for name, listed in self._servers.items()
-            if listed.server.region == region
-        ]
+        """Return the names of the servers in a region by service."""
+        names = {}
+        for name, listed in self._servers.items():
+            if listed.server.region == region:
+                names.setdefault(listed.server.service, []).append(name)
+        return names
 
     def count_servers(self):
         """Return the number of listed servers by service."""
--- a/src/lavendermast/coverage.py
+++ b/src/lavendermast/coverage.py
@@ -1,5 +1,9 @@
 """Finds out when too few servers of a service get requests while requests fail."""
 
+import collections
+
+import attrs
+
 from lavendermast.suspicion import compute_lost_probability
 
 #: What is kept above the floor, since a VM does not know which servers are sound.
@@ -8,12 +12,33 @@
 IDLE_S = 1.5
 #: Share of lost requests from which on the floor is kept; the users' bound is a tenth.
 FAILING_SHARE = 0.085
+#: Servers that are sick with a higher probability count as not sound, until the share
+#: of lost requests is clearly over the bound and a wrong belief could break the floor.
+MAX_SICKNESS = 0.45
+CLEARLY_FAILING_SHARE = 0.12
+#: With fewer requests a single lost one would be over the share.
+MIN_REQUESTS = 12
 #: The share is taken over the attempts that began within this time.
 RECENT_S = 3.0
 #: Younger attempts have no results yet.
 YOUNG_S = 0.3
-#: A share is reused for this time, because it takes a look at all attempts.
+#: A count is reused for this time, because it takes a look at all attempts.
 CACHE_S = 0.25
+#: Other regions' counts come every 0.5 s; older ones say nothing of now.
+REPORT_AGE_S = 2.0
+
+
+@attrs.frozen
+class Losses:
+    """
+    Recent requests of a service in one region and how many of them were lost.
+
+    :param until: monotonic time until which the counts are used.
+    """
+
+    requests: float
+    lost: float
+    until: float
 
 
 class Coverage:
@@ -28,41 +53,79 @@
     def __init__(self, evidence, floor_share):
         self._evidence = evidence
         self.floor_share = floor_share
-        self._shares = {}
+        self._own = {}
+        self._reported = collections.defaultdict(dict)
 
     def is_short(self, covered, listed):
         """
-        Return whether too few of the listed servers have had requests of late.
+        Return whether too few of the sound servers have had requests of late.
 
         >>> [Coverage(None, 0.7).is_short(covered, 10) for covered in (7, 8)]
         [True, False]
         """
         return covered < min(self.floor_share + MARGIN, 1.0) * listed
 
-    def is_failing(self, service, names, now):
+    def find_max_sickness(self, service, names, now):
         """
-        Return whether so many requests fail that the floor has to be kept.
+        Return up to which probability of sickness servers need requests now.
 
         :param names: servers of the service whose attempts are known here.
+        :return: ``None`` while few requests fail.
         """
-        until, share = self._shares.get(service, (0.0, 0.0))
-        if now >= until:
-            share = self._compute_lost_share(names, now)
-            self._shares[service] = (now + CACHE_S, share)
-        return share >= FAILING_SHARE
-
-    def _compute_lost_share(self, names, now):
-        count, lost = 0, 0.0
+        share = self._compute_lost_share(service, names, now)
+        if share < FAILING_SHARE:
+            return None
+        return MAX_SICKNESS if share < CLEARLY_FAILING_SHARE else 1.0
+
+    def note_losses(self, region, service, requests, lost, now):
+        """Take in what another region counted."""
+        losses = Losses(requests, lost, now + REPORT_AGE_S)
+        self._reported[service][region] = losses
+
+    def count_losses(self, service, names, now):
+        """Return the ``Losses`` among the attempts that are known here."""
+        losses = self._own.get(service)
+        if losses is None or now >= losses.until:
+            losses = self._own[service] = self._count(names, now)
+        return losses
+
+    def _compute_lost_share(self, service, names, now):
+        counted = [self.count_losses(service, names, now)]
+        reported = self._reported[service].values()
+        counted += [losses for losses in reported if now < losses.until]
+        requests = sum(losses.requests for losses in counted)
+        if requests < MIN_REQUESTS:
+            return 0.0
+        return sum(losses.lost for losses in counted) / requests
+
+    def _count(self, names, now):
+        once = repeatable = 0
+        lost_once = lost_repeatable = 0.0
         for name in names:
             evidence = self._evidence(name)
+            sickness = evidence.compute_sickness(now)
             for attempt in evidence.attempts:
                 if not YOUNG_S <= now - attempt.started <= RECENT_S:
                     continue
-                count += 1
-                if attempt.succeeded is False:
-                    lost += 1
-                elif attempt.ended is None:
-                    survival = attempt.durations.compute_survival(now - attempt.started)
-                    sickness = evidence.compute_sickness(now)
-                    lost += compute_lost_probability(sickness, survival)
-        return lost / count if count else 0.0
+                lost = compute_attempt_lost(attempt, sickness, now)
+                if attempt.repeatable:
+                    repeatable += 1
+                    lost_repeatable += lost
+                else:
+                    once += 1
+                    lost_once += lost
+        # A request that may be repeated is lost when its second attempt is too.
+        if repeatable:
+            lost_once += lost_repeatable**2 / repeatable
+        return Losses(once + repeatable, lost_once, now + CACHE_S)
+
+
+def compute_attempt_lost(attempt, sickness, now):
+    """Return the probability that an attempt was or will be lost."""
+    if attempt.succeeded is not None:
+        return 0.0 if attempt.succeeded else 1.0
+    if attempt.ended is not None and not attempt.repeatable:
+        return 1.0
+    age = (attempt.ended or now) - attempt.started
+    survival = attempt.durations.compute_survival(age)
+    return compute_lost_probability(sickness, survival)
--- a/src/lavendermast/entrynode.py
+++ b/src/lavendermast/entrynode.py
@@ -100,10 +100,12 @@
             self.catalog, platform.source, self.fleet, self.network, self.clock, record
         )
         self.evidence = EvidenceBook(self.clock, self._find_route)
+        self._coverage = Coverage(self.evidence.get, settings.floor_share)
         self.sharing = EvidenceSharing(
             settings,
             self._regions,
             self.evidence,
+            self._coverage,
             self.catalog,
             self.fleet,
             self.network,
@@ -112,7 +114,6 @@
         self.upstream = Upstream(
             self.clock, BUFFER_BYTES, {}, platform.protocol, CONNECT_TIMEOUT_S
         )
-        self._coverage = Coverage(self.evidence.get, settings.floor_share)
         selector = ServerSelector(
             self.catalog,
             self.evidence.get,
--- a/src/lavendermast/evidencebook.py
+++ b/src/lavendermast/evidencebook.py
@@ -65,7 +65,9 @@
     def start(self, server_name, route):
         """Count an own attempt that begins now and return it."""
         now = self._clock.monotonic()
-        attempt = self._servers[server_name].start(now, self.get_durations(route))
+        attempt = self._servers[server_name].start(
+            now, self.get_durations(route), route.idempotent
+        )
         number = next(self._numbers)
         self._own[attempt] = number
         self._add_report(number, server_name, route, attempt)
@@ -158,7 +160,9 @@
             if route is None:
                 return
             started = now - report.start_age_ms / 1000
-            attempt = evidence.start(started, self.get_durations(route))
+            attempt = evidence.start(
+                started, self.get_durations(route), route.idempotent
+            )
             self._foreign[key] = attempt
         if report.phase == "pending" or attempt.ended is not None:
             return
--- a/src/lavendermast/evidencesharing.py
+++ b/src/lavendermast/evidencesharing.py
@@ -1,8 +1,15 @@
 """Shares evidence about servers: attempts in a region, summaries between regions."""
 
+import itertools
+
+import attrs
 from eventlet.event import Event
 
-from lavendermast.messages_model import AttemptReports, ServerSummaries
+from lavendermast.messages_model import (
+    AttemptReports,
+    ServerSummaries,
+    ServiceLosses,
+)
 
 REPORT_INTERVAL_S = 0.05
 #: With many active VMs each one reports more rarely, which bounds what all receive.
@@ -18,12 +25,16 @@
     Sends own attempts to the active VMs of the region, and one VM's summary on.
 
     :param regions: mapping of zone to region.
+    :param coverage: takes in how many requests other regions lost.
     """
 
-    def __init__(self, settings, regions, evidence, catalog, fleet, network, clock):
+    def __init__(
+        self, settings, regions, evidence, coverage, catalog, fleet, network, clock
+    ):
         self._settings = settings
         self._regions = regions
         self._evidence = evidence
+        self._coverage = coverage
         self._catalog = catalog
         self._fleet = fleet
         self._network = network
@@ -59,19 +70,38 @@
             self._clock.sleep(SUMMARY_INTERVAL_S)
             if self._find_speaker(self._settings.region) is not self._fleet.own:
                 continue
-            names = self._catalog.get_region_servers(self._settings.region)
-            summaries = self._evidence.make_summaries(names)
+            servers = self._catalog.get_region_servers(self._settings.region)
+            names = itertools.chain.from_iterable(servers.values())
+            message = ServerSummaries(
+                relay_wanted=True,
+                summaries=tuple(self._evidence.make_summaries(names)),
+                region=self._settings.region,
+                losses=tuple(self._make_losses(servers)),
+            )
             speakers = [
                 self._find_speaker(region)
                 for region in set(self._regions.values()) - {self._settings.region}
             ]
             addresses = [vm.peer_address for vm in speakers if vm is not None]
-            self._send_summaries(addresses, summaries, relay_wanted=True)
+            self._send_summaries(addresses, message)
+
+    def _make_losses(self, servers):
+        now = self._clock.monotonic()
+        for service, names in servers.items():
+            counted = self._coverage.count_losses(service, names, now)
+            if counted.requests:
+                yield ServiceLosses(service, counted.requests, round(counted.lost))
 
-    def _send_summaries(self, addresses, summaries, relay_wanted):
-        for first in range(0, len(summaries), MAX_SUMMARIES):
-            part = tuple(summaries[first : first + MAX_SUMMARIES])
-            self._network.broadcast(addresses, ServerSummaries(relay_wanted, part))
+    def _send_summaries(self, addresses, message):
+        """Send a long message in parts, all losses with the first one."""
+        summaries = message.summaries
+        for first in range(0, max(len(summaries), 1), MAX_SUMMARIES):
+            part = attrs.evolve(
+                message,
+                summaries=summaries[first : first + MAX_SUMMARIES],
+                losses=message.losses if first == 0 else (),
+            )
+            self._network.broadcast(addresses, part)
 
     def _get_zones(self, region):
         return sorted(zone for zone, name in self._regions.items() if name == region)
@@ -88,9 +118,14 @@
         self._evidence.apply_reports(envelope.sender, envelope.body.attempts)
 
     def _handle_summaries(self, envelope, address):
-        summaries = envelope.body.summaries
-        self._evidence.apply_summaries(summaries)
-        if envelope.body.relay_wanted:
+        message = envelope.body
+        self._evidence.apply_summaries(message.summaries)
+        now = self._clock.monotonic()
+        for losses in message.losses:
+            self._coverage.note_losses(
+                message.region, losses.service, losses.requests, losses.lost, now
+            )
+        if message.relay_wanted:
             zones = self._get_zones(self._settings.region)
             addresses = self._fleet.find_addressees(zones)
-            self._send_summaries(addresses, summaries, relay_wanted=False)
+            self._send_summaries(addresses, attrs.evolve(message, relay_wanted=False))
--- a/src/lavendermast/messages_model.py
+++ b/src/lavendermast/messages_model.py
@@ -612,18 +612,48 @@
         )
 
 
+@attrs.frozen
+class ServiceLosses:
+    """Message struct ServiceLosses."""
+
+    service: str = ""
+    requests: int = 0
+    lost: int = 0
+
+    def to_dict(self):
+        """Return the fields as pycapnp accepts them."""
+        return {
+            "service": self.service,
+            "requests": self.requests,
+            "lost": self.lost,
+        }
+
+    @classmethod
+    def from_reader(cls, reader):
+        """Return an instance from a pycapnp reader."""
+        return cls(
+            service=str(reader.service),
+            requests=reader.requests,
+            lost=reader.lost,
+        )
+
+
 @attrs.frozen
 class ServerSummaries:
     """Message struct ServerSummaries."""
 
     relay_wanted: bool = False
     summaries: tuple[ServerSummary, ...] = ()
+    region: str = ""
+    losses: tuple[ServiceLosses, ...] = ()
 
     def to_dict(self):
         """Return the fields as pycapnp accepts them."""
         return {
             "relayWanted": self.relay_wanted,
             "summaries": [item.to_dict() for item in self.summaries],
+            "region": self.region,
+            "losses": [item.to_dict() for item in self.losses],
         }
 
     @classmethod
@@ -634,6 +664,8 @@
             summaries=tuple(
                 ServerSummary.from_reader(item) for item in reader.summaries
             ),
+            region=str(reader.region),
+            losses=tuple(ServiceLosses.from_reader(item) for item in reader.losses),
         )
 
 
--- a/src/lavendermast/schema/messages.capnp
+++ b/src/lavendermast/schema/messages.capnp
@@ -186,10 +186,19 @@
   pending @2 :UInt16;
 }
 
+# Recent requests of one service in a region, and how many of them were lost.
+struct ServiceLosses {
+  service @0 :Text;
+  requests @1 :UInt32;
+  lost @2 :UInt32;
+}
+
 # The receiver passes it on to its region when relayWanted is set.
 struct ServerSummaries {
   relayWanted @0 :Bool;
   summaries @1 :List(ServerSummary);
+  region @2 :Text;
+  losses @3 :List(ServiceLosses);
 }
 
 # One document of the store as it was written.
--- a/src/lavendermast/selection.py
+++ b/src/lavendermast/selection.py
@@ -118,10 +118,12 @@
     def _find_uncovered(self, service, local, now):
         """Return a server that needs a request to keep the floor, or ``None``."""
         names = [candidate.listed.server.name for candidate in local]
-        if not self._coverage.is_failing(service, names, now):
+        bound = self._coverage.find_max_sickness(service, names, now)
+        if bound is None:
             return None
-        idle = [c for c in local if self._is_idle(c.listed, now, IDLE_S)]
-        if not idle or not self._coverage.is_short(len(local) - len(idle), len(local)):
+        sound = [c for c in local if c.sickness <= bound]
+        idle = [c for c in sound if self._is_idle(c.listed, now, IDLE_S)]
+        if not idle or not self._coverage.is_short(len(sound) - len(idle), len(sound)):
             return None
         chosen = min(idle, key=get_cost)
         chosen.reason = "floor"
--- a/src/lavendermast/suspicion.py
+++ b/src/lavendermast/suspicion.py
@@ -38,12 +38,14 @@
     One attempt as this VM knows it; times are monotonic.
 
     :param durations: the answer times of its route, to judge its age.
+    :param repeatable: whether a second attempt may follow a lost one.
     :param ended: time of its end, ``None`` while it is pending.
     :param succeeded: its result; ``None`` for one that was abandoned or is pending.
     """
 
     started: float
     durations: object
+    repeatable: bool = True
     ended: float | None = None
     succeeded: bool | None = None
 
@@ -66,9 +68,9 @@
         self.reported_pending = 0
         self._cached = (0.0, SICK_SHARE)
 
-    def start(self, now, durations):
+    def start(self, now, durations, repeatable=True):
         """Count an attempt that begins now and return it."""
-        attempt = Attempt(now, durations)
+        attempt = Attempt(now, durations, repeatable)
         attempts = self.attempts
         # Reports of other VMs arrive late; the deque is kept in order of the starts.
         index = len(attempts)
