Let bookings wait for evidence while all servers are doubtful

Trials took all servers for idle at the start.

Change: work that cannot be sent again waits, at most a quarter of its route's goal, while its best server is doubtful and the VM's part of a third of the region's servers has requests in flight. A server with one answer gets two of them at once. No server is idle for longer than requests have come. A loop that waited 0.2 s after each look for a server waits 0.05 s.

--- a/src/lavendermast/attempts.py
+++ b/src/lavendermast/attempts.py
@@ -17,10 +17,13 @@
 CHECK_INTERVAL_ONCE_S = 0.2
 #: Servers that may refuse a request one after another before it is given up.
 MAX_REFUSALS = 4
-#: Pause before the list is looked at again when no server is on it, and the share of
-#: the route's goal after which the request is refused.
-NO_SERVER_PAUSE_S = 0.05
+#: Pause before servers are looked at again for a request that waits for one.
+WAIT_PAUSE_S = 0.05
+#: Share of the route's goal after which a request is refused when no server is listed.
 NO_SERVER_WAIT_SHARE = 0.1
+#: Work that cannot be sent again waits for a server that is known to be well, at most
+#: this share of the route's goal.
+EVIDENCE_WAIT_SHARE = 0.25
 #: Time after which a caller whose request did not run should come back.
 RETRY_AFTER_S = 0.5
 #: Time for which a server that shed a request gets less.
@@ -66,6 +69,8 @@
     attempts: int = 0
     refusals: int = 0
     may_have_run: bool = False
+    awaits_evidence: bool = False
+    has_waited: bool = False
     failure: AttemptResult | None = None
 
     @property
@@ -117,8 +122,10 @@
                 return self._make_failure(race, AttemptStatus.CANCELLED)
             if left <= 0:
                 return self._make_failure(race, AttemptStatus.TIMEOUT)
-            if not race.running and not self._start_next(race, left):
-                return self._make_failure(race, None)
+            if not race.running:
+                if not self._start_next(race, left):
+                    return self._make_failure(race, None)
+                continue
             try:
                 running, result = race.results.get(timeout=min(interval, left))
             except Empty:
@@ -134,9 +141,10 @@
             # No server is listed. One may appear within a moment; after that the caller
             # is told at once when to come back.
             waited = self._clock.monotonic() - race.request.arrived
-            if waited > race.route.goal_s * NO_SERVER_WAIT_SHARE:
+            bound = race.route.goal_s * NO_SERVER_WAIT_SHARE
+            if waited > bound and not race.awaits_evidence:
                 return False
-            self._clock.sleep(min(NO_SERVER_PAUSE_S, left))
+            self._clock.sleep(min(WAIT_PAUSE_S, left))
             self._start_attempt(race, "first")
             return True
         if race.may_have_run and not race.route.idempotent:
@@ -177,8 +185,12 @@
         if candidate is None and race.excluded and not race.running:
             race.excluded.clear()
             candidate = self._selector.choose(race.service, size)
+        race.awaits_evidence = False
         if candidate is None:
             return False
+        if reason == "first" and self._should_wait(race, candidate):
+            self._note_wait(race, candidate)
+            return False
         server = candidate.listed.server
         race.attempts += 1
         race.excluded.add(server.name)
@@ -205,6 +217,28 @@
         eventlet.spawn_n(self._attempt, race, running)
         return True
 
+    def _should_wait(self, race, candidate):
+        """Return whether work that cannot be sent again waits for a better server."""
+        if race.route.idempotent or not candidate.awaits_evidence:
+            return False
+        waited = self._clock.monotonic() - race.request.arrived
+        return waited < race.route.goal_s * EVIDENCE_WAIT_SHARE
+
+    def _note_wait(self, race, candidate):
+        race.awaits_evidence = True
+        if race.has_waited:
+            return
+        race.has_waited = True
+        self._record_event(
+            "waiting",
+            request=race.request.id,
+            route=race.route.name,
+            service=race.service,
+            server=candidate.listed.server.name,
+            sickness=round(candidate.sickness, 3),
+            evidence_age_ms=candidate.evidence_age_ms,
+        )
+
     def _attempt(self, race, running):
         try:
             result = self._upstream.send(
--- a/src/lavendermast/coverage.py
+++ b/src/lavendermast/coverage.py
@@ -12,8 +12,8 @@
 IDLE_S = 1.5
 #: Share of lost requests from which on the floor is kept; the users' bound is a tenth.
 FAILING_SHARE = 0.085
-#: Servers that are sick with a higher probability count as not sound, until the share
-#: of lost requests is clearly over the bound and a wrong belief could break the floor.
+#: Servers that are sick with a higher probability get no requests for the floor until
+#: the share of lost requests is clearly over the bound.
 MAX_SICKNESS = 0.45
 CLEARLY_FAILING_SHARE = 0.12
 #: With fewer requests a single lost one would be over the share.
@@ -58,7 +58,7 @@
 
     def is_short(self, covered, listed):
         """
-        Return whether too few of the sound servers have had requests of late.
+        Return whether too few of the listed servers have had requests of late.
 
         >>> [Coverage(None, 0.7).is_short(covered, 10) for covered in (7, 8)]
         [True, False]
@@ -67,7 +67,7 @@
 
     def find_max_sickness(self, service, names, now):
         """
-        Return up to which probability of sickness servers need requests now.
+        Return up to which probability of sickness servers may be sent requests for it.
 
         :param names: servers of the service whose attempts are known here.
         :return: ``None`` while few requests fail.
--- a/src/lavendermast/entrynode.py
+++ b/src/lavendermast/entrynode.py
@@ -122,6 +122,7 @@
             self.clock,
             random.Random(),
             self._coverage,
+            self._count_region_vms(),
         )
         self.runner = AttemptRunner(
             self.upstream,
@@ -225,6 +226,11 @@
             self.sync.reachable,
         )
 
+    def _count_region_vms(self):
+        """Return the fewest active VMs that the region has with all its zones."""
+        regions = list(self._regions.values())
+        return max(regions.count(self.settings.region), 1) * MIN_ACTIVE
+
     def _find_route(self, name):
         return self._routes.get(name)
 
--- a/src/lavendermast/selection.py
+++ b/src/lavendermast/selection.py
@@ -23,6 +23,17 @@
 WARM_UP_COST = 0.15
 JITTER = 0.01
 
+#: Servers that are sick with a lower probability are not doubtful; one answer suffices.
+DOUBTFUL_SICKNESS = 0.2
+#: Servers that are sick with a lower probability, after two answers, take any number of
+#: requests. Others get few at once, because sick servers answer some requests too.
+PROVEN_SICKNESS = 0.08
+MAX_UNPROVEN_PENDING = 2
+#: Share of a region's servers that get requests at once while none is known to be well;
+#: a third carries usual load. Each VM has its part of it, because VMs do not hear of
+#: each other yet after a start of the fleet.
+SCOUTED_SHARE = 1 / 3
+
 get_cost = operator.attrgetter("cost")
 
 
@@ -52,6 +63,8 @@
     A server with what decides about it.
 
     :param reason: ``trial`` or ``floor`` when it was not chosen for its cost.
+    :param awaits_evidence: whether nothing better than a doubtful server is known and
+        requests that are in flight will soon tell more.
     """
 
     listed: object
@@ -60,6 +73,7 @@
     pending: int
     evidence_age_ms: int | None
     reason: str = ""
+    awaits_evidence: bool = False
 
 
 class ServerSelector:
@@ -69,9 +83,10 @@
     :param catalog: the listed servers.
     :param evidence: function from a server's name to its ``ServerEvidence``.
     :param coverage: a :class:`~lavendermast.coverage.Coverage`.
+    :param vms: number of VMs of the region that choose servers at the same time.
     """
 
-    def __init__(self, catalog, evidence, zone, region, clock, random, coverage):
+    def __init__(self, catalog, evidence, zone, region, clock, random, coverage, vms=1):
         self._catalog = catalog
         self._evidence = evidence
         self._zone = zone
@@ -79,6 +94,8 @@
         self._clock = clock
         self._random = random
         self._trial_credit = 0.0
+        self._scouted_share = SCOUTED_SHARE / vms
+        self._first_chosen = {}
         self._coverage = coverage
 
     def choose(self, service, answer_bytes, excluded=(), trial=None, is_first=False):
@@ -92,6 +109,7 @@
             to keep the floor.
         """
         now = self._clock.monotonic()
+        since = self._first_chosen.setdefault(service, now)
         near, far = [], []
         for listed in self._catalog.get_servers(service):
             server = listed.server
@@ -106,34 +124,45 @@
             return None
         local = candidates[: len(near)]
         if is_first:
-            uncovered = self._find_uncovered(service, local, now)
+            uncovered = self._find_uncovered(service, local, now, since)
             if uncovered is not None:
                 return uncovered
         if trial is not None:
-            due = self._find_trial(local, now, trial)
+            due = self._find_trial(local, now, since, trial)
             if due is not None:
                 return due
-        return min(candidates, key=get_cost)
+        chosen = min(candidates, key=get_cost)
+        chosen.awaits_evidence = self._awaits_evidence(chosen, local)
+        return chosen
 
-    def _find_uncovered(self, service, local, now):
+    def _awaits_evidence(self, chosen, local):
+        if chosen.sickness < PROVEN_SICKNESS:
+            return False
+        if chosen.sickness < DOUBTFUL_SICKNESS:
+            return chosen.pending >= MAX_UNPROVEN_PENDING
+        scouted = sum(candidate.pending > 0 for candidate in local)
+        return scouted > 0 and scouted >= self._scouted_share * len(local)
+
+    def _find_uncovered(self, service, local, now, since):
         """Return a server that needs a request to keep the floor, or ``None``."""
         names = [candidate.listed.server.name for candidate in local]
         bound = self._coverage.find_max_sickness(service, names, now)
         if bound is None:
             return None
-        sound = [c for c in local if c.sickness <= bound]
-        idle = [c for c in sound if self._is_idle(c.listed, now, IDLE_S)]
-        if not idle or not self._coverage.is_short(len(sound) - len(idle), len(sound)):
+        idle = [c for c in local if self._is_idle(c.listed, now, since, IDLE_S)]
+        if not self._coverage.is_short(len(local) - len(idle), len(local)):
             return None
         chosen = min(idle, key=get_cost)
+        if chosen.sickness > bound:
+            return None
         chosen.reason = "floor"
         return chosen
 
-    def _find_trial(self, local, now, rule):
+    def _find_trial(self, local, now, since, rule):
         """Return a server that is due for a trial, if there may be one now."""
         if not self._add_trial_credit():
             return None
-        due = [c for c in local if self._is_trial_due(c, now, rule)]
+        due = [c for c in local if self._is_trial_due(c, now, since, rule)]
         if not due:
             return None
         self._trial_credit -= 1.0
@@ -145,14 +174,15 @@
         self._trial_credit = min(self._trial_credit + TRIAL_SHARE, 1.0)
         return self._trial_credit >= 1.0
 
-    def _is_trial_due(self, candidate, now, rule):
+    def _is_trial_due(self, candidate, now, since, rule):
         if candidate.pending or candidate.sickness > rule.max_sickness:
             return False
-        return self._is_idle(candidate.listed, now, rule.idle_s)
+        return self._is_idle(candidate.listed, now, since, rule.idle_s)
 
-    def _is_idle(self, listed, now, idle_s):
+    def _is_idle(self, listed, now, since, idle_s):
+        """Return whether a server was left out for a time in which others were not."""
         evidence = self._evidence(listed.server.name)
-        return now - max(evidence.last_started, listed.listed_at) > idle_s
+        return now - max(evidence.last_started, listed.listed_at, since) > idle_s
 
     def _assess(self, listed, answer_bytes, now):
         evidence = self._evidence(listed.server.name)
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -64,11 +64,23 @@
     return EntryRoute("r", "h", "/", parts, kind, 1.0, 0.25, max_attempts)
 
 
-def run(script, route, timeout_s=1.0, servers=("s1", "s2", "s3"), reserve=10):
-    """Return the reply, the upstream, the logged events and the seconds taken."""
+def run(
+    script,
+    route,
+    timeout_s=1.0,
+    servers=("s1", "s2", "s3"),
+    reserve=10,
+    prepare=lambda book: None,
+):
+    """
+    Return the reply, the upstream, the logged events and the seconds taken.
+
+    :param prepare: called with the evidence before the request.
+    """
     clock = SystemClock()
     events = []
     book = EvidenceBook(clock, lambda name: route)
+    prepare(book)
     catalog, coverage = FixedCatalog(servers), Coverage(book.get, 0.7)
     selector = ServerSelector(
         catalog, book.get, "a", "r", clock, random.Random(1), coverage
@@ -145,6 +157,52 @@
     assert len(upstream.sent) == 1
 
 
+def run_beside(route, answer_s, *results):
+    """
+    Return the events of a request while other attempts are in flight.
+
+    :param answer_s: seconds until the first server answers another request.
+    """
+
+    def prepare(book):
+        scouts = {name: book.start(name, route) for name in ("s1", "s2")}
+        well = AttemptResult("s1", OK, body=b"x")
+        eventlet.spawn_after(
+            answer_s, book.finish, "s1", route, scouts["s1"], well, True
+        )
+
+    script = results or [(0.02, OK)]
+    names = ("s1", "s2", "s3", "s4", "s5")
+    return run(script, route, servers=names, prepare=prepare)
+
+
+def test_booking_waits_for_a_server_that_is_known_to_be_well():
+    """Guards against bookings lost to sick servers after a start of the fleet."""
+    route = make_route(RequestKind.NON_IDEMPOTENT)
+    reply, upstream, events, _ = run_beside(route, 0.03)
+    assert reply.status == 200
+    assert upstream.sent == ["s1"]
+    assert [event for event, _ in events][:2] == ["waiting", "decision"]
+
+
+def test_booking_is_sent_in_time_without_evidence():
+    """Guards against a booking that waits for ever while all servers are doubtful."""
+    route = make_route(RequestKind.NON_IDEMPOTENT)
+    reply, _, events, seconds = run_beside(route, 5.0)
+    assert reply.status == 200
+    assert seconds < route.goal_s * 0.25 + 0.2
+    assert [event for event, _ in events].count("waiting") == 1
+
+
+def test_only_first_attempts_of_bookings_wait():
+    """Guards against reads that wait, and refusals instead of another attempt."""
+    reply, _, events, _ = run_beside(make_route(), 5.0)
+    assert (reply.status, events[0][0]) == (200, "decision")
+    route = make_route(RequestKind.NON_IDEMPOTENT, 3)
+    reply, upstream, _, _ = run_beside(route, 5.0, (0.0, SHED), (0.0, OK))
+    assert (reply.status, len(upstream.sent)) == (200, 2)
+
+
 @pytest.mark.parametrize("kind", list(RequestKind))
 def test_refused_request_goes_to_another_server(kind):
     """Guards against a refusal to a caller while another server has room."""
--- a/tests/test_selection.py
+++ b/tests/test_selection.py
@@ -92,6 +92,7 @@
 
 def test_idle_server_of_the_region_is_tried_now_and_then(world):
     """Guards against starving a server that recovered, and against a crowd on it."""
+    choose(world)
     observe(world, "region", AttemptStatus.CUT)
     world.clock.advance(3.0)
     observe(world, "near")
@@ -101,6 +102,45 @@
     assert choose(world, trial=TRIAL) == "near"
 
 
+def test_servers_are_not_idle_before_requests_come(world):
+    """Guards against trials of all servers in the first second of a fleet."""
+    world.clock.advance(60.0)
+    observe(world, "near")
+    for rule in (TRIAL, TRIAL_ONCE):
+        assert {choose(world, trial=rule) for _ in range(40)} == {"near"}
+
+
+def test_one_vm_scouts_its_part_of_the_servers(world):
+    """Guards against VMs that after a start send each server a booking of their own."""
+    part = ServerSelector(
+        types.SimpleNamespace(get_servers=lambda service: world.listed),
+        world.book.get,
+        "a",
+        "north",
+        world.clock,
+        random.Random(1),
+        Coverage(world.book.get, 0.7),
+        vms=2,
+    )
+    assert not part.choose("stock", BYTES).awaits_evidence
+    world.book.start("near", ROUTE)
+    assert part.choose("stock", BYTES).awaits_evidence
+    observe(world, "region")
+    assert not part.choose("stock", BYTES).awaits_evidence
+
+
+def test_server_with_one_answer_gets_few_bookings_at_once(world):
+    """Guards against a crowd at a sick server that has answered a single request."""
+    observe(world, "region", times=1)
+    for _ in range(2):
+        chosen = world.choose.choose("stock", BYTES)
+        assert not chosen.awaits_evidence
+        world.book.start(chosen.listed.server.name, ROUTE)
+    chosen = world.choose.choose("stock", BYTES)
+    assert chosen.listed.server.name == "region"
+    assert chosen.awaits_evidence
+
+
 def test_work_that_cannot_repeat_is_no_trial_of_a_sick_server(world):
     """Guards against bookings lost to a server that was sick a few seconds ago."""
     observe(world, "region", AttemptStatus.CUT)
@@ -117,6 +157,7 @@
 @pytest.mark.parametrize(("lost", "covered"), [(0, False), (12, True)])
 def test_floor_is_kept_while_requests_fail(world, lost, covered):
     """Guards against sound servers without requests while others lose theirs."""
+    choose(world)
     world.listed += [
         ListedServer(ServerRecord(Server(f"x{n}", "stock", "north", "b", ""), 6), 0, 0)
         for n in range(8)
