Check the size of callers' header fields and drop values that nothing uses

Change: a request over the limit is refused with 431 before anything is sent; the unused fields are gone.

Conclusion: the configuration's types hold what is used.

--- a/src/lavendermast/entry.py
+++ b/src/lavendermast/entry.py
@@ -8,7 +8,12 @@
 from lavendermast.exceptions import LavendermastError, RequestError
 from lavendermast.gateway import get_status_line
 from lavendermast.models import CallerRequest, Outcome, Reply
-from lavendermast.requests import get_raw_path, read_body, read_headers
+from lavendermast.requests import (
+    check_header_size,
+    get_raw_path,
+    read_body,
+    read_headers,
+)
 from lavendermast.upstream import Cancellation
 
 #: Pause before a caller should ask again while this VM has no configuration.
@@ -89,6 +94,7 @@
 
     def _read(self, environ, route, arrived):
         limits = self._state.config.limits
+        check_header_size(environ, limits.max_header_bytes)
         left_s = route.timeout_s
         text = environ.get(self._calls.time_left_variable, "")
         if text.isdigit():
--- a/src/lavendermast/entrymodel.py
+++ b/src/lavendermast/entrymodel.py
@@ -32,7 +32,6 @@
     :param timeout_s: seconds after which a request gets its final answer.
     :param goal_s: seconds within which an answer has its full worth.
     :param max_attempts: servers that one request may run on.
-    :param priority: rank among the routes, 0 first.
     """
 
     name: str
@@ -43,7 +42,6 @@
     timeout_s: float
     goal_s: float
     max_attempts: int = 1
-    priority: int = 0
 
     @property
     def idempotent(self):
@@ -51,31 +49,25 @@
         return self.kind is not RequestKind.NON_IDEMPOTENT
 
 
-@attrs.frozen
-class EntryService:
-    """A service; ``max_connections`` is one server's limit for all callers."""
-
-    name: str
-    max_connections: int
-
-
 @attrs.frozen
 class CallerLimits:
-    """What a caller may send, in bytes, and how long it may take, in seconds."""
+    """What a caller may send, in bytes."""
 
     max_header_bytes: int = 16_384
     max_body_bytes: int = 64 * 1024 * 1024
-    header_timeout_s: float = 3.0
-    idle_timeout_s: float = 15.0
 
 
 @attrs.frozen
 class EntryConfig:
-    """One version of the operators' configuration."""
+    """
+    One version of the operators' configuration.
+
+    :param services: names of the services.
+    """
 
     version: int
     routes: tuple
-    services: dict
+    services: tuple
     limits: CallerLimits
 
 
--- a/src/lavendermast/platform/documents.py
+++ b/src/lavendermast/platform/documents.py
@@ -7,7 +7,6 @@
     ConfigDocument,
     EntryConfig,
     EntryRoute,
-    EntryService,
     RequestKind,
     ServerDocument,
     ServerRecord,
@@ -93,16 +92,8 @@
                 for listener in value["listeners"]
                 for rule in listener["rules"]
             ),
-            services={
-                item["name"]: EntryService(item["name"], int(item["max_conns"]))
-                for item in value["upstreams"]
-            },
-            limits=CallerLimits(
-                limits["max_header_bytes"],
-                limits["max_body_bytes"],
-                limits["header_timeout_ms"] / 1000,
-                limits["idle_timeout_ms"] / 1000,
-            ),
+            services=tuple(item["name"] for item in value["upstreams"]),
+            limits=CallerLimits(limits["max_header_bytes"], limits["max_body_bytes"]),
         )
     except _ERRORS as error:
         raise DocumentError(f"{CONFIG_KEY}: {type(error).__name__}: {error}") from error
@@ -122,5 +113,4 @@
         timeout_s=action["timeout_ms"] / 1000,
         goal_s=rule["goal_ms"] / 1000,
         max_attempts=int(action.get("max_attempts", 1)),
-        priority=int(rule.get("priority", 0)),
     )
--- a/src/lavendermast/requests.py
+++ b/src/lavendermast/requests.py
@@ -44,7 +44,7 @@
         :raises RequestError: when it is malformed, too large or already late.
         """
         arrived = self._clock.monotonic()
-        _check_header_size(environ, limits.max_header_bytes)
+        check_header_size(environ, limits.max_header_bytes)
         deadline_unix_ms = self._read_deadline(environ, route)
         return CallerRequest(
             id=request_id,
@@ -82,7 +82,12 @@
     return key
 
 
-def _check_header_size(environ, limit):
+def check_header_size(environ, limit):
+    """
+    Refuse a request with too many bytes of header fields.
+
+    :raises RequestError: when names and values are longer than ``limit`` together.
+    """
     size = sum(
         len(name) + len(value)
         for name, value in environ.items()
--- a/standins/entryworld.py
+++ b/standins/entryworld.py
@@ -105,8 +105,8 @@
         self.store.put(f"servers/{name}", server.make_entry())
         return server
 
-    def send(self, path="/stock/7", method="GET", timeout_ms=3000):
-        """Send a caller's request and return the response."""
+    def send(self, path="/stock/7", method="GET", timeout_ms=3000, headers=None):
+        """Send a caller's request, with further headers, and return the response."""
         self.count += 1
         return self.http.request(
             method,
@@ -115,6 +115,7 @@
                 "Host": HOST,
                 "Request-Id": f"id-{self.count}",
                 "Deadline-Ms": str(timeout_ms),
+                **(headers or {}),
             },
         )
 
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -39,6 +39,8 @@
     assert reply.headers["Server-Signature"] == "s1.1"
     assert reply.headers["Request-Id"] == "id-1"
     assert world.send("/none/").status == 404
+    big = {f"X-{number}": "x" * 3000 for number in range(6)}
+    assert world.send("/stock/7", headers=big).status == 431
     assert "lavendermast_entry_request_seconds_bucket" in world.read_metrics()
     eventlet.sleep(0.2)
     log = world.stop()
--- a/tests/test_hostroutes.py
+++ b/tests/test_hostroutes.py
@@ -25,7 +25,7 @@
 
 
 def make_router(*routes):
-    return HostRouter(EntryConfig(1, routes, {}, CallerLimits()))
+    return HostRouter(EntryConfig(1, routes, (), CallerLimits()))
 
 
 def test_longest_prefix_wins():
