Count attempts that callers gave up by their age for the floor

Change: attempts older than all but 5% of the answers count as lost, younger ones by the sickness that includes their age.

--- a/src/lavendermast/coverage.py
+++ b/src/lavendermast/coverage.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from lavendermast.suspicion import compute_lost_probability
+from lavendermast.suspicion import SICK_FAILS
 
 #: What is kept above the floor, since a VM does not know which servers are sound.
 MARGIN = 0.05
@@ -18,6 +18,8 @@
 CLEARLY_FAILING_SHARE = 0.12
 #: With fewer requests a single lost one would be over the share.
 MIN_REQUESTS = 12
+#: An attempt that is older than all but this share of the answers counts as lost.
+OVERDUE_SHARE = 0.05
 #: The share is taken over the attempts that began within this time.
 RECENT_S = 3.0
 #: Younger attempts have no results yet.
@@ -124,8 +126,9 @@
     """Return the probability that an attempt was or will be lost."""
     if attempt.succeeded is not None:
         return 0.0 if attempt.succeeded else 1.0
-    if attempt.ended is not None and not attempt.repeatable:
-        return 1.0
     age = (attempt.ended or now) - attempt.started
     survival = attempt.durations.compute_survival(age)
-    return compute_lost_probability(sickness, survival)
+    if survival <= OVERDUE_SHARE:
+        return 1.0
+    # The sickness includes what the attempt's age says of its server.
+    return sickness * SICK_FAILS / (SICK_FAILS + (1 - SICK_FAILS) * survival)
--- a/tests/test_coverage.py
+++ b/tests/test_coverage.py
@@ -54,6 +54,16 @@
     assert later.find_max_sickness("stock", servers, NOW) == MAX_SICKNESS
 
 
+def test_callers_that_leave_early_do_not_start_the_floor(durations):
+    """Guards against work for sick servers because callers gave up."""
+    coverage, servers = make_coverage(durations, 36, 0)
+    for evidence in servers.values():
+        for _ in range(2):
+            attempt = evidence.start(NOW - 1.0, durations, False)
+            evidence.finish(attempt, NOW - 0.7, None)
+    assert coverage.find_max_sickness("stock", servers, NOW) is None
+
+
 def test_booking_that_ran_into_its_deadline_is_lost(durations):
     """Guards against a share that misses requests which nobody answered."""
     coverage, servers = make_coverage(durations, 36, 0)
