Take a server's own error as weaker evidence than silence

Change: an error multiplies the odds by 8 instead of 40; attempts end as succeeded, error, failed or abandoned, in reports as well.

--- a/src/lavendermast/attempts.py
+++ b/src/lavendermast/attempts.py
@@ -6,7 +6,7 @@
 
 from lavendermast.models import AttemptResult, AttemptStatus, Outcome, Reply
 from lavendermast.selection import TRIAL, TRIAL_ONCE
-from lavendermast.suspicion import compute_lost_probability
+from lavendermast.suspicion import Ending, compute_lost_probability
 from lavendermast.upstream import Cancellation
 
 #: A second attempt starts when the first one is lost with this probability.
@@ -33,12 +33,12 @@
 #: A server answers 504 when the time that it was given has passed, which is up to one
 #: network delay between regions before the deadline here.
 EXPIRY_MARGIN_S = 0.1
-#: Statuses that say how a server is, and whether it is well.
-_SUCCESS = {
-    AttemptStatus.OK: True,
-    AttemptStatus.ERROR: False,
-    AttemptStatus.CUT: False,
-    AttemptStatus.CONNECT_FAILED: False,
+#: Statuses that say how a server is; all others end an attempt without a word on it.
+_ENDINGS = {
+    AttemptStatus.OK: Ending.SUCCEEDED,
+    AttemptStatus.ERROR: Ending.ERROR,
+    AttemptStatus.CUT: Ending.FAILED,
+    AttemptStatus.CONNECT_FAILED: Ending.FAILED,
 }
 _STATUS_CODES = {
     AttemptStatus.TIMEOUT: 504,
@@ -255,9 +255,9 @@
 
     def _finish_attempt(self, race, running, result):
         left = race.request.deadline - self._clock.monotonic()
-        succeeded = judge_attempt(result, left)
+        ending = judge_attempt(result, left)
         self._evidence.finish(
-            running.server.name, race.route, running.attempt, result, succeeded
+            running.server.name, race.route, running.attempt, result, ending
         )
         key = (race.service, result.status.value)
         self.counts[key] = self.counts.get(key, 0) + 1
@@ -325,16 +325,16 @@
 
 def judge_attempt(result, left):
     """
-    Return whether an attempt's end shows a well server, ``None`` if it does not tell.
+    Return the :class:`~lavendermast.suspicion.Ending` of an attempt.
 
-    A route's timeout may be too short for well servers too, so of an attempt that ran
-    into its deadline only the age counts.
+    A route's timeout may be too short for well servers too, so an attempt that ran into
+    its deadline counts as abandoned, by its age.
 
     :param left: seconds until the request's deadline.
     """
     if result.http_status == 504 and left < EXPIRY_MARGIN_S:
-        return None
-    return _SUCCESS.get(result.status)
+        return Ending.ABANDONED
+    return _ENDINGS.get(result.status, Ending.ABANDONED)
 
 
 def make_answer(race, result):
--- a/src/lavendermast/coverage.py
+++ b/src/lavendermast/coverage.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from lavendermast.suspicion import SICK_FAILS
+from lavendermast.suspicion import SICK_FAILS, Ending
 
 #: What is kept above the floor, since a VM does not know which servers are sound.
 MARGIN = 0.05
@@ -124,8 +124,10 @@
 
 def compute_attempt_lost(attempt, sickness, now):
     """Return the probability that an attempt was or will be lost."""
-    if attempt.succeeded is not None:
-        return 0.0 if attempt.succeeded else 1.0
+    if attempt.ending is Ending.SUCCEEDED:
+        return 0.0
+    if attempt.ending in (Ending.ERROR, Ending.FAILED):
+        return 1.0
     age = (attempt.ended or now) - attempt.started
     survival = attempt.durations.compute_survival(age)
     if survival <= OVERDUE_SHARE:
--- a/src/lavendermast/evidencebook.py
+++ b/src/lavendermast/evidencebook.py
@@ -6,7 +6,7 @@
 from lavendermast.durations import Durations
 from lavendermast.messages_model import AttemptReport, ServerSummary
 from lavendermast.models import AttemptStatus
-from lavendermast.suspicion import HORIZON_S, ServerEvidence
+from lavendermast.suspicion import HORIZON_S, Ending, ServerEvidence
 
 #: Own reports are sent in this many batches, since datagrams may be lost.
 REPORT_COPIES = 2
@@ -18,7 +18,6 @@
 MAX_FOREIGN_ATTEMPTS = 20_000
 #: Statuses without a word about the server's health.
 _NEUTRAL = {AttemptStatus.SHED, AttemptStatus.MISDIRECTED}
-_PHASES = {True: "succeeded", False: "failed", None: "abandoned"}
 
 
 class EvidenceBook:
@@ -73,7 +72,7 @@
         self._add_report(number, server_name, route, attempt)
         return attempt
 
-    def finish(self, server_name, route, attempt, result, succeeded):
+    def finish(self, server_name, route, attempt, result, ending):
         """Count the end of an own attempt."""
         now = self._clock.monotonic()
         number = self._own.pop(attempt)
@@ -82,9 +81,9 @@
             self._remove(evidence, attempt)
             self._add_report(number, server_name, route, None)
             return
-        evidence.finish(attempt, now, succeeded)
+        evidence.finish(attempt, now, ending)
         self._add_report(number, server_name, route, attempt)
-        if succeeded:
+        if ending is Ending.SUCCEEDED:
             self.get_durations(route).add(now - attempt.started)
             size = len(result.body)
             mean = self.get_answer_bytes(route)
@@ -166,15 +165,15 @@
             self._foreign[key] = attempt
         if report.phase == "pending" or attempt.ended is not None:
             return
-        succeeded = {"succeeded": True, "failed": False}.get(report.phase)
+        ending = Ending(report.phase)
         ended = attempt.started + report.duration_ms / 1000
-        evidence.finish(attempt, ended, succeeded)
-        if succeeded:
+        evidence.finish(attempt, ended, ending)
+        if ending is Ending.SUCCEEDED:
             attempt.durations.add(report.duration_ms / 1000)
 
     def _remove(self, evidence, attempt):
         if attempt.ended is None:
-            evidence.finish(attempt, self._clock.monotonic(), None)
+            evidence.finish(attempt, self._clock.monotonic(), Ending.ABANDONED)
         if attempt in evidence.attempts:
             evidence.attempts.remove(attempt)
 
@@ -185,7 +184,7 @@
         return AttemptReport(server_name, number, "refused", route=route_name)
     phase, duration = "pending", 0.0
     if attempt.ended is not None:
-        phase = _PHASES[attempt.succeeded]
+        phase = attempt.ending.value
         duration = attempt.ended - attempt.started
     return AttemptReport(
         server_name,
--- a/src/lavendermast/schema/messages.capnp
+++ b/src/lavendermast/schema/messages.capnp
@@ -163,6 +163,7 @@
   failed @2;
   refused @3;
   abandoned @4;
+  error @5;
 }
 
 # One attempt at a backend server; ages are relative to the time of sending.
--- a/src/lavendermast/suspicion.py
+++ b/src/lavendermast/suspicion.py
@@ -1,6 +1,7 @@
 """Probability that a backend server is sick, from the attempts of many VMs."""
 
 import collections
+import enum
 import math
 
 import attrs
@@ -20,6 +21,9 @@
 SICK_FAILS = 0.7
 #: Share of the requests that a healthy server fails by itself.
 HEALTHY_FAILS = 0.015
+#: Factor on the odds after a server's own error. Healthy servers answer 1 to 2% of the
+#: requests so, and sick ones mostly do not answer.
+ERROR_FACTOR = 8.0
 #: Bound on what one attempt can say, as a factor on the odds.
 MAX_FACTOR = 40.0
 #: Probabilities are kept inside these bounds, so that new evidence always counts.
@@ -32,6 +36,15 @@
 _FAILURE_FACTOR = min(SICK_FAILS / HEALTHY_FAILS, MAX_FACTOR)
 
 
+class Ending(enum.Enum):
+    """How an attempt ended; the values are the phases of reports."""
+
+    SUCCEEDED = "succeeded"
+    ERROR = "error"  # the server answered that it failed
+    FAILED = "failed"  # there was no connection or no whole answer
+    ABANDONED = "abandoned"  # nobody waited any longer
+
+
 @attrs.define(eq=False)
 class Attempt:
     """
@@ -40,14 +53,14 @@
     :param durations: the answer times of its route, to judge its age.
     :param repeatable: whether a second attempt may follow a lost one.
     :param ended: time of its end, ``None`` while it is pending.
-    :param succeeded: its result; ``None`` for one that was abandoned or is pending.
+    :param ending: how it ended, ``None`` while it is pending.
     """
 
     started: float
     durations: object
     repeatable: bool = True
     ended: float | None = None
-    succeeded: bool | None = None
+    ending: Ending | None = None
 
 
 class ServerEvidence:
@@ -84,12 +97,12 @@
         self._cached = (0.0, 0.0)
         return attempt
 
-    def finish(self, attempt, now, succeeded):
-        """Count the end of an attempt; ``succeeded`` is ``None`` if abandoned."""
+    def finish(self, attempt, now, ending):
+        """Count the end of an attempt."""
         if attempt.ended is None:
             self.pending -= 1
         attempt.ended = now
-        attempt.succeeded = succeeded
+        attempt.ending = ending
         self._cached = (0.0, 0.0)
 
     def note_report(self, now, sickness, pending):
@@ -150,12 +163,14 @@
 
 def compute_factor(attempt, now):
     """Return by which factor an attempt changes the odds that its server is sick."""
-    if attempt.succeeded:
+    if attempt.ending is Ending.SUCCEEDED:
         duration = attempt.ended - attempt.started
         # An answer that took unusually long is no sign of health.
         survival = attempt.durations.compute_survival(duration)
         return _SUCCESS_FACTOR if survival > 0.1 else 1.0
-    if attempt.succeeded is False:
+    if attempt.ending is Ending.ERROR:
+        return ERROR_FACTOR
+    if attempt.ending is Ending.FAILED:
         return _FAILURE_FACTOR
     age = (now if attempt.ended is None else attempt.ended) - attempt.started
     survival = attempt.durations.compute_survival(age)
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -20,6 +20,7 @@
 )
 from lavendermast.retries import WindowedRetryBudget
 from lavendermast.selection import ServerSelector
+from lavendermast.suspicion import Ending
 from lavendermast.upstream import Cancellation
 
 OK, SHED = AttemptStatus.OK, AttemptStatus.SHED
@@ -132,21 +133,21 @@
 
 
 @pytest.mark.parametrize(
-    ("status", "code", "left", "succeeded"),
+    ("status", "code", "left", "ending"),
     [
-        (OK, 200, 0.02, True),
-        (ERROR, 500, 0.02, False),
-        (ERROR, 504, 0.5, False),
-        (ERROR, 504, 0.002, None),
-        (ERROR, 504, -0.001, None),
-        (AttemptStatus.CONNECT_FAILED, 0, 0.5, False),
-        (AttemptStatus.TIMEOUT, 0, 0.0, None),
+        (OK, 200, 0.02, Ending.SUCCEEDED),
+        (ERROR, 500, 0.02, Ending.ERROR),
+        (ERROR, 504, 0.5, Ending.ERROR),
+        (ERROR, 504, 0.002, Ending.ABANDONED),
+        (ERROR, 504, -0.001, Ending.ABANDONED),
+        (AttemptStatus.CONNECT_FAILED, 0, 0.5, Ending.FAILED),
+        (AttemptStatus.TIMEOUT, 0, 0.0, Ending.ABANDONED),
     ],
 )
-def test_end_at_the_deadline_accuses_no_server(status, code, left, succeeded):
+def test_end_at_the_deadline_accuses_no_server(status, code, left, ending):
     """Guards against servers that look sick because a route's timeout is too short."""
     result = AttemptResult("s1", status, http_status=code)
-    assert judge_attempt(result, left) is succeeded
+    assert judge_attempt(result, left) is ending
 
 
 def test_non_idempotent_request_is_never_hedged():
@@ -168,7 +169,7 @@
         scouts = {name: book.start(name, route) for name in ("s1", "s2")}
         well = AttemptResult("s1", OK, body=b"x")
         eventlet.spawn_after(
-            answer_s, book.finish, "s1", route, scouts["s1"], well, True
+            answer_s, book.finish, "s1", route, scouts["s1"], well, Ending.SUCCEEDED
         )
 
     script = results or [(0.02, OK)]
--- a/tests/test_coverage.py
+++ b/tests/test_coverage.py
@@ -4,7 +4,7 @@
 
 from lavendermast.coverage import MAX_SICKNESS, Coverage
 from lavendermast.durations import Durations
-from lavendermast.suspicion import ServerEvidence
+from lavendermast.suspicion import Ending, ServerEvidence
 
 NOW = 100.0
 
@@ -20,7 +20,8 @@
     for number in range(succeeded + lost):
         evidence = servers[f"s{number % 10}"]
         attempt = evidence.start(NOW - 1.0, durations, repeatable)
-        evidence.finish(attempt, NOW - 0.5, number >= lost)
+        ending = Ending.SUCCEEDED if number >= lost else Ending.FAILED
+        evidence.finish(attempt, NOW - 0.5, ending)
     return Coverage(servers.__getitem__, 0.7), servers
 
 
@@ -60,7 +61,7 @@
     for evidence in servers.values():
         for _ in range(2):
             attempt = evidence.start(NOW - 1.0, durations, False)
-            evidence.finish(attempt, NOW - 0.7, None)
+            evidence.finish(attempt, NOW - 0.7, Ending.ABANDONED)
     assert coverage.find_max_sickness("stock", servers, NOW) is None
 
 
@@ -69,5 +70,5 @@
     coverage, servers = make_coverage(durations, 36, 0)
     for evidence in list(servers.values())[:4]:
         attempt = evidence.start(NOW - 2.0, durations, False)
-        evidence.finish(attempt, NOW - 0.1, None)
+        evidence.finish(attempt, NOW - 0.1, Ending.ABANDONED)
     assert coverage.find_max_sickness("stock", servers, NOW) == MAX_SICKNESS
--- a/tests/test_selection.py
+++ b/tests/test_selection.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from lavendermast.attempts import judge_attempt
 from lavendermast.catalog import ListedServer
 from lavendermast.clock import ManualClock
 from lavendermast.coverage import Coverage
@@ -13,6 +14,7 @@
 from lavendermast.evidencebook import EvidenceBook
 from lavendermast.models import AttemptResult, AttemptStatus, Server, ServerState
 from lavendermast.selection import TRIAL, TRIAL_ONCE, ServerSelector
+from lavendermast.suspicion import Ending
 
 ROUTE = EntryRoute(
     "r", "h", "/", (SplitPart("stock"),), RequestKind.IDEMPOTENT, 4.0, 2.0
@@ -45,8 +47,8 @@
         attempt = world.book.start(name, ROUTE)
         world.clock.advance(0.3)
         result = AttemptResult(name, status, body=b"x" * BYTES)
-        succeeded = {AttemptStatus.OK: True, AttemptStatus.CUT: False}.get(status)
-        world.book.finish(name, ROUTE, attempt, result, succeeded)
+        ending = judge_attempt(result, 1.0)
+        world.book.finish(name, ROUTE, attempt, result, ending)
 
 
 def choose(world, size=BYTES, **options):
@@ -168,7 +170,7 @@
     for _ in range(lost):
         attempt = world.book.start("region", ROUTE)
         result = AttemptResult("region", AttemptStatus.CUT)
-        world.book.finish("region", ROUTE, attempt, result, False)
+        world.book.finish("region", ROUTE, attempt, result, Ending.FAILED)
     world.clock.advance(0.35)
     used, reasons = set(), set()
     for _ in range(8):
@@ -197,8 +199,8 @@
     assert other.get("near").pending == 1
     world.clock.advance(0.3)
     result = AttemptResult("near", AttemptStatus.OK, body=b"x")
-    world.book.finish("near", ROUTE, attempt, result, True)
+    world.book.finish("near", ROUTE, attempt, result, Ending.SUCCEEDED)
     world.book.take_reports()
     other.apply_reports("vm-1", world.book.take_reports())
     assert other.get("near").pending == 0
-    assert other.get("near").attempts[0].succeeded
+    assert other.get("near").attempts[0].ending is Ending.SUCCEEDED
