--- a/src/lavendermast/attempts.py
+++ b/src/lavendermast/attempts.py
@@ -180,11 +180,18 @@
         elif reason == "first" and self._budgets(race.service).has_room():
             trial = TRIAL
         candidate = self._selector.choose(
-            race.service, size, race.excluded, trial, reason == "first"
+            race.service,
+            size,
+            race.excluded,
+            trial,
+            is_first=reason == "first",
+            repeatable=race.request.repeatable,
         )
         if candidate is None and race.excluded and not race.running:
             race.excluded.clear()
-            candidate = self._selector.choose(race.service, size)
+            candidate = self._selector.choose(
+                race.service, size, repeatable=race.request.repeatable
+            )
         race.awaits_evidence = False
         if candidate is None:
             return False
--- a/src/lavendermast/entrynode.py
+++ b/src/lavendermast/entrynode.py
@@ -122,6 +122,7 @@
             self.clock,
             random.Random(),
             self._coverage,
+            self.upstream.has_connection,
             self._count_region_vms(),
         )
         self.runner = AttemptRunner(
--- a/src/lavendermast/selection.py
+++ b/src/lavendermast/selection.py
@@ -18,6 +18,8 @@
 ZONE_COST = 0.004
 REGION_COST_PER_BYTE = 2.0 / 90_000
 ZONE_COST_PER_BYTE = 0.4 / 90_000
+#: Worth of one request against the price of a new connection to a server.
+CONNECT_COST = 0.04
 #: At most this share of the requests are trials.
 TRIAL_SHARE = 1 / 12
 WARM_UP_COST = 0.15
@@ -83,10 +85,23 @@
     :param catalog: the listed servers.
     :param evidence: function from a server's name to its ``ServerEvidence``.
     :param coverage: a :class:`~lavendermast.coverage.Coverage`.
+    :param has_connection: function of a server and of whether the request is repeatable
+        that returns whether it would go over a connection that is open.
     :param vms: number of VMs of the region that choose servers at the same time.
     """
 
-    def __init__(self, catalog, evidence, zone, region, clock, random, coverage, vms=1):
+    def __init__(
+        self,
+        catalog,
+        evidence,
+        zone,
+        region,
+        clock,
+        random,
+        coverage,
+        has_connection,
+        vms=1,
+    ):
         self._catalog = catalog
         self._evidence = evidence
         self._zone = zone
@@ -97,8 +112,17 @@
         self._scouted_share = SCOUTED_SHARE / vms
         self._first_chosen = {}
         self._coverage = coverage
-
-    def choose(self, service, answer_bytes, excluded=(), trial=None, is_first=False):
+        self._has_connection = has_connection
+
+    def choose(
+        self,
+        service,
+        answer_bytes,
+        excluded=(),
+        trial=None,
+        is_first=False,
+        repeatable=True,
+    ):
         """
         Return the best ``Candidate``, or ``None`` when no server is listed.
 
@@ -107,6 +131,7 @@
         :param trial: a :class:`TrialRule`, ``None`` for no trial.
         :param is_first: whether the attempt is the request's first; only these are used
             to keep the floor.
+        :param repeatable: whether the request may run twice.
         """
         now = self._clock.monotonic()
         since = self._first_chosen.setdefault(service, now)
@@ -115,11 +140,15 @@
             server = listed.server
             if server.state is ServerState.LIVE and server.name not in excluded:
                 (near if server.region == self._region else far).append(listed)
-        candidates = [self._assess(listed, answer_bytes, now) for listed in near]
+
+        def assess(listed):
+            return self._assess(listed, answer_bytes, repeatable, now)
+
+        candidates = [assess(listed) for listed in near]
         # No far server is cheaper than its distance, so most requests look at few.
         distance = REGION_COST + REGION_COST_PER_BYTE * answer_bytes
         if not candidates or min(map(get_cost, candidates)) > distance:
-            candidates += [self._assess(listed, answer_bytes, now) for listed in far]
+            candidates += [assess(listed) for listed in far]
         if not candidates:
             return None
         local = candidates[: len(near)]
@@ -184,7 +213,7 @@
         evidence = self._evidence(listed.server.name)
         return now - max(evidence.last_started, listed.listed_at, since) > idle_s
 
-    def _assess(self, listed, answer_bytes, now):
+    def _assess(self, listed, answer_bytes, repeatable, now):
         evidence = self._evidence(listed.server.name)
         sickness = evidence.compute_sickness(now)
         pending = evidence.count_pending(now)
@@ -196,6 +225,8 @@
             cost += QUEUE_COST
         if now < listed.warm_until:
             cost += WARM_UP_COST * (1 + pending)
+        if not self._has_connection(listed.server, repeatable):
+            cost += CONNECT_COST
         cost += self._compute_distance_cost(listed.server, answer_bytes)
         cost += self._random.random() * JITTER
         age = None
--- a/src/lavendermast/upstream.py
+++ b/src/lavendermast/upstream.py
@@ -245,6 +245,19 @@
         result.latency = self._clock.monotonic() - started
         return result
 
+    def has_connection(self, server, repeatable):
+        """
+        Return whether an attempt would reuse a connection.
+
+        :param repeatable: whether the request may run twice.
+        """
+        idle = self._idle.get(server.name)
+        if not idle:
+            return False
+        now = self._clock.monotonic()
+        bound = self._get_reuse_bound(idle[-1], server.service, repeatable, now)
+        return now - idle[-1].idle_since <= bound
+
     def close_server(self, name):
         """Close the idle connections to a server."""
         for connection in self._idle.pop(name, ()):
@@ -307,9 +320,9 @@
         idle = self._idle.get(attempt.server.name)
         while idle:
             connection = idle.pop()
-            bound = _get_idle_bound(connection, repeatable)
-            if not repeatable:
-                bound = min(bound, self._get_safe_idle(attempt.server.service, now))
+            bound = self._get_reuse_bound(
+                connection, attempt.server.service, repeatable, now
+            )
             idle_s = now - connection.idle_since
             if idle_s <= bound and connection.is_quiet():
                 attempt.idle_s = idle_s
@@ -369,6 +382,13 @@
         until = now + IDLE_RESET_MEMORY_S
         self._safe_idle_s[service] = (known * IDLE_RESET_FACTOR, until)
 
+    def _get_reuse_bound(self, connection, service, repeatable, now):
+        """Return how long a connection may have been idle when it is used again."""
+        bound = _get_idle_bound(connection, repeatable)
+        if repeatable:
+            return bound
+        return min(bound, self._get_safe_idle(service, now))
+
     def _get_safe_idle(self, service, now):
         """Return how long a connection may have been idle after recent resets."""
         bound, until = self._safe_idle_s.get(service, (math.inf, math.inf))
@@ -398,7 +418,7 @@
 
 
 def _get_idle_bound(connection, repeatable):
-    """Return how long a connection may have been idle when it is used again."""
+    """Return how long servers keep an idle connection, as far as they say."""
     if connection.idle_limit is not None:
         return max(connection.idle_limit - IDLE_MARGIN_S, FRESH_IDLE_S)
     return MAX_IDLE_S if repeatable else FRESH_IDLE_S
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -83,8 +83,12 @@
     book = EvidenceBook(clock, lambda name: route)
     prepare(book)
     catalog, coverage = FixedCatalog(servers), Coverage(book.get, 0.7)
+
+    def has_connection(server, repeatable):
+        return True
+
     selector = ServerSelector(
-        catalog, book.get, "a", "r", clock, random.Random(1), coverage
+        catalog, book.get, "a", "r", clock, random.Random(1), coverage, has_connection
     )
     upstream = ScriptedUpstream(script)
     budget = WindowedRetryBudget(0.2 if reserve else 0.0, reserve, 10.0, clock)
--- a/tests/test_selection.py
+++ b/tests/test_selection.py
@@ -36,10 +36,24 @@
     book = EvidenceBook(clock, lambda name: ROUTE)
     catalog = types.SimpleNamespace(get_servers=lambda service: listed)
     coverage = Coverage(book.get, 0.7)
+    unconnected = set()
     selector = ServerSelector(
-        catalog, book.get, "a", "north", clock, random.Random(1), coverage
+        catalog,
+        book.get,
+        "a",
+        "north",
+        clock,
+        random.Random(1),
+        coverage,
+        lambda server, repeatable: server.name not in unconnected,
+    )
+    return types.SimpleNamespace(
+        clock=clock,
+        book=book,
+        listed=listed,
+        choose=selector,
+        unconnected=unconnected,
     )
-    return types.SimpleNamespace(clock=clock, book=book, listed=listed, choose=selector)
 
 
 def observe(world, name, status=AttemptStatus.OK, times=4):
@@ -70,6 +84,17 @@
     assert choose(world) == "far"
 
 
+def test_open_connections_are_preferred_among_equal_servers(world):
+    """Guards against paid connections where another server has one open."""
+    for name in ("near", "region"):
+        observe(world, name)
+    world.unconnected.add("near")
+    assert {choose(world) for _ in range(20)} == {"region"}
+    for _ in range(4):
+        world.book.start("region", ROUTE)
+    assert choose(world) == "near"
+
+
 def test_full_server_gives_way(world):
     """Guards against queueing at one server while others have room."""
     for name in ("near", "region"):
@@ -122,6 +147,7 @@
         world.clock,
         random.Random(1),
         Coverage(world.book.get, 0.7),
+        lambda server, repeatable: True,
         vms=2,
     )
     assert not part.choose("stock", BYTES).awaits_evidence
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -216,6 +216,8 @@
     for offset, method in ((0, "GET"), (5, "GET"), (10, "POST")):
         clock.offset = offset
         deadline = clock.monotonic() + 5
+        is_open = upstream.has_connection(server.server, method == "GET")
+        assert is_open is (offset == 5)
         upstream.send(make_request(method), server.server, deadline)
         connections.append(len(server.connections))
     assert connections == [1, 1, 2]
