Tell in stories what entry VMs believed of servers

Cause: lavendermast incident read the logs of entry VMs but left out sickness, age of the evidence, requests in flight, the wait for evidence and the configuration, which it called not known although the request line has it.

Conclusion: a line for a second attempt that the budget refused is missing.

--- a/src/lavendermast/incident_output.py
+++ b/src/lavendermast/incident_output.py
@@ -101,12 +101,30 @@
 
 
 def _describe_decision(fields):
+    inputs = f"candidates {fields.get('candidates') or 'none'}"
+    if "sickness" in fields:
+        inputs = f"{_describe_belief(fields)}, {fields.get('pending')} in flight"
     return (
         f"chose {fields.get('server')} for attempt {fields.get('attempt')} "
-        f"({fields.get('reason')}; candidates {fields.get('candidates') or 'none'})"
+        f"({fields.get('reason')}; {inputs})"
     )
 
 
+def _describe_wait(fields):
+    return (
+        f"waits for a better server than {fields.get('server')} "
+        f"({_describe_belief(fields)})"
+    )
+
+
+def _describe_belief(fields):
+    """Return what an entry VM believed of a server and how old that was."""
+    age = "no evidence"
+    if fields.get("evidence_age_ms"):
+        age = f"evidence {fields['evidence_age_ms']} ms old"
+    return f"sickness {fields['sickness']}, {age}"
+
+
 def _describe_attempt(fields):
     detail = f" ({fields['detail']})" if fields.get("detail") else ""
     return (
@@ -117,17 +135,19 @@
 
 
 def _describe_request(fields):
+    size = f"{fields['bytes']} bytes, " if "bytes" in fields else ""
     return (
         f"told {fields.get('outcome')}, status {fields.get('status')}, reason "
-        f"{fields.get('reason') or 'none'}, {fields.get('bytes')} bytes, after "
-        f"{fields.get('latency_ms')} ms"
+        f"{fields.get('reason') or 'none'}, {size}after {fields.get('latency_ms')} ms"
     )
 
 
 _DESCRIBERS = {
+    "waiting": _describe_wait,
     "decision": _describe_decision,
     "attempt": _describe_attempt,
     "request": _describe_request,
+    "answer_cut": lambda fields: f"answer cut: {fields.get('detail')}",
     "forwarded": lambda fields: (
         f"forwarded to the key's owner {fields.get('owner')} at {fields.get('address')}"
     ),
@@ -172,7 +192,9 @@
     rows = []
     for line in story.select("request"):
         deadline = format_time(get_deadline(line))
-        version = timeline.find_version(line.vm, get_arrival(line))
+        version = line.fields.get("config_version") or timeline.find_version(
+            line.vm, get_arrival(line)
+        )
         text = f"received, deadline {deadline}, configuration {version or 'not known'}"
         rows.append((get_arrival(line), line.vm, text))
     for line in story.lines:
--- a/src/lavendermast/loglines.py
+++ b/src/lavendermast/loglines.py
@@ -15,7 +15,17 @@
 _START = re.compile(r"(?<!^)ts=\d{1,12}\.\d{6} event=")
 _REQUIRED = ("ts", "event", "vm", "zone")
 #: Events that tell a part of one request's story.
-REQUEST_EVENTS = frozenset({"decision", "attempt", "request", "forwarded", "duplicate"})
+REQUEST_EVENTS = frozenset(
+    {
+        "waiting",
+        "decision",
+        "attempt",
+        "answer_cut",
+        "request",
+        "forwarded",
+        "duplicate",
+    }
+)
 PROGRESS_LINES = 50_000
 #: No field holds a larger number; Unix times in ms are below it.
 MAX_NUMBER = 1e15
--- a/src/lavendermast/stories.py
+++ b/src/lavendermast/stories.py
@@ -8,7 +8,15 @@
 
 _NOT_RUN = frozenset(status.value for status in NOT_RUN_STATUSES)
 #: Order of lines with the same time.
-_RANKS = {"forwarded": 0, "duplicate": 1, "decision": 2, "attempt": 3, "request": 4}
+_RANKS = {
+    "forwarded": 0,
+    "duplicate": 1,
+    "waiting": 2,
+    "decision": 3,
+    "attempt": 4,
+    "request": 5,
+    "answer_cut": 6,
+}
 
 
 @attrs.frozen
--- a/tests/test_incident.py
+++ b/tests/test_incident.py
@@ -329,3 +329,32 @@
     rebuild(paths, [made.callers], stories=True)
     with Incident(paths) as incident:
         write_page(incident, Filter(), io.StringIO(), with_stories=True)
+
+
+def test_story_of_an_entry_vm_states_what_decided(tmp_path):
+    """Guards against stories that leave out why a request waited and where it went."""
+    fields = {"vm": "edge-1", "zone": "a", "request": "q1"}
+    belief = {"server": "s1", "sickness": 0.3, "evidence_age_ms": None}
+    events = [
+        (0.001, "waiting", belief),
+        (0.4, "decision", {"attempt": 1, "reason": "first", "pending": 2, **belief}),
+        (0.9, "attempt", {"attempt": 1, "server": "s1", "status": "ok"}),
+        (0.91, "request", {"config_version": 7, "outcome": "answered", "status": 200}),
+        (1.2, "answer_cut", {"detail": "server closed"}),
+    ]
+    path = tmp_path / "edge-1.log"
+    path.write_text(
+        "".join(
+            format_event({"ts": START + offset, "event": event, **fields, **more})
+            + "\n"
+            for offset, event, more in events
+        )
+    )
+    stream = io.StringIO()
+    with Incident([path], ()) as incident:
+        write_text(incident, Filter(request="q1"), stream, True)
+    text = stream.getvalue()
+    assert "configuration 7" in text
+    assert "waits for a better server than s1 (sickness 0.3, no evidence)" in text
+    assert "(first; sickness 0.3, no evidence, 2 in flight)" in text
+    assert "answer cut: server closed" in text
