Log when the budget refuses another attempt

Cause: of ten traced requests one waited 3.3 s at a hanging server without a hedge, and no line said that the fleet's budget for further attempts was spent.

Change: attempt_denied, once a request; stories tell it.

Figures: the extended test of the empty budget fails before and passes. No decision changes.

--- a/src/lavendermast/attempts.py
+++ b/src/lavendermast/attempts.py
@@ -71,6 +71,7 @@
     may_have_run: bool = False
     awaits_evidence: bool = False
     has_waited: bool = False
+    was_denied: bool = False
     failure: AttemptResult | None = None
 
     @property
@@ -151,10 +152,26 @@
             return False
         if race.runs >= race.route.max_attempts or race.refusals >= MAX_REFUSALS:
             return False
-        if left < MIN_ATTEMPT_S or not self._budgets(race.service).spend():
+        if left < MIN_ATTEMPT_S or not self._spend(race, "retry"):
             return False
         return self._start_attempt(race, "retry")
 
+    def _spend(self, race, reason):
+        """Take another attempt from the budget; a refusal is logged once a request."""
+        if self._budgets(race.service).spend():
+            return True
+        if not race.was_denied:
+            race.was_denied = True
+            self._record_event(
+                "attempt_denied",
+                request=race.request.id,
+                route=race.route.name,
+                service=race.service,
+                reason=reason,
+                cause="budget",
+            )
+        return False
+
     def _consider_hedge(self, race):
         if not race.route.idempotent or not race.running:
             return
@@ -168,7 +185,7 @@
             lost = compute_lost_probability(sickness, survival)
             if lost < HEDGE_PROBABILITY:
                 return
-        if self._budgets(race.service).spend():
+        if self._spend(race, "hedge"):
             self._start_attempt(race, "hedge")
 
     def _start_attempt(self, race, reason):
--- a/src/lavendermast/incident_output.py
+++ b/src/lavendermast/incident_output.py
@@ -147,6 +147,9 @@
     "decision": _describe_decision,
     "attempt": _describe_attempt,
     "request": _describe_request,
+    "attempt_denied": lambda fields: (
+        f"no {fields.get('reason')}: the {fields.get('cause')} for it is spent"
+    ),
     "answer_cut": lambda fields: f"answer cut: {fields.get('detail')}",
     "forwarded": lambda fields: (
         f"forwarded to the key's owner {fields.get('owner')} at {fields.get('address')}"
--- a/src/lavendermast/loglines.py
+++ b/src/lavendermast/loglines.py
@@ -20,6 +20,7 @@
         "waiting",
         "decision",
         "attempt",
+        "attempt_denied",
         "answer_cut",
         "request",
         "forwarded",
--- a/src/lavendermast/stories.py
+++ b/src/lavendermast/stories.py
@@ -14,8 +14,9 @@
     "waiting": 2,
     "decision": 3,
     "attempt": 4,
-    "request": 5,
-    "answer_cut": 6,
+    "attempt_denied": 5,
+    "request": 6,
+    "answer_cut": 7,
 }
 
 
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -242,12 +242,14 @@
 
 
 def test_empty_budget_stops_second_tries():
-    """Guards against a retry storm."""
-    reply, upstream, _, _ = run(
+    """Guards against a retry storm, and a second try that is missing without a word."""
+    reply, upstream, events, _ = run(
         [(0.02, CUT), (0.02, CUT), (0.0, OK)], make_route(max_attempts=3), reserve=0
     )
     assert reply.status == 502
     assert len(upstream.sent) == 2
+    denied = [fields for event, fields in events if event == "attempt_denied"]
+    assert [(item["reason"], item["cause"]) for item in denied] == [("retry", "budget")]
 
 
 def test_request_without_a_listed_server_is_refused_at_once():
--- a/tests/test_incident.py
+++ b/tests/test_incident.py
@@ -338,6 +338,7 @@
     events = [
         (0.001, "waiting", belief),
         (0.4, "decision", {"attempt": 1, "reason": "first", "pending": 2, **belief}),
+        (0.8, "attempt_denied", {"reason": "hedge", "cause": "budget"}),
         (0.9, "attempt", {"attempt": 1, "server": "s1", "status": "ok"}),
         (0.91, "request", {"config_version": 7, "outcome": "answered", "status": 200}),
         (1.2, "answer_cut", {"detail": "server closed"}),
@@ -357,4 +358,5 @@
     assert "configuration 7" in text
     assert "waits for a better server than s1 (sickness 0.3, no evidence)" in text
     assert "(first; sickness 0.3, no evidence, 2 in flight)" in text
+    assert "no hedge: the budget for it is spent" in text
     assert "answer cut: server closed" in text
