--- a/src/lavendermast/attempts.py
+++ b/src/lavendermast/attempts.py
@@ -139,8 +139,8 @@
     def _start_next(self, race, left):
         """Start another attempt when none is running; return whether one was."""
         if race.failure is None:
-            # No server is listed. One may appear within a moment; after that the caller
-            # is told at once when to come back.
+            # No server is listed, or all are doubtful. One may appear within a moment;
+            # after that the caller is told at once when to come back.
             waited = self._clock.monotonic() - race.request.arrived
             bound = race.route.goal_s * NO_SERVER_WAIT_SHARE
             if waited > bound and not race.awaits_evidence:
