--- a/bench/soak.py
+++ b/bench/soak.py
@@ -100,7 +100,10 @@
                 break
             eventlet.sleep(0.1)
         else:
-            return ["RECOVER: not all VMs are ready 15 s after the last fault"]
+            answers = {vm.name: vm.ask_ready() for vm in self.world.vms}
+            return [
+                f"RECOVER: not all VMs ready {RECOVERY_S:g} s after faults: {answers}"
+            ]
         eventlet.sleep(max(until - time.monotonic(), 0.0) / 3)
         statuses = collections.Counter(
             self.world.send_once(f"/stock/final-{n}") for n in range(FINAL_REQUESTS)
--- a/bench/soakworld.py
+++ b/bench/soakworld.py
@@ -80,11 +80,15 @@
 
     def is_ready(self):
         """Return whether the process says that it takes callers."""
+        return self.ask_ready() == 200
+
+    def ask_ready(self):
+        """Return the status that the process answers, or the error met instead."""
         url = f"http://127.0.0.1:{self.ports['ready']}/readyz"
         try:
-            return urllib3.request("GET", url, retries=False, timeout=1.0).status == 200
-        except urllib3.exceptions.HTTPError:
-            return False
+            return urllib3.request("GET", url, retries=False, timeout=1.0).status
+        except urllib3.exceptions.HTTPError as error:
+            return f"{type(error).__name__}: {error}"
 
     def _signal(self, number):
         if self._process is not None and self._process.poll() is None:
