Drop lapsed servers when their time is over

Change: the catalog drops them when the servers of a service are asked for and the earliest such time has passed.

--- a/src/lavendermast/catalog.py
+++ b/src/lavendermast/catalog.py
@@ -1,5 +1,7 @@
 """Documents of the store as this VM holds them, in the order of their revisions."""
 
+import math
+
 import attrs
 
 from lavendermast.entrymodel import ConfigDocument, ServerRecord
@@ -57,6 +59,7 @@
         self._servers = {}
         self._services = {}
         self._outage_until = 0.0
+        self._next_lapse = math.inf
         self.revision = 0
         self.config = None
         self.on_config = []
@@ -69,6 +72,8 @@
 
     def get_servers(self, service):
         """Return the listed servers of a service."""
+        if self._clock.monotonic() >= self._next_lapse:
+            self._drop_lapsed()
         return self._services.get(service, ())
 
     def get_server(self, name):
@@ -129,18 +134,18 @@
         changes = tuple(item for item in self._recent if item.revision > revision)
         return StoredChanges(revision, self.revision, False, changes)
 
-    def expire(self):
+    def _drop_lapsed(self):
         """Remove servers whose vanished entries have not come back in time."""
         now = self._clock.monotonic()
-        expired = [
-            name
-            for name, listed in self._servers.items()
-            if listed.lapsed_until and now >= listed.lapsed_until
-        ]
-        for name in expired:
-            self._remove_server(name, "lapsed")
-        if expired:
-            self._rebuild()
+        lapsing = [item for item in self._servers.values() if item.lapsed_until]
+        for listed in lapsing:
+            if now >= listed.lapsed_until:
+                self._remove_server(listed.server.name, "lapsed")
+        self._next_lapse = min(
+            (item.lapsed_until for item in lapsing if now < item.lapsed_until),
+            default=math.inf,
+        )
+        self._rebuild()
 
     def _apply_change(self, change, source):
         known = self._documents.get(change.key)
@@ -191,6 +196,7 @@
                 return
             if change.deleted and now < self._outage_until:
                 listed.lapsed_until = listed.lapsed_until or self._outage_until
+                self._next_lapse = min(self._next_lapse, listed.lapsed_until)
                 return
             self._remove_server(document.name, source)
             return
--- a/src/lavendermast/catalogsync.py
+++ b/src/lavendermast/catalogsync.py
@@ -70,7 +70,6 @@
     def run(self):
         """Follow the store until the task is killed."""
         while True:
-            self._catalog.expire()
             if not self.is_reader():
                 self._clock.sleep(CHECK_S)
                 continue
