--- a/bench/soak.py
+++ b/bench/soak.py
@@ -118,19 +118,13 @@
     def do_kill(self, rng):
         """Kill a process and start it again."""
         vm = rng.choice(self.world.vms)
-        vm.kill()
-        pause(rng, 0.1, 2.0)
-        vm.start()
+        self._kill(rng, [vm], 2.0)
         return vm.name
 
     def do_kill_several(self, rng):
         """Kill most processes at once."""
         vms = rng.sample(self.world.vms, len(self.world.vms) - 1)
-        for vm in vms:
-            vm.kill()
-        pause(rng, 0.1, 1.0)
-        for vm in vms:
-            vm.start()
+        self._kill(rng, vms, 1.0)
         return len(vms)
 
     def do_pause(self, rng):
@@ -191,6 +185,13 @@
         """Send a route to the other service."""
         return self.world.move_route()
 
+    def _kill(self, rng, vms, longest_s):
+        for vm in vms:
+            vm.kill()
+        pause(rng, 0.1, longest_s)
+        for vm in vms:
+            vm.start()
+
     def _spoil(self, rng, proxy):
         kind = rng.choice(["delay", "in", "out", "both", "reset", "refuse"])
         if kind == "delay":
--- a/bench/soakworld.py
+++ b/bench/soakworld.py
@@ -2,10 +2,7 @@
 
 import contextlib
 import json
-import os
 import signal
-import subprocess
-import sys
 import time
 import urllib.parse
 
@@ -15,7 +12,14 @@
 from urllib3.connection import HTTPConnection
 
 from bench.soakchecks import GRACE_S, HANG_S, Call
-from standins.entryworld import ENTRY_SCRIPT, HOST, make_config, make_rule, take_port
+from standins.entryworld import (
+    HOST,
+    make_config,
+    make_rule,
+    make_settings,
+    start_process,
+    take_ports,
+)
 from standins.instance import InstanceStandIn
 from standins.loopbackproxy import LoopbackProxy
 from standins.metadata import MetadataStandIn
@@ -48,25 +52,22 @@
 
     def write_settings(self, seeds):
         """Write the settings of the process."""
-        settings = {
-            f"{kind}_address": f"127.0.0.1:{port}" for kind, port in self.ports.items()
-        }
-        zones = [{"zone": zone, "region": region} for zone, region in ZONES.items()]
-        settings |= {"vm": self.name, "zone": self.zone, "region": ZONES[self.zone]}
-        settings |= {"zones": zones, "seeds": seeds, "grace_s": GRACE_S}
-        settings["store_address"] = self.store_proxy.address
+        settings = make_settings(
+            self.ports,
+            ZONES,
+            self.name,
+            self.zone,
+            seeds=seeds,
+            store_address=self.store_proxy.address,
+            grace_s=GRACE_S,
+        )
         self._path.write_text(json.dumps(settings))
 
     def start(self):
         """Start the process unless it runs."""
         if self._process is not None and self._process.poll() is None:
             return
-        self._process = subprocess.Popen(
-            [sys.executable, "-W", "ignore", str(ENTRY_SCRIPT)],
-            env={**os.environ, "LAVENDERMAST_BOOT": str(self._path)},
-            stdout=self._log,
-            stderr=self._log,
-        )
+        self._process = start_process(self._path, stdout=self._log, stderr=self._log)
         with (
             contextlib.suppress(TimeoutError),
             eventlet.Timeout(READY_S, TimeoutError()),
@@ -142,9 +143,8 @@
         self.vms = []
         for zone in ZONES:
             for number in range(1, VMS_PER_ZONE + 1):
-                kinds = ("caller", "ready", "directory", "peer", "metrics")
-                ports = {kind: take_port() for kind in kinds}
-                vm = SoakVm(f"{zone}{number}", zone, folder, self.store, account, ports)
+                name, ports = f"{zone}{number}", take_ports()
+                vm = SoakVm(name, zone, folder, self.store, account, ports)
                 self.vms.append(vm)
 
     def start(self):
--- a/standins/entryworld.py
+++ b/standins/entryworld.py
@@ -38,6 +38,37 @@
             return port
 
 
+def take_ports():
+    """Return a free port for each address of an entry process, by its kind."""
+    kinds = ("caller", "ready", "directory", "peer", "metrics")
+    return {kind: take_port() for kind in kinds}
+
+
+def make_settings(ports, zones, vm, zone, **more):
+    """
+    Return settings of an entry process on loopback.
+
+    :param zones: mapping of zone to region.
+    """
+    return {
+        **{f"{kind}_address": f"127.0.0.1:{port}" for kind, port in ports.items()},
+        "vm": vm,
+        "zone": zone,
+        "region": zones[zone],
+        "zones": [{"zone": name, "region": region} for name, region in zones.items()],
+        **more,
+    }
+
+
+def start_process(path, **streams):
+    """Start an entry process with the settings in a file."""
+    return subprocess.Popen(
+        [sys.executable, "-W", "ignore", str(ENTRY_SCRIPT)],
+        env={**os.environ, "LAVENDERMAST_BOOT": str(path)},
+        **streams,
+    )
+
+
 def make_rule(name, prefix, kind, **action):
     """Return a route as the configuration writes it."""
     return {
@@ -82,18 +113,19 @@
         self.store.put("op/config", make_config(3, READ, BOOK))
         self.store.put("servers/other", {"addr": 7})
         self.servers = {}
-        names = ("caller", "ready", "directory", "peer", "metrics")
-        self.ports = {name: take_port() for name in names}
-        settings = {f"{n}_address": f"127.0.0.1:{p}" for n, p in self.ports.items()}
-        zones = [{"zone": "a", "region": "north"}]
-        settings |= {"vm": "vm-1", "zone": "a", "region": "north", "zones": zones}
-        settings |= {"seeds": [], "store_address": self.store.address, "grace_s": 6}
-        path.write_text(json.dumps(settings))
-        self.process = subprocess.Popen(
-            [sys.executable, "-W", "ignore", str(ENTRY_SCRIPT)],
-            env={**os.environ, "LAVENDERMAST_BOOT": str(path)},
-            stdout=path.with_suffix(".log").open("wb"),
+        self.ports = take_ports()
+        settings = make_settings(
+            self.ports,
+            {"a": "north"},
+            "vm-1",
+            "a",
+            seeds=[],
+            store_address=self.store.address,
+            grace_s=6,
         )
+        path.write_text(json.dumps(settings))
+        log = path.with_suffix(".log").open("wb")
+        self.process = start_process(path, stdout=log)
         self.log = path.with_suffix(".log")
         self.http = urllib3.PoolManager(retries=False)
         self.count = 0
