List the events of a story once

Cause: loglines.REQUEST_EVENTS and the ranks in stories named the same eight events, and an event added to one alone would have failed at the first such line.

Change: REQUEST_EVENTS maps each event to its rank.

Conclusion: no behaviour changes.

--- a/src/lavendermast/loglines.py
+++ b/src/lavendermast/loglines.py
@@ -14,19 +14,18 @@
 #: The start of a line, which follows a line cut by the end of a process.
 _START = re.compile(r"(?<!^)ts=\d{1,12}\.\d{6} event=")
 _REQUIRED = ("ts", "event", "vm", "zone")
-#: Events that tell a part of one request's story.
-REQUEST_EVENTS = frozenset(
-    {
-        "waiting",
-        "decision",
-        "attempt",
-        "attempt_denied",
-        "answer_cut",
-        "request",
-        "forwarded",
-        "duplicate",
-    }
-)
+#: Events that tell a part of one request's story, by their rank among lines with the
+#: same time.
+REQUEST_EVENTS = {
+    "forwarded": 0,
+    "duplicate": 1,
+    "waiting": 2,
+    "decision": 3,
+    "attempt": 4,
+    "attempt_denied": 5,
+    "request": 6,
+    "answer_cut": 7,
+}
 PROGRESS_LINES = 50_000
 #: No field holds a larger number; Unix times in ms are below it.
 MAX_NUMBER = 1e15
--- a/src/lavendermast/stories.py
+++ b/src/lavendermast/stories.py
@@ -2,22 +2,11 @@
 
 import attrs
 
-from .loglines import get_number
+from .loglines import REQUEST_EVENTS, get_number
 from .models import NOT_RUN_STATUSES
 from .timeline import convert_time
 
 _NOT_RUN = frozenset(status.value for status in NOT_RUN_STATUSES)
-#: Order of lines with the same time.
-_RANKS = {
-    "forwarded": 0,
-    "duplicate": 1,
-    "waiting": 2,
-    "decision": 3,
-    "attempt": 4,
-    "attempt_denied": 5,
-    "request": 6,
-    "answer_cut": 7,
-}
 
 
 @attrs.frozen
@@ -71,7 +60,7 @@
     @classmethod
     def from_lines(cls, request, lines, callers, timeline):
         """Return the story in log lines and callers' records."""
-        lines = sorted(lines, key=lambda line: (line.time, _RANKS[line.event]))
+        lines = sorted(lines, key=lambda line: (line.time, REQUEST_EVENTS[line.event]))
         story = cls(request, lines, callers)
         story.told = story._find_told()
         seen = {}
