Remove copies and repeated work from the entry VM

Cause: read again as a whole, the change had small WSGI answers in three modules beside the admin's; three log calls with the same fields of a request; the check of a connection's idle time in has_connection and in the pool; a second constant for the age of other regions' reports; a list of server names for each first attempt that is read four times a second at most; and a summary without content from an idle VM every 0.5 s, which the change to several parts had brought in.

Change: answers.send_answer, AttemptRunner._record and Upstream._is_fresh serve all of them; REPORT_AGE_S is one; the names are read when a count is due; without summaries nothing is sent, as before.

Conclusion: no decision and no answer changes.

--- a/src/lavendermast/admin.py
+++ b/src/lavendermast/admin.py
@@ -3,6 +3,8 @@
 import json
 import urllib.parse
 
+from lavendermast.answers import send_answer
+
 
 class AdminApplication:
     """
@@ -23,23 +25,18 @@
         path = environ["PATH_INFO"]
         if path == "/metrics":
             content = self._board.render()
-            return self._answer(start_response, "200 OK", content, "text/plain")
+            return send_answer(start_response, "200 OK", content, "text/plain")
         if path == "/healthz":
             status = "200 OK" if self._is_ready() else "503 Service Unavailable"
-            return self._answer(start_response, status, b"")
+            return send_answer(start_response, status, kind="text/plain")
         if path == "/status":
             return self._answer_json(start_response, self._get_status())
         if path == "/explain":
             query = dict(urllib.parse.parse_qsl(environ.get("QUERY_STRING", "")))
             answer = self._explain(query.get("method", "GET"), query.get("path", "/"))
             return self._answer_json(start_response, answer)
-        return self._answer(start_response, "404 Not Found", b"")
+        return send_answer(start_response, "404 Not Found", kind="text/plain")
 
     def _answer_json(self, start_response, value):
         content = json.dumps(value).encode()
-        return self._answer(start_response, "200 OK", content, "application/json")
-
-    def _answer(self, start_response, status, content, kind="text/plain"):
-        headers = [("Content-Type", kind), ("Content-Length", str(len(content)))]
-        start_response(status, headers)
-        return [content]
+        return send_answer(start_response, "200 OK", content, "application/json")
--- a/src/lavendermast/attempts.py
+++ b/src/lavendermast/attempts.py
@@ -162,14 +162,7 @@
             return True
         if not race.was_denied:
             race.was_denied = True
-            self._record_event(
-                "attempt_denied",
-                request=race.request.id,
-                route=race.route.name,
-                service=race.service,
-                reason=reason,
-                cause="budget",
-            )
+            self._record(race, "attempt_denied", reason=reason, cause="budget")
         return False
 
     def _consider_hedge(self, race):
@@ -226,11 +219,9 @@
             self._evidence.start(server.name, route),
         )
         race.running[running.number] = running
-        self._record_event(
+        self._record(
+            race,
             "decision",
-            request=race.request.id,
-            route=route.name,
-            service=race.service,
             attempt=running.number,
             server=server.name,
             reason=candidate.reason or reason,
@@ -253,16 +244,24 @@
         if race.has_waited:
             return
         race.has_waited = True
-        self._record_event(
+        self._record(
+            race,
             "waiting",
-            request=race.request.id,
-            route=race.route.name,
-            service=race.service,
             server=candidate.listed.server.name,
             sickness=round(candidate.sickness, 3),
             evidence_age_ms=candidate.evidence_age_ms,
         )
 
+    def _record(self, race, event, **fields):
+        """Log a decision about a request."""
+        self._record_event(
+            event,
+            request=race.request.id,
+            route=race.route.name,
+            service=race.service,
+            **fields,
+        )
+
     def _attempt(self, race, running):
         try:
             result = self._upstream.send(
--- a/src/lavendermast/coverage.py
+++ b/src/lavendermast/coverage.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from lavendermast.suspicion import SICK_FAILS, Ending
+from lavendermast.suspicion import REPORT_AGE_S, SICK_FAILS, Ending
 
 #: What is kept above the floor, since a VM does not know which servers are sound.
 MARGIN = 0.05
@@ -26,8 +26,6 @@
 YOUNG_S = 0.3
 #: A count is reused for this time, because it takes a look at all attempts.
 CACHE_S = 0.25
-#: Other regions' counts come every 0.5 s; older ones say nothing of now.
-REPORT_AGE_S = 2.0
 
 
 @attrs.frozen
--- a/src/lavendermast/entry.py
+++ b/src/lavendermast/entry.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from lavendermast.answers import send_answer
 from lavendermast.callers import CallerWatch
 from lavendermast.exceptions import LavendermastError, RequestError
 from lavendermast.gateway import get_status_line
@@ -193,8 +194,7 @@
     def __call__(self, environ, start_response):
         ready = environ["PATH_INFO"] == self._path and self._is_ready()
         status = "200 OK" if ready else "503 Service Unavailable"
-        start_response(status, [("Content-Length", "0")])
-        return [b""]
+        return send_answer(start_response, status)
 
 
 class DirectoryApplication:
@@ -215,11 +215,5 @@
             query = dict(urllib.parse.parse_qsl(environ.get("QUERY_STRING", "")))
             body = self._answer(query)
         if body is None:
-            start_response("503 Service Unavailable", [("Content-Length", "0")])
-            return [b""]
-        headers = [
-            ("Content-Type", "application/json"),
-            ("Content-Length", str(len(body))),
-        ]
-        start_response("200 OK", headers)
-        return [body]
+            return send_answer(start_response, "503 Service Unavailable")
+        return send_answer(start_response, "200 OK", body, "application/json")
--- a/src/lavendermast/entrymeasures.py
+++ b/src/lavendermast/entrymeasures.py
@@ -1,5 +1,6 @@
 """Counters and histograms of an entry VM."""
 
+from lavendermast.answers import send_answer
 from lavendermast.metrics import MetricsBoard
 
 #: Bucket bounds in seconds, from a quick refusal to the longest route timeout.
@@ -101,9 +102,4 @@
 
     def __call__(self, environ, start_response):
         content = self._board.render()
-        headers = [
-            ("Content-Type", "text/plain"),
-            ("Content-Length", str(len(content))),
-        ]
-        start_response("200 OK", headers)
-        return [content]
+        return send_answer(start_response, "200 OK", content, "text/plain")
--- a/src/lavendermast/evidencesharing.py
+++ b/src/lavendermast/evidencesharing.py
@@ -95,7 +95,7 @@
     def _send_summaries(self, addresses, message):
         """Send a long message in parts, all losses with the first one."""
         summaries = message.summaries
-        for first in range(0, max(len(summaries), 1), MAX_SUMMARIES):
+        for first in range(0, len(summaries), MAX_SUMMARIES):
             part = attrs.evolve(
                 message,
                 summaries=summaries[first : first + MAX_SUMMARIES],
--- a/src/lavendermast/selection.py
+++ b/src/lavendermast/selection.py
@@ -174,7 +174,8 @@
 
     def _find_uncovered(self, service, local, now, since):
         """Return a server that needs a request to keep the floor, or ``None``."""
-        names = [candidate.listed.server.name for candidate in local]
+        # Only read when the share of lost requests is due to be counted again.
+        names = (candidate.listed.server.name for candidate in local)
         bound = self._coverage.find_max_sickness(service, names, now)
         if bound is None:
             return None
--- a/src/lavendermast/suspicion.py
+++ b/src/lavendermast/suspicion.py
@@ -13,7 +13,7 @@
 MEMORY_S = 8.0
 #: Attempts that began earlier say nothing about a server's state now.
 HORIZON_S = 16.0
-#: Reports of in-flight attempts that are older say nothing.
+#: Reports of other regions that are older say nothing of what is in flight or lost now.
 REPORT_AGE_S = 2.0
 #: Attempts at one server that are kept at most.
 MAX_ATTEMPTS = 24
--- a/src/lavendermast/upstream.py
+++ b/src/lavendermast/upstream.py
@@ -255,8 +255,7 @@
         if not idle:
             return False
         now = self._clock.monotonic()
-        bound = self._get_reuse_bound(idle[-1], server.service, repeatable, now)
-        return now - idle[-1].idle_since <= bound
+        return self._is_fresh(idle[-1], server.service, repeatable, now)
 
     def close_server(self, name):
         """Close the idle connections to a server."""
@@ -320,12 +319,10 @@
         idle = self._idle.get(attempt.server.name)
         while idle:
             connection = idle.pop()
-            bound = self._get_reuse_bound(
-                connection, attempt.server.service, repeatable, now
-            )
-            idle_s = now - connection.idle_since
-            if idle_s <= bound and connection.is_quiet():
-                attempt.idle_s = idle_s
+            service = attempt.server.service
+            fresh = self._is_fresh(connection, service, repeatable, now)
+            if fresh and connection.is_quiet():
+                attempt.idle_s = now - connection.idle_since
                 attempt.connection = connection
                 return True
             connection.close()
@@ -382,12 +379,12 @@
         until = now + IDLE_RESET_MEMORY_S
         self._safe_idle_s[service] = (known * IDLE_RESET_FACTOR, until)
 
-    def _get_reuse_bound(self, connection, service, repeatable, now):
-        """Return how long a connection may have been idle when it is used again."""
+    def _is_fresh(self, connection, service, repeatable, now):
+        """Return whether a connection was idle for so short that it is used again."""
         bound = _get_idle_bound(connection, repeatable)
-        if repeatable:
-            return bound
-        return min(bound, self._get_safe_idle(service, now))
+        if not repeatable:
+            bound = min(bound, self._get_safe_idle(service, now))
+        return now - connection.idle_since <= bound
 
     def _get_safe_idle(self, service, now):
         """Return how long a connection may have been idle after recent resets."""
