Log the rate limit that a server names in its responses

Change: the platform's protocol reads the limit of each response of a server; the attempt line shows it. Nothing is decided by it yet.

--- a/src/lavendermast/attempts.py
+++ b/src/lavendermast/attempts.py
@@ -1,5 +1,7 @@
 """Runs the attempts of a request: server choice, retries, hedging and the reply."""
 
+import math
+
 import attrs
 import eventlet
 from eventlet.queue import Empty, LightQueue
@@ -309,6 +311,7 @@
             http_status=result.http_status,
             latency_ms=round((self._clock.monotonic() - running.started) * 1000, 1),
             detail=result.detail or None,
+            **_describe_rate_limit(result),
         )
 
     def _handle_result(self, state, running, result):
@@ -368,6 +371,13 @@
         )
 
 
+def _describe_rate_limit(result):
+    """Return the log field of a rate limit; responses without one have none."""
+    if result.rate_limit is None or math.isinf(result.rate_limit):
+        return {}
+    return {"rate_limit": result.rate_limit}
+
+
 def classify_attempt(result, left):
     """
     Return the :class:`~lavendermast.suspicion.AttemptOutcome` of an attempt.
--- a/src/lavendermast/models.py
+++ b/src/lavendermast/models.py
@@ -74,6 +74,9 @@
     :param latency: seconds from the start of the attempt, connecting included, to its
         end; for a streamed body until streaming begins.
     :param load: share of busy slots that the server reported, or ``None``.
+    :param rate_limit: requests per second that the server accepts from all VMs
+        together, infinite if it named no limit; ``None`` without a response of it.
+    :param head_at: monotonic time at which the head of the response arrived.
     """
 
     server: str
@@ -84,6 +87,8 @@
     body: bytes = b""
     stream: object = None
     load: float | None = None
+    rate_limit: float | None = None
+    head_at: float = 0.0
     detail: str = ""
 
     @property
--- a/src/lavendermast/platform/calls.py
+++ b/src/lavendermast/platform/calls.py
@@ -1,6 +1,8 @@
 """HTTP headers and bodies between callers, entry VMs and backend servers."""
 
 import json
+import math
+import re
 
 from lavendermast.framing import remove_hop_by_hop_headers
 from lavendermast.models import AttemptStatus
@@ -13,9 +15,14 @@
 TIME_LEFT_VARIABLE = "HTTP_DEADLINE_MS"
 REQUEST_ID_HEADER = "Request-Id"
 _SIGNATURE_HEADER = "server-signature"
+#: Requests per second that a server accepts from all VMs together.
+_RATE_LIMIT_HEADER = "server-limit"
+_DECIMAL = re.compile(r"[0-9]{1,9}(\.[0-9]{1,9})?")
 _REPLACED_HEADERS = frozenset(
     {"deadline-ms", "expect-instance", "content-length", "expect"}
 )
+#: Statuses of responses that may come from another server.
+_FOREIGN_STATUSES = frozenset({AttemptStatus.CUT, AttemptStatus.MISDIRECTED})
 
 
 class PlatformServerProtocol(ServerProtocol):
@@ -51,6 +58,17 @@
             result.status = AttemptStatus.CUT
         elif response.status >= 500:
             result.status = AttemptStatus.ERROR
+        if result.status not in _FOREIGN_STATUSES:
+            result.rate_limit = _read_rate_limit(names.get(_RATE_LIMIT_HEADER), result)
+
+
+def _read_rate_limit(text, result):
+    if text is None:
+        return math.inf
+    if not _DECIMAL.fullmatch(text):
+        result.detail = f"malformed rate limit {text!r}"
+        return None
+    return float(text)
 
 
 def encode_directory_body(addresses, ttl_s):
--- a/src/lavendermast/upstream.py
+++ b/src/lavendermast/upstream.py
@@ -351,6 +351,7 @@
         pieces = collections.deque()
         size = 0
         result = AttemptResult(attempt.server.name, AttemptStatus.OK)
+        result.head_at = self._clock.monotonic()
         if response.length is not None and response.length > self._buffer_bytes:
             result.stream = BodyStream(self, attempt, response, pieces)
         else:
