Add a failing test of servers that name a rate limit

Cause: servers in need get more requests than the limit that they name. Change: the soak's servers name limits, which move up and down beside all other faults, and its account is checked for them. One test limits all servers. It fails on this code and is listed as KNOWN-RED 14 until the fix.

--- a/bench/soak.py
+++ b/bench/soak.py
@@ -6,10 +6,11 @@
 Each seed starts a store, servers and entry processes on loopback, sends requests and
 injects overlapping series of faults. Proxies delay data, block one or both directions
 and reset connections. Processes are stopped, paused, killed and restarted. The store
-refuses calls or drops its history. Servers hang, shed, truncate responses, leave and
-are replaced under another name. The entry processes don't use the wall clock for
-decisions and write no files, so clock and disk faults are not injected. The checks use
-only what callers and servers observed. Findings are printed with their seed.
+refuses calls or drops its history. Servers hang, shed, truncate responses, leave, are
+replaced under another name, and name rate limits that change. The entry processes don't
+use the wall clock for decisions and write no files, so clock and disk faults are not
+injected. The checks use only what callers and servers observed. Findings are printed
+with their seed.
 """
 
 import argparse
@@ -25,7 +26,7 @@
 eventlet.monkey_patch()
 
 from bench.soakchecks import Account, check_account  # noqa: E402
-from bench.soakworld import SoakWorld  # noqa: E402
+from bench.soakworld import SERVERS, SoakWorld  # noqa: E402
 
 CALLERS = 24
 #: Time that the fleet may take to recover after the last fault ends, the recovery time
@@ -73,6 +74,9 @@
             eventlet.spawn(self._run_series, random.Random(f"{self.seed}/{number}"))
             for number in range(count)
         ]
+        # A generator of its own: the faults of a seed stay those of earlier versions.
+        limits_rng = random.Random(f"{self.seed}/limits")
+        series.append(eventlet.spawn(self._limit_servers, limits_rng))
         for task in series:
             task.wait()
         self.world.heal()
@@ -93,6 +97,28 @@
             )
             eventlet.sleep(rng.expovariate(1.0))
 
+    def _limit_servers(self, rng):
+        """Let most servers of a service name limits that move up and down."""
+        eventlet.sleep(rng.random() * self.seconds / 4)
+        start = time.monotonic()
+        service = rng.choice(sorted(SERVERS))
+        servers = [s for s in self.world.servers.values() if s.service == service]
+        limited = rng.sample(servers, rng.randint(len(servers) // 2, len(servers)))
+        for server in limited:
+            server.limit_task = eventlet.spawn(
+                self._move_limit, server, random.Random(f"{self.seed}/{server.name}")
+            )
+        for server in limited:
+            server.limit_task.wait()
+        self.account.faults.append(
+            (start, time.monotonic(), "limit_servers", f"{len(limited)} of {service}")
+        )
+
+    def _move_limit(self, server, rng):
+        for _ in range(rng.randint(1, 2)):
+            with self.account.record_rate_limit(server, round(rng.uniform(0.5, 6), 1)):
+                eventlet.sleep(self.seconds / rng.randint(2, 3))
+
     def _check_recovery(self):
         until = time.monotonic() + RECOVERY_S
         while time.monotonic() < until:
--- a/bench/soakchecks.py
+++ b/bench/soakchecks.py
@@ -19,6 +19,13 @@
 GRACE_S = 6.0
 #: Tolerance for the time at which the grace period ends.
 GRACE_MARGIN_S = 1.0
+#: A server gets at most RATE_FACTOR times the requests that its limit allows in
+#: RATE_WINDOW_S, plus RATE_SLACK, from the VMs that returned a response with the limit
+#: RATE_NOTICE_S before or earlier.
+RATE_WINDOW_S = 4.0
+RATE_FACTOR = 1.5
+RATE_SLACK = 5
+RATE_NOTICE_S = 0.5
 #: Statuses which state that no server ran the request.
 _NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 
@@ -57,6 +64,7 @@
     :param drains: time by server at which its entry changed to draining.
     :param moves: pairs of time and service for each change of the movable route.
     :param overdue_stops: processes that did not exit within the grace period.
+    :param rate_limits: server, limit and interval of each rate limit that was named.
     """
 
     calls: dict = attrs.Factory(dict)
@@ -67,6 +75,19 @@
     drains: dict = attrs.Factory(dict)
     moves: list = attrs.Factory(list)
     overdue_stops: list = attrs.Factory(list)
+    rate_limits: list = attrs.Factory(list)
+
+    @contextlib.contextmanager
+    def record_rate_limit(self, server, limit):
+        """Record that a server names a rate limit, in requests per second."""
+        server.rate_limit = limit
+        interval = [time.monotonic(), float("inf")]
+        self.rate_limits.append((server, limit, interval))
+        try:
+            yield
+        finally:
+            interval[1] = time.monotonic()
+            server.rate_limit = None
 
     @contextlib.contextmanager
     def record_outage(self, vm):
@@ -100,6 +121,8 @@
         findings += _check_call(call, runs[call.id], account)
         for server, moment in runs[call.id]:
             findings += _check_run(call, server, moment, account)
+    for server, limit, interval in account.rate_limits:
+        findings += _check_rate_limit(server, limit, interval, account)
     for request_id in runs.keys() - account.calls.keys():
         findings.append(f"UNASKED: {request_id} ran but no caller sent it")
     return findings
@@ -160,3 +183,33 @@
         call.vm, last_move, moment
     ):
         yield f"CONFIG: {call.id} ran on {server.service} after the route had moved"
+
+
+def _check_rate_limit(server, limit, interval, account):
+    start, end = interval
+    calls = [
+        (moment, account.calls[request_id])
+        for request_id, moment in server.arrivals
+        if start <= moment <= end and request_id in account.calls
+    ]
+    told_at = {}
+    for _, call in calls:
+        if call.status == 200:
+            told_at[call.vm] = min(call.ended, told_at.get(call.vm, call.ended))
+    counted = [
+        moment
+        for moment, call in calls
+        if moment >= start + CONTACT_TIMEOUT_S
+        and moment >= told_at.get(call.vm, float("inf")) + RATE_NOTICE_S
+        and account.is_in_contact(call.vm, moment, moment)
+    ]
+    allowed = RATE_FACTOR * limit * RATE_WINDOW_S + RATE_SLACK
+    for first, moment in enumerate(counted):
+        window = [item for item in counted[first:] if item < moment + RATE_WINDOW_S]
+        if len(window) > allowed:
+            yield (
+                f"LIMIT: {server.name} with a limit of {limit:g} requests/s got "
+                f"{len(window)} in {RATE_WINDOW_S:g} s from {moment:.2f} s, "
+                f"allowed {allowed:g}"
+            )
+            return
--- a/standins/instance.py
+++ b/standins/instance.py
@@ -10,7 +10,9 @@
     """
     A server whose responses carry a signature; ``mode`` selects a failure.
 
-    ``runs`` holds request id, path and monotonic time of each request that it ran.
+    ``arrivals`` holds request id and monotonic time of each request for it, ``runs``
+    request id, path and time of those that it ran. All its responses name
+    ``rate_limit``, requests per second, unless that is ``None``.
 
     :param mode: ``ok``, ``hang``, ``shed``, ``error``, ``cut`` or ``unsigned``.
     :param work_s: service time of a request.
@@ -19,6 +21,8 @@
     def __init__(self, name, service, zone, mode="ok", work_s=0.0):
         self.name, self.service, self.zone, self.mode = name, service, zone, mode
         self.work_s = work_s
+        self.rate_limit = None
+        self.arrivals = []
         self.runs = []
         self._socket = eventlet.listen(("127.0.0.1", 0))
         self.address = "{}:{}".format(*self._socket.getsockname())
@@ -39,6 +43,9 @@
         headers = [("Request-Id", request_id)]
         if environ.get("HTTP_EXPECT_INSTANCE", self.name) != self.name:
             return self._respond(start_response, 421, headers, b"")
+        self.arrivals.append((request_id, time.monotonic()))
+        if self.rate_limit is not None:
+            headers.append(("Server-Limit", f"{self.rate_limit:g}"))
         if self.mode == "shed":
             headers.append(("Not-Executed", "1"))
             return self._respond(start_response, 503, headers, b"")
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,10 +1,12 @@
 """A short seeded soak of real entry processes, and tests of its checks."""
 
+import contextlib
 import types
 
+import eventlet
 import pytest
 
-from bench.soak import run_seed
+from bench.soak import CALLERS, Soak, run_seed
 from bench.soakchecks import Account, Call, check_account
 
 #: Duration of the faults in one run; manual runs use 20 s or more.
@@ -24,6 +26,32 @@
     assert run_seed(seed, SECONDS, tmp_path) == []
 
 
+LIMITED_SECONDS = 12.0
+#: Requests per second that each server of the service accepts.
+RATE_LIMIT = 1.0
+
+
+@pytest.mark.xfail(reason="KNOWN-RED 14", strict=True)
+def test_limited_servers_get_no_more_requests_than_all_vms_may_send(tmp_path):
+    """Guards against VMs that together send more than the limit of a server allows."""
+    soak = Soak(1, tmp_path, LIMITED_SECONDS)
+    world = soak.world
+    try:
+        world.start()
+        callers = [eventlet.spawn(world.run_caller, n) for n in range(CALLERS)]
+        with contextlib.ExitStack() as limits:
+            for server in world.servers.values():
+                limit = soak.account.record_rate_limit(server, RATE_LIMIT)
+                limits.enter_context(limit)
+            eventlet.sleep(LIMITED_SECONDS)
+        world.stopping = True
+        for caller in callers:
+            caller.wait()
+        assert check_account(soak.account, world) == []
+    finally:
+        world.kill_processes()
+
+
 def make_server(name, *runs, service="stock"):
     return types.SimpleNamespace(name=name, service=service, runs=list(runs))
 
@@ -104,3 +132,29 @@
     account = Account(moves=moved, calls={"q1": call})
     world = types.SimpleNamespace(servers={"s1": server}, removed_servers=[])
     assert [f.partition(":")[0] for f in check_account(account, world)] == ["CONFIG"]
+
+
+def test_server_that_gets_more_than_its_rate_limit_is_found():
+    """
+    Guards against a soak that misses too many requests at a limited server.
+
+    With a limit of 1 request/s, 11 requests in 4 s are allowed. Requests of a VM that
+    returned no response with the limit do not count.
+    """
+    for count, vms, findings in ((11, 1, []), (12, 1, ["LIMIT"]), (12, 12, [])):
+        account = Account()
+        server = make_server("s1")
+        server.arrivals = []
+        for number in range(-1, count):
+            vm = f"a{max(number, 0) % vms}"
+            moment = 14.0 + number * 0.3 if number >= 0 else 10.0
+            call = Call(f"q{number}", vm, "/stock/1", "GET", moment, moment, 200)
+            if vms > 1 and number >= 0:
+                call.status = 503
+            account.calls[call.id] = call
+            server.arrivals.append((call.id, moment))
+        account.rate_limits.append((server, 1.0, [10.0, 20.0]))
+        account.moves.append((0.0, "stock"))
+        world = types.SimpleNamespace(servers={"s1": server}, removed_servers=[])
+        found = [f.partition(":")[0] for f in check_account(account, world)]
+        assert found == findings
