Keep the rate limits that servers name, by all VMs together

Callers: no refusal before, but servers in need got up to twice what they could take, fell behind, and were then taken for sick and left without work. Cause: no VM read the limit. A bound for the fleet needs the fleet's count. Change: token buckets charged with the attempts that VMs of a region report to each other anyway; other regions use what the server's region leaves; limits go along with reports and summaries, so VMs hear of them before they meet one. What no healthy server takes waits a quarter of the goal at most, or is refused at once with the time at which the limits allow it. A hedge or retry spends budget only once a server was chosen.

--- a/src/lavendermast/attempts.py
+++ b/src/lavendermast/attempts.py
@@ -1,5 +1,6 @@
 """Runs the attempts of a request: server choice, retries, hedging and the reply."""
 
+import collections
 import math
 
 import attrs
@@ -22,14 +23,22 @@
 MAX_NOT_RUN_ATTEMPTS = 4
 #: Interval at which a waiting request looks for a server again.
 SERVER_POLL_INTERVAL_S = 0.05
+#: Shortest wait for a server's rate limit, which another request may use up first.
+MIN_POLL_INTERVAL_S = 0.01
 #: Share of the route's latency goal after which a request is refused if no server is
 #: listed.
 NO_SERVER_WAIT_SHARE = 0.1
 #: A non-idempotent request waits at most this share of the route's latency goal for a
 #: server that is known to be healthy.
 EVIDENCE_WAIT_SHARE = 0.25
-#: Value of ``Retry-After`` for requests that did not run.
+#: A request waits for the rate limits of servers only if one of them will take it
+#: within this share of the route's latency goal.
+ROOM_WAIT_SHARE = 0.25
+#: Value of ``Retry-After`` for requests that did not run, unless rate limits of the
+#: servers tell when to return.
 RETRY_AFTER_S = 0.5
+#: Longest ``Retry-After``: rate limits change, so a later forecast is not reliable.
+MAX_RETRY_AFTER_S = 5.0
 #: Time for which a server that shed a request has a higher cost.
 SHED_PENALTY_S = 0.4
 #: No retry starts with less time than this until the deadline, because it could not be
@@ -103,6 +112,8 @@
         self._clock = clock
         self._record_event = record_event
         self.attempt_counts = {}
+        self._waiting_for_room = collections.Counter()
+        self._return_schedules = collections.defaultdict(_ReturnSchedule)
 
     def run(self, request, route, service, caller_cancellation):
         """
@@ -154,11 +165,10 @@
             # shortly. Without any server the request is refused early, with
             # Retry-After; otherwise it is sent anyway once it has waited for
             # EVIDENCE_WAIT_SHARE of the latency goal.
-            waited = self._clock.monotonic() - state.request.arrived_at
-            bound = state.route.goal_s * NO_SERVER_WAIT_SHARE
-            if waited > bound and not state.awaits_evidence:
+            if state.awaits_evidence:
+                self._clock.sleep(min(SERVER_POLL_INTERVAL_S, left))
+            elif not self._wait_for_server(state, left):
                 return False
-            self._clock.sleep(min(SERVER_POLL_INTERVAL_S, left))
             self._start_attempt(state, "first")
             return True
         if state.may_have_run and not state.route.idempotent:
@@ -168,9 +178,32 @@
             or state.not_run_attempts >= MAX_NOT_RUN_ATTEMPTS
         ):
             return False
-        if left < MIN_ATTEMPT_S or not self._spend_budget(state, "retry"):
+        return left >= MIN_ATTEMPT_S and self._start_attempt(state, "retry")
+
+    def _wait_for_server(self, state, left):
+        """
+        Wait until a server is listed or a limited one may get a request.
+
+        :return: ``False`` at once if that takes too long.
+        """
+        waited = self._clock.monotonic() - state.request.arrived_at
+        forecast = self._selector.forecast_room(state.service)
+        if forecast is None:
+            if waited > state.route.goal_s * NO_SERVER_WAIT_SHARE:
+                return False
+            self._clock.sleep(min(SERVER_POLL_INTERVAL_S, left))
+            return True
+        bound = state.route.goal_s * ROOM_WAIT_SHARE - waited
+        waiting = self._waiting_for_room[state.service]
+        if forecast.delay_s + waiting * forecast.interval_s > bound:
             return False
-        return self._start_attempt(state, "retry")
+        delay = max(forecast.delay_s, MIN_POLL_INTERVAL_S)
+        self._waiting_for_room[state.service] += 1
+        try:
+            self._clock.sleep(min(delay, left))
+        finally:
+            self._waiting_for_room[state.service] -= 1
+        return True
 
     def _spend_budget(self, state, reason):
         """Spend budget for an attempt; a denial is logged once for each request."""
@@ -196,8 +229,7 @@
             lost = compute_lost_probability(sick_probability, survival)
             if lost < HEDGE_PROBABILITY:
                 return
-        if self._spend_budget(state, "hedge"):
-            self._start_attempt(state, "hedge")
+        self._start_attempt(state, "hedge")
 
     def _start_attempt(self, state, reason):
         route = state.route
@@ -226,6 +258,8 @@
         if reason == "first" and self._should_wait(state, candidate):
             self._record_wait(state, candidate)
             return False
+        if reason != "first" and not self._spend_budget(state, reason):
+            return False
         server = candidate.listed.server
         state.attempts += 1
         state.excluded.add(server.name)
@@ -352,13 +386,13 @@
             return make_response_reply(state, failure)
         unknown = state.may_have_run or state.running
         if not unknown:
-            reason = failure.status.value if failure else "no-server"
+            reason, retry_after = self._plan_return(state)
             return Reply(
                 Outcome.NOT_RUN,
                 reason.replace("_", "-"),
                 503,
                 attempts=state.attempts,
-                retry_after=RETRY_AFTER_S,
+                retry_after=retry_after,
                 server=failure.server if failure else "",
             )
         status = status or failure.status
@@ -370,6 +404,39 @@
             server=failure.server if failure else "",
         )
 
+    def _plan_return(self, state):
+        """Return why a request did not run, and the value of ``Retry-After``."""
+        reason = state.failure.status.value if state.failure else "no-server"
+        forecast = self._selector.forecast_room(state.service)
+        if forecast is None:
+            return reason, RETRY_AFTER_S
+        if state.failure is None:
+            reason = "rate-limited"
+        schedule = self._return_schedules[state.service]
+        retry_after = schedule.add_caller(forecast, self._clock.monotonic())
+        self._record(
+            state,
+            "rate_limited",
+            delay_ms=round(min(forecast.delay_s, MAX_RETRY_AFTER_S) * 1000),
+            retry_after_ms=round(retry_after * 1000),
+        )
+        return reason, retry_after
+
+
+class _ReturnSchedule:
+    """Spreads refused callers over the times at which limited servers take requests."""
+
+    def __init__(self):
+        self._last_return_at = 0.0
+
+    def add_caller(self, forecast, now):
+        """Return the seconds after which a caller that is refused now should return."""
+        return_at = max(
+            now + forecast.delay_s, self._last_return_at + forecast.interval_s
+        )
+        self._last_return_at = min(return_at, now + MAX_RETRY_AFTER_S)
+        return max(round(self._last_return_at - now, 3), MIN_POLL_INTERVAL_S)
+
 
 def _describe_rate_limit(result):
     """Return the log field of a rate limit; responses without one have none."""
--- a/src/lavendermast/catalog.py
+++ b/src/lavendermast/catalog.py
@@ -42,7 +42,8 @@
     The current configuration and the listed servers.
 
     Handlers in ``on_config`` are called with each newer configuration, those in
-    ``on_server`` with the name of each server that was added, changed or removed.
+    ``on_server`` with the name of each server that was added, changed or removed, and
+    those in ``on_restart`` with the name of each server that has restarted.
 
     :param decode: function ``(key, content) -> document``; raises ``DocumentError``.
     :param lapse_s: seconds after the recovery of the store for which servers are
@@ -64,6 +65,7 @@
         self.config = None
         self.on_config = []
         self.on_server = []
+        self.on_restart = []
 
     @property
     def config_version(self):
@@ -225,6 +227,9 @@
         if listed is None or restarted:
             listed = ListedServer(record, now, now + record.warm_up_s)
             self._servers[document.name] = listed
+        if restarted:
+            for handler in self.on_restart:
+                handler(document.name)
         listed.record = record
         listed.warm_until = now + record.warm_up_s
         listed.retained_until = 0.0
--- a/src/lavendermast/entrymetrics.py
+++ b/src/lavendermast/entrymetrics.py
@@ -86,6 +86,11 @@
             for service, count in node.catalog.count_servers().items()
         ],
     )
+    registry.add_gauge(
+        "lavendermast_entry_limited_servers",
+        "Servers that name a rate limit.",
+        lambda: [({}, node.rate_limits.count_limited())],
+    )
     registry.add_gauge(
         "lavendermast_entry_vms",
         "Live VMs that this one knows, without itself.",
--- a/src/lavendermast/entrynode.py
+++ b/src/lavendermast/entrynode.py
@@ -25,6 +25,7 @@
 from lavendermast.logs import EventLog
 from lavendermast.losstracker import LossTracker
 from lavendermast.peers import PeerNetwork
+from lavendermast.ratelimits import INACTIVE_SHARE, RateLimits
 from lavendermast.retries import WindowedRetryBudget
 from lavendermast.selection import ServerSelector
 from lavendermast.settings import load_entry_settings
@@ -82,6 +83,7 @@
         self._budgets = {}
         self._routes = {}
         self._rate = 0.0
+        self._rate_share = 1.0
         self._counted_requests = 0
         self._regions = {item.zone: item.region for item in settings.zones}
         boot_id = int(self.clock.time() * 1000)
@@ -104,7 +106,15 @@
         self.sync = CatalogSync(
             self.catalog, platform.source, self.fleet, self.network, self.clock, record
         )
-        self.evidence = EvidenceRegistry(self.clock, self._find_route)
+        self.rate_limits = RateLimits(
+            self.clock,
+            record,
+            self._is_near,
+            len(set(self._regions.values())),
+            lambda: self._rate_share,
+        )
+        self.catalog.on_restart.append(self.rate_limits.reset)
+        self.evidence = EvidenceRegistry(self.clock, self._find_route, self.rate_limits)
         self._loss_tracker = LossTracker(self.evidence.get, settings.floor_share)
         self.sharing = EvidenceSharing(
             settings,
@@ -128,6 +138,7 @@
             random.Random(),
             self._loss_tracker,
             self.upstream.has_connection,
+            self.rate_limits,
             self._compute_min_region_vms(),
         )
         self.runner = AttemptRunner(
@@ -245,6 +256,19 @@
         regions = list(self._regions.values())
         return max(regions.count(self.settings.region), 1) * MIN_ACTIVE_VMS
 
+    def _is_near(self, server_name):
+        """Return whether a server is listed in this VM's region."""
+        listed = self.catalog.get_server(server_name)
+        return listed is not None and listed.server.region == self.settings.region
+
+    def _compute_rate_share(self):
+        """Return the part of the region's share of rate limits that this VM uses."""
+        inactive = self.fleet.count_inactive()
+        if not inactive:
+            return 1.0
+        zones = list(self._regions.values()).count(self.settings.region)
+        return INACTIVE_SHARE / (inactive * zones)
+
     def _find_route(self, name):
         return self._routes.get(name)
 
@@ -264,6 +288,7 @@
         listed = self.catalog.get_server(name)
         if listed is None:
             self.evidence.remove_server(name)
+            self.rate_limits.remove(name)
             self.upstream.close_server(name)
 
     def _get_budget(self, service):
@@ -321,6 +346,7 @@
             self._rate += (rate - self._rate) * share
             self._counted_requests = started_requests
             self._update_budgets()
+            self._rate_share = self._compute_rate_share()
 
     def _update_budgets(self):
         """Adjust the retry budgets to the current number of active VMs."""
--- a/src/lavendermast/evidenceregistry.py
+++ b/src/lavendermast/evidenceregistry.py
@@ -3,6 +3,8 @@
 import collections
 import itertools
 
+import attrs
+
 from lavendermast.durations import Durations
 from lavendermast.messages_model import AttemptReport, ServerSummary
 from lavendermast.models import AttemptStatus
@@ -20,18 +22,60 @@
 _NEUTRAL_STATUSES = {AttemptStatus.SHED, AttemptStatus.MISDIRECTED}
 
 
+@attrs.define(eq=False)
+class _LocalAttempt:
+    """
+    An attempt of this VM, for its reports.
+
+    :param refused: whether the server shed the request or is not the expected one.
+    :param rate_limit: rate limit in the server's response, 0.0 without a response.
+    :param head_at: monotonic time of the response.
+    """
+
+    number: int
+    server_name: str
+    route_name: str
+    attempt: object
+    refused: bool = False
+    rate_limit: float = 0.0
+    head_at: float = 0.0
+
+    def make_report(self, now):
+        """Return the message for a batch that is sent now."""
+        attempt = self.attempt
+        phase, duration = "pending", 0.0
+        if self.refused:
+            phase = "refused"
+        elif attempt.ended is not None:
+            phase = attempt.outcome.value
+            duration = attempt.ended - attempt.started
+        return AttemptReport(
+            self.server_name,
+            self.number,
+            phase,
+            round((now - attempt.started) * 1000),
+            round(duration * 1000),
+            self.route_name,
+            self.rate_limit,
+            round((now - self.head_at) * 1000) if self.rate_limit else 0,
+        )
+
+
 class EvidenceRegistry:
     """
     Evidence about each server, and response times and sizes of each route.
 
     :param find_route: function from a route's name to the route in force, or ``None``.
+    :param rate_limits: a :class:`~lavendermast.ratelimits.RateLimits`, which counts
+        all attempts.
 
     ``on_report_queued`` is called when a report is added for :meth:`take_reports`.
     """
 
-    def __init__(self, clock, find_route):
+    def __init__(self, clock, find_route, rate_limits):
         self._clock = clock
         self._find_route = find_route
+        self._rate_limits = rate_limits
         self._servers = collections.defaultdict(ServerEvidence)
         self._durations = {}
         self._response_bytes = {}
@@ -71,30 +115,36 @@
         attempt = self._servers[server_name].start(
             now, self.get_durations(route), route.idempotent
         )
-        number = next(self._numbers)
-        self._local_attempts[attempt] = number
-        self._add_report(number, server_name, route, attempt)
+        self._rate_limits.count_start(server_name, now)
+        local = _LocalAttempt(next(self._numbers), server_name, route.name, attempt)
+        self._local_attempts[attempt] = local
+        self._queue_report(local)
         return attempt
 
     def finish(self, server_name, route, attempt, result, outcome):
         """Record the outcome of an attempt of this VM."""
         now = self._clock.monotonic()
-        number = self._local_attempts.pop(attempt)
+        local = self._local_attempts.pop(attempt)
+        self._queue_report(local)
         evidence = self._servers[server_name]
+        if result.rate_limit is not None:
+            local.rate_limit, local.head_at = result.rate_limit, result.head_at
+            self._rate_limits.observe(
+                server_name, result.rate_limit, result.head_at, "response"
+            )
         if result.status in _NEUTRAL_STATUSES:
+            local.refused = True
             self._remove(evidence, attempt)
-            self._add_report(number, server_name, route, None)
             return
         evidence.finish(attempt, now, outcome)
-        self._add_report(number, server_name, route, attempt)
         if outcome is AttemptOutcome.SUCCEEDED:
             self.get_durations(route).add(now - attempt.started)
             size = len(result.body)
             mean = self.get_response_bytes(route)
             self._response_bytes[route.name] = mean + (size - mean) * SIZE_WEIGHT
 
-    def _add_report(self, number, server_name, route, attempt):
-        self._outbox.append([REPORT_COPIES, number, server_name, route.name, attempt])
+    def _queue_report(self, local):
+        self._outbox.append((REPORT_COPIES, local))
         self.on_report_queued()
 
     def take_reports(self):
@@ -102,18 +152,21 @@
         now = self._clock.monotonic()
         batch = {}
         for _ in range(min(len(self._outbox), MAX_REPORTS_PER_BATCH)):
-            item = self._outbox.popleft()
-            copies, number, server_name, route_name, attempt = item
-            batch[number] = make_report(number, server_name, route_name, attempt, now)
+            copies, local = self._outbox.popleft()
+            batch[local.number] = local.make_report(now)
             if copies > 1:
-                item[0] -= 1
-                self._outbox.append(item)
+                self._outbox.append((copies - 1, local))
         return tuple(batch.values())
 
     def apply_reports(self, sender, reports):
         """Apply the reports of another VM about its attempts."""
         now = self._clock.monotonic()
         for report in reports:
+            if report.rate_limit:
+                observed_at = now - report.limit_age_ms / 1000
+                self._rate_limits.observe(
+                    report.server, report.rate_limit, observed_at, sender
+                )
             self._apply_report((sender, report.sequence), report, now)
         while len(self._remote_attempts) > MAX_REMOTE_ATTEMPTS:
             self._remote_attempts.popitem(last=False)
@@ -127,13 +180,26 @@
             if evidence is None or not evidence.attempts:
                 continue
             permille = round(evidence.compute_sick_probability(now) * 1000)
-            summaries.append(ServerSummary(name, permille, evidence.pending))
+            limit, age, spare = self._rate_limits.make_summary(name)
+            summaries.append(
+                ServerSummary(
+                    name, permille, evidence.pending, limit, round(age * 1000), spare
+                )
+            )
         return summaries
 
-    def apply_summaries(self, summaries):
-        """Apply the summaries of other regions about their servers."""
+    def apply_summaries(self, region, summaries):
+        """Apply the summaries of another region about its servers."""
         now = self._clock.monotonic()
         for summary in summaries:
+            if summary.rate_limit:
+                self._rate_limits.observe(
+                    summary.server,
+                    summary.rate_limit,
+                    now - summary.limit_age_ms / 1000,
+                    region,
+                )
+                self._rate_limits.apply_spare(summary.server, summary.spare_rate)
             self._servers[summary.server].apply_summary(
                 now, summary.sickness_permille / 1000, summary.pending
             )
@@ -149,11 +215,14 @@
 
     def _apply_report(self, key, report, now):
         evidence = self._servers[report.server]
+        started = now - report.start_age_ms / 1000
+        if key not in self._remote_attempts:
+            self._rate_limits.count_start(report.server, started)
         if report.phase == "refused":
             known = self._remote_attempts.get(key)
             if known is not None:
                 self._remove(evidence, known)
-                self._remote_attempts[key] = None
+            self._remote_attempts[key] = None
             return
         attempt = self._remote_attempts.get(key)
         if attempt is None:
@@ -163,7 +232,6 @@
             route = self._find_route(report.route)
             if route is None:
                 return
-            started = now - report.start_age_ms / 1000
             attempt = evidence.start(
                 started, self.get_durations(route), route.idempotent
             )
@@ -181,25 +249,3 @@
             evidence.finish(attempt, self._clock.monotonic(), AttemptOutcome.ABANDONED)
         if attempt in evidence.attempts:
             evidence.attempts.remove(attempt)
-
-
-def make_report(number, server_name, route_name, attempt, now):
-    """
-    Return the report on an attempt.
-
-    :param attempt: ``None`` if the server shed the request or is not the expected one.
-    """
-    if attempt is None:
-        return AttemptReport(server_name, number, "refused", route=route_name)
-    phase, duration = "pending", 0.0
-    if attempt.ended is not None:
-        phase = attempt.outcome.value
-        duration = attempt.ended - attempt.started
-    return AttemptReport(
-        server_name,
-        number,
-        phase,
-        round((now - attempt.started) * 1000),
-        round(duration * 1000),
-        route_name,
-    )
--- a/src/lavendermast/evidencesharing.py
+++ b/src/lavendermast/evidencesharing.py
@@ -122,7 +122,7 @@
 
     def _handle_summaries(self, envelope, address):
         message = envelope.body
-        self._evidence.apply_summaries(message.summaries)
+        self._evidence.apply_summaries(message.region, message.summaries)
         now = self._clock.monotonic()
         for losses in message.losses:
             self._loss_tracker.apply_losses(
--- a/src/lavendermast/incident_output.py
+++ b/src/lavendermast/incident_output.py
@@ -155,6 +155,10 @@
     "attempt_denied": lambda fields: (
         f"{fields.get('reason')} not sent: {fields.get('cause')} exhausted"
     ),
+    "rate_limited": lambda fields: (
+        f"all servers at their rate limits for {fields.get('delay_ms')} ms, told to "
+        f"return after {fields.get('retry_after_ms')} ms"
+    ),
     "answer_cut": lambda fields: f"answer cut: {fields.get('detail')}",
     "forwarded": lambda fields: (
         f"forwarded to the key's owner {fields.get('owner')} at {fields.get('address')}"
--- a/src/lavendermast/messages_model.py
+++ b/src/lavendermast/messages_model.py
@@ -541,6 +541,8 @@
     start_age_ms: int = 0
     duration_ms: int = 0
     route: str = ""
+    rate_limit: float = 0.0
+    limit_age_ms: int = 0
 
     def to_dict(self):
         """Return the fields as pycapnp accepts them."""
@@ -551,6 +553,8 @@
             "startAgeMs": self.start_age_ms,
             "durationMs": self.duration_ms,
             "route": self.route,
+            "rateLimit": self.rate_limit,
+            "limitAgeMs": self.limit_age_ms,
         }
 
     @classmethod
@@ -563,6 +567,8 @@
             start_age_ms=reader.startAgeMs,
             duration_ms=reader.durationMs,
             route=str(reader.route),
+            rate_limit=reader.rateLimit,
+            limit_age_ms=reader.limitAgeMs,
         )
 
 
@@ -593,6 +599,9 @@
     server: str = ""
     sickness_permille: int = 0
     pending: int = 0
+    rate_limit: float = 0.0
+    limit_age_ms: int = 0
+    spare_rate: float = 0.0
 
     def to_dict(self):
         """Return the fields as pycapnp accepts them."""
@@ -600,6 +609,9 @@
             "server": self.server,
             "sicknessPermille": self.sickness_permille,
             "pending": self.pending,
+            "rateLimit": self.rate_limit,
+            "limitAgeMs": self.limit_age_ms,
+            "spareRate": self.spare_rate,
         }
 
     @classmethod
@@ -609,6 +621,9 @@
             server=str(reader.server),
             sickness_permille=reader.sicknessPermille,
             pending=reader.pending,
+            rate_limit=reader.rateLimit,
+            limit_age_ms=reader.limitAgeMs,
+            spare_rate=reader.spareRate,
         )
 
 
--- a/src/lavendermast/schema/messages.capnp
+++ b/src/lavendermast/schema/messages.capnp
@@ -169,7 +169,9 @@
   error @5;
 }
 
-# One attempt at a backend server; ages are relative to the time of sending.
+# One attempt at a backend server; ages are relative to the time of sending. rateLimit is
+# what the server's response named, in requests per second: infinite without a limit, 0
+# without a response.
 struct AttemptReport {
   server @0 :Text;
   sequence @1 :UInt32;
@@ -177,17 +179,23 @@
   startAgeMs @3 :UInt32;
   durationMs @4 :UInt32;
   route @5 :Text;
+  rateLimit @6 :Float32;
+  limitAgeMs @7 :UInt32;
 }
 
 struct AttemptReports {
   attempts @0 :List(AttemptReport);
 }
 
-# A region's estimate of the state of one of its servers.
+# A region's estimate of the state of one of its servers. rateLimit is as in
+# AttemptReport; spareRate is the part of it that the region does not use.
 struct ServerSummary {
   server @0 :Text;
   sicknessPermille @1 :UInt16;
   pending @2 :UInt16;
+  rateLimit @3 :Float32;
+  limitAgeMs @4 :UInt32;
+  spareRate @5 :Float32;
 }
 
 # Recent requests of one service in a region, and how many of them were lost.
--- a/src/lavendermast/selection.py
+++ b/src/lavendermast/selection.py
@@ -1,5 +1,6 @@
 """Choice of the backend server for an attempt of an entry VM."""
 
+import math
 import operator
 
 import attrs
@@ -28,6 +29,12 @@
 #: Maximum random cost, so that servers of equal cost share the requests.
 MAX_RANDOM_COST = 0.01
 
+#: While limited servers take no more requests, others take them only up to this many
+#: requests in flight per slot, and if they are not sick with a higher probability than
+#: this. A caller that returns later is better served than one that waits in a queue.
+MAX_OVERFLOW_FILL = 3.0
+MAX_OVERFLOW_SICK_PROBABILITY = 0.45
+
 #: A server that is sick with at least this probability is suspect. One response is
 #: enough to bring a server below it.
 MIN_SUSPECT_SICK_PROBABILITY = 0.2
@@ -89,6 +96,29 @@
     reason: str = ""
     awaits_evidence: bool = False
 
+    @property
+    def is_doubtful(self):
+        """Whether the server is too likely to be sick to relieve limited ones."""
+        return self.sick_probability > MAX_OVERFLOW_SICK_PROBABILITY
+
+    @property
+    def fill(self):
+        """Requests in flight per slot."""
+        return self.pending / max(self.listed.slots, 1)
+
+
+@attrs.frozen
+class RoomForecast:
+    """
+    When the limited servers of a service may get requests again.
+
+    :param delay_s: seconds until the first of them may get one.
+    :param interval_s: seconds between the requests that this VM may send them.
+    """
+
+    delay_s: float
+    interval_s: float
+
 
 class ServerSelector:
     """
@@ -99,6 +129,7 @@
     :param loss_tracker: a :class:`~lavendermast.losstracker.LossTracker`.
     :param has_connection: function of a server and of whether the request is
         retryable; returns whether an open connection can be reused.
+    :param rate_limits: the :class:`~lavendermast.ratelimits.RateLimits` of servers.
     :param vms: number of VMs of the region that choose servers concurrently.
     """
 
@@ -112,6 +143,7 @@
         random,
         loss_tracker,
         has_connection,
+        rate_limits,
         vms=1,
     ):
         self._catalog = catalog
@@ -125,6 +157,8 @@
         self._first_choice_at = {}
         self._loss_tracker = loss_tracker
         self._has_connection = has_connection
+        self._rate_limits = rate_limits
+        self._vms = vms
 
     def choose(
         self,
@@ -136,7 +170,7 @@
         retryable=True,
     ):
         """
-        Return the best ``Candidate``, or ``None`` if no live server is left.
+        Return the best ``Candidate``, or ``None`` if no live server may get a request.
 
         :param response_bytes: expected size of the response.
         :param excluded: names of servers not to use.
@@ -156,15 +190,8 @@
         def assess(listed):
             return self._assess(listed, response_bytes, retryable, now)
 
-        candidates = [assess(listed) for listed in near]
-        # A server of another region costs at least its distance, so these are assessed
-        # only if no server of this region costs less than that.
-        distance = REGION_COST + REGION_COST_PER_BYTE * response_bytes
-        if not candidates or min(map(get_cost, candidates)) > distance:
-            candidates += [assess(listed) for listed in far]
-        if not candidates:
-            return None
-        in_region = candidates[: len(near)]
+        in_region = [assess(listed) for listed in near]
+        usable = self._find_usable(in_region, far, response_bytes, assess)
         if is_first:
             floor_server = self._find_floor_server(
                 service, in_region, now, first_choice_at
@@ -175,10 +202,53 @@
             due = self._find_trial(in_region, now, first_choice_at, trial)
             if due is not None:
                 return due
-        chosen = min(candidates, key=get_cost)
+        if not usable:
+            return None
+        chosen = min(usable, key=get_cost)
         chosen.awaits_evidence = self._awaits_evidence(chosen, in_region)
         return chosen
 
+    def _find_usable(self, in_region, far, response_bytes, assess):
+        """Return the candidates of all regions that may get a request."""
+        candidates = list(in_region)
+        usable = [c for c in in_region if self._has_room(c.listed)]
+        # A server of another region costs at least its distance, so these are assessed
+        # only if no server of this region costs less than that.
+        distance = REGION_COST + REGION_COST_PER_BYTE * response_bytes
+        if not usable or min(map(get_cost, usable)) > distance:
+            remote = [assess(listed) for listed in far]
+            candidates += remote
+            usable += [c for c in remote if self._has_room(c.listed)]
+        if not any(c not in usable and not c.is_doubtful for c in candidates):
+            return usable
+        return [c for c in usable if c.fill < MAX_OVERFLOW_FILL and not c.is_doubtful]
+
+    def forecast_room(self, service):
+        """
+        Return when a server may get a request that is well but at its rate limit.
+
+        The VMs of the region share what limited servers take, here in equal parts.
+
+        :return: a ``RoomForecast``, or ``None`` if there is no such server.
+        """
+        now = self._clock.monotonic()
+        delays, rate = [], 0.0
+        for listed in self._catalog.get_servers(service):
+            name = listed.server.name
+            if listed.server.state is not ServerState.LIVE or self._has_room(listed):
+                continue
+            sick_probability = self._get_evidence(name).compute_sick_probability(now)
+            if sick_probability <= MAX_OVERFLOW_SICK_PROBABILITY:
+                delays.append(self._rate_limits.forecast_delay(name))
+                rate += self._rate_limits.get_rate(name)
+        if not delays:
+            return None
+        return RoomForecast(min(delays), self._vms / rate if rate else math.inf)
+
+    def _has_room(self, listed):
+        """Return whether the rate limit of a server allows another request."""
+        return self._rate_limits.compute_delay(listed.server.name) == 0.0
+
     def _awaits_evidence(self, chosen, in_region):
         if chosen.sick_probability < MAX_HEALTHY_SICK_PROBABILITY:
             return False
@@ -208,8 +278,10 @@
             len(in_region) - len(idle), len(in_region)
         ):
             return None
-        chosen = min(idle, key=get_cost)
-        if chosen.sick_probability > max_sick_probability:
+        chosen = min(
+            (c for c in idle if self._has_room(c.listed)), key=get_cost, default=None
+        )
+        if chosen is None or chosen.sick_probability > max_sick_probability:
             return None
         chosen.reason = "floor"
         return chosen
@@ -235,6 +307,8 @@
     def _is_trial_due(self, candidate, now, first_choice_at, rule):
         if candidate.pending or candidate.sick_probability > rule.max_sick_probability:
             return False
+        if not self._has_room(candidate.listed):
+            return False
         return self._is_idle(candidate.listed, now, first_choice_at, rule.idle_s)
 
     def _is_idle(self, listed, now, first_choice_at, idle_s):
--- a/src/lavendermast/zonefleet.py
+++ b/src/lavendermast/zonefleet.py
@@ -168,6 +168,17 @@
         ready = self.get_ready(zone)
         return ready[: self._count_active(ready)]
 
+    def count_inactive(self):
+        """Return the number of inactive VMs of the zone, 0 if this VM is none of them.
+
+        A VM that is starting or leaving counts as active.
+        """
+        ready = self.get_ready(self.local_vm.zone)
+        active = self._count_active(ready)
+        if self.local_vm not in ready[active:]:
+            return 0
+        return len(ready) - active
+
     def get_peer_addresses(self, region_zones):
         """Return the peer addresses of the active VMs of zones, except this VM."""
         return [
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -18,6 +18,7 @@
     Outcome,
     Server,
 )
+from lavendermast.ratelimits import RateLimits
 from lavendermast.retries import WindowedRetryBudget
 from lavendermast.selection import ServerSelector
 from lavendermast.suspicion import AttemptOutcome
@@ -82,7 +83,8 @@
     """
     clock = SystemClock()
     events = []
-    registry = EvidenceRegistry(clock, lambda name: route)
+    rate_limits = RateLimits(clock, lambda event, **fields: None, lambda name: True)
+    registry = EvidenceRegistry(clock, lambda name: route, rate_limits)
     prepare(registry)
     catalog, loss_tracker = FixedCatalog(servers), LossTracker(registry.get, 0.7)
 
@@ -98,6 +100,7 @@
         random.Random(1),
         loss_tracker,
         has_connection,
+        rate_limits,
     )
     upstream = ScriptedUpstream(script)
     budget = WindowedRetryBudget(0.2 if slack else 0.0, slack, 10.0, clock)
--- a/tests/test_selection.py
+++ b/tests/test_selection.py
@@ -13,6 +13,7 @@
 from lavendermast.evidenceregistry import EvidenceRegistry
 from lavendermast.losstracker import LossTracker
 from lavendermast.models import AttemptResult, AttemptStatus, Server, ServerState
+from lavendermast.ratelimits import RateLimits
 from lavendermast.selection import (
     IDEMPOTENT_TRIAL,
     NON_IDEMPOTENT_TRIAL,
@@ -37,7 +38,10 @@
             ("far", "south", "c"),
         )
     ]
-    registry = EvidenceRegistry(clock, lambda name: ROUTE)
+    rate_limits = RateLimits(
+        clock, lambda event, **fields: None, {"near", "region"}.__contains__, regions=2
+    )
+    registry = EvidenceRegistry(clock, lambda name: ROUTE, rate_limits)
     catalog = types.SimpleNamespace(get_servers=lambda service: listed)
     loss_tracker = LossTracker(registry.get, 0.7)
     unconnected = set()
@@ -50,10 +54,12 @@
         random.Random(1),
         loss_tracker,
         lambda server, retryable: server.name not in unconnected,
+        rate_limits,
     )
     return types.SimpleNamespace(
         clock=clock,
         registry=registry,
+        rate_limits=rate_limits,
         listed=listed,
         server_selector=selector,
         unconnected=unconnected,
@@ -162,6 +168,7 @@
         random.Random(1),
         LossTracker(world.registry.get, 0.7),
         lambda server, retryable: True,
+        world.rate_limits,
         vms=2,
     )
     assert not selector.choose("stock", BYTES).awaits_evidence
@@ -240,7 +247,7 @@
 
 def test_reports_reach_another_vm_although_one_copy_is_lost(world):
     """Guards against an attempt that stays pending for ever after a lost datagram."""
-    other = EvidenceRegistry(world.clock, lambda name: ROUTE)
+    other = EvidenceRegistry(world.clock, lambda name: ROUTE, world.rate_limits)
     attempt = world.registry.start("near", ROUTE)
     other.apply_reports("vm-1", world.registry.take_reports())
     assert other.get("near").pending == 1
@@ -253,6 +260,52 @@
     assert other.get("near").attempts[0].outcome is AttemptOutcome.SUCCEEDED
 
 
+def limit_servers(world, **limits):
+    for name, limit in limits.items():
+        now = world.clock.monotonic()
+        world.rate_limits.observe(name, limit, now, "response")
+
+
+def test_server_at_its_rate_limit_gets_no_first_attempt_trial_or_floor_request(world):
+    """Guards against any kind of request above the limit of a server."""
+    for name in ("far", "region", "near"):
+        observe(world, name)
+    limit_servers(world, near=1.0, region=1.0)
+    world.clock.advance(0.5)
+    for options in ({}, {"trial": IDEMPOTENT_TRIAL}, {"is_first": True}):
+        assert {choose(world, **options) for _ in range(30)} == {"far"}
+    world.clock.advance(0.6)
+    assert choose(world) == "near"
+
+
+def test_server_at_its_rate_limit_counts_for_the_floor(world):
+    """Guards against a floor that is taken of the servers without a limit only."""
+    for name in ("far", "region"):
+        observe(world, name, AttemptStatus.CUT)
+    observe(world, "near")
+    used = []
+    world.server_selector._loss_tracker.is_below_floor = lambda *counts: used.append(
+        counts
+    )
+    world.server_selector._loss_tracker.find_max_sick_probability = lambda *_: 1.0
+    limit_servers(world, near=1.0)
+    world.server_selector.choose("stock", BYTES, is_first=True)
+    assert used == [(2, 2)]
+
+
+def test_requests_of_limited_servers_do_not_pile_up_on_their_neighbours(world):
+    """Guards against unbounded queues at the servers that name no limit."""
+    for name in ("far", "region", "near"):
+        observe(world, name)
+    limit_servers(world, near=1.0, region=1.0)
+    sent = 0
+    while (candidate := world.server_selector.choose("stock", BYTES)) is not None:
+        assert candidate.listed.server.name == "far"
+        world.registry.start("far", ROUTE)
+        sent += 1
+    assert sent == 3 * world.listed[2].slots
+
+
 @pytest.mark.xfail(reason="KNOWN-RED 13", strict=True)
 def test_attempt_at_a_removed_server_does_not_change_its_new_evidence(world):
     """
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -31,7 +31,6 @@
 RATE_LIMIT = 1.0
 
 
-@pytest.mark.xfail(reason="KNOWN-RED 14", strict=True)
 def test_limited_servers_get_no_more_requests_than_all_vms_may_send(tmp_path):
     """Guards against VMs that together send more than the limit of a server allows."""
     soak = Soak(1, tmp_path, LIMITED_SECONDS)
