--- a/src/lavendermast/catalog.py
+++ b/src/lavendermast/catalog.py
@@ -113,6 +113,12 @@
         if changes.to_revision <= self.revision and not changes.whole:
             return changes.to_revision == self.revision
         if changes.to_revision < self.revision:
+            self._record_event(
+                "changes_ignored",
+                revision=self.revision,
+                to_revision=changes.to_revision,
+                source=source,
+            )
             return False
         if changes.from_revision > self.revision and not changes.whole:
             return False
--- a/src/lavendermast/catalogsync.py
+++ b/src/lavendermast/catalogsync.py
@@ -23,9 +23,15 @@
 
 
 class DocumentSource(abc.ABC):
-    """The store that operators and servers write to; ``calls`` counts calls to it."""
+    """
+    The store that operators and servers write to.
+
+    ``calls`` counts calls to it. ``era`` is the highest era named in its responses, 0
+    before the first one; it rises when the store is restored from a copy.
+    """
 
     calls = 0
+    era = 0
 
     @abc.abstractmethod
     def read_all(self, fresh):
@@ -121,7 +127,11 @@
             return self._source.watch(self._catalog.revision, WATCH_WAIT_S)
         except HistoryLostError:
             self._lost_history = True
-            self._record_event("history_lost", revision=self._catalog.revision)
+            self._record_event(
+                "history_lost",
+                revision=self._catalog.revision,
+                era=self._source.era,
+            )
             return self._read()
 
     def _handle_store_failure(self, error):
@@ -135,7 +145,11 @@
         if not self.store_reachable:
             self.store_reachable = True
             self._catalog.handle_store_recovery()
-            self._record_event("store_regained", revision=self._catalog.revision)
+            self._record_event(
+                "store_regained",
+                revision=self._catalog.revision,
+                era=self._source.era,
+            )
 
     def _apply(self, changes, source):
         before = self._catalog.revision
--- a/src/lavendermast/platform/store.py
+++ b/src/lavendermast/platform/store.py
@@ -2,6 +2,7 @@
 
 import base64
 import json
+import re
 
 import urllib3
 from urllib3.util import Timeout
@@ -18,6 +19,9 @@
 #: Longer than a slow store takes (60 times its usual 4 ms); a later response
 #: is ignored and the call fails.
 READ_TIMEOUT_S = 1.5
+#: Rises by one each time the store is restored from a copy.
+_ERA_HEADER = "Store-Era"
+_ERA = re.compile(r"[0-9]{1,18}")
 
 
 class MetadataStore(DocumentSource):
@@ -32,6 +36,7 @@
             *parse_address(address), maxsize=2, socket_options=STORE_SOCKET_OPTIONS
         )
         self.calls = 0
+        self.era = 0
 
     def read_all(self, fresh):
         """
@@ -75,6 +80,7 @@
             )
         except (urllib3.exceptions.HTTPError, OSError) as error:
             raise StoreError(f"{path}: {error}") from error
+        self.era = max(self.era, _read_era(response.headers))
         if response.status == 410:
             raise HistoryLostError(
                 f"{path}: the store no longer has the requested history"
@@ -102,6 +108,12 @@
             raise StoreError(f"malformed item: {error}") from error
 
 
+def _read_era(headers):
+    """Return the era of the store's history, 0 if the response does not name it."""
+    text = headers.get(_ERA_HEADER, "")
+    return int(text) if _ERA.fullmatch(text) else 0
+
+
 def _decode_value(text):
     """Decode a value; other writers may store values that are not valid base64."""
     try:
