Compare revisions of the store only within its era

Callers: after a restore of the store from a copy, a change that was acknowledged was not in force anywhere, and an added route got 404 (CONFIG, DENIED). All reads of the store are fresh, since a stale one may be from before a restore: test_read_after_lost_history_is_fresh, which expected a stale first read and a fresh second one, is test_lost_history_is_followed_by_a_read, with no stale read left.

--- a/src/lavendermast/catalog.py
+++ b/src/lavendermast/catalog.py
@@ -1,5 +1,6 @@
 """This VM's copy of the documents in the store, updated in revision order."""
 
+import collections
 import math
 
 import attrs
@@ -8,6 +9,12 @@
 from lavendermast.exceptions import DocumentError
 from lavendermast.messages_model import StoredChange, StoredChanges
 
+#: Removed servers whose last entries are remembered, so that a restored copy of the
+#: store does not bring them back.
+MAX_REMOVED_SERVERS = 2048
+#: After this time a restored entry of a removed server shows that the server lives:
+#: entries expire after 4.5 s without a heartbeat.
+RESTORED_ENTRY_TTL_S = 6.0
 #: Changes kept for VMs that missed some; a VM further behind gets a full snapshot.
 MAX_RECENT_CHANGES = 512
 
@@ -41,6 +48,9 @@
     """
     The current configuration and the listed servers.
 
+    Revisions only compare within one era of the store. When the store was restored from
+    a copy, its era rises and what is in use is kept where the copy is older.
+
     Handlers in ``on_config`` are called with each newer configuration, those in
     ``on_server`` with the name of each server that was added, changed or removed, and
     those in ``on_restart`` with the name of each server that has restarted.
@@ -61,6 +71,10 @@
         self._services = {}
         self._retain_until = 0.0
         self._next_expiry = math.inf
+        self._restored_entries = {}
+        self._removed = collections.OrderedDict()
+        self.era = 0
+        self.has_changed_era = False
         self.revision = 0
         self.config = None
         self.on_config = []
@@ -110,6 +124,13 @@
         :param source: sender of the changes, for the log.
         :return: whether the catalog is now at the revision of the changes.
         """
+        if self._begins_era(changes):
+            self._begin_era(changes, source)
+            return True
+        if changes.whole and changes.era:
+            self._apply_newer_config(changes, source)
+        if not self._is_same_era(changes.era):
+            return False
         if changes.to_revision <= self.revision and not changes.whole:
             return changes.to_revision == self.revision
         if changes.to_revision < self.revision:
@@ -131,16 +152,22 @@
                 )
         for change in sorted(changes.changes, key=lambda item: item.revision):
             self._apply_change(change, source)
+        self.era = max(self.era, changes.era)
         self.revision = changes.to_revision
         self._rebuild_services()
         return True
 
-    def get_changes_since(self, revision):
+    def get_changes_since(self, revision, era=0):
         """
         Return the changes since a revision.
 
-        For revision 0, or when some of the changes were discarded, return a snapshot.
+        For revision 0 or one of another era, or when some of the changes were
+        discarded, return a snapshot.
+
+        :param era: era of the revision, 0 if it is not known.
         """
+        if era not in (0, self.era):
+            revision = 0
         first = (
             self._recent_changes[0].revision
             if self._recent_changes
@@ -151,29 +178,121 @@
                 StoredChange(key, change.revision, False, change.content)
                 for key, change in self._documents.items()
             )
-            return StoredChanges(0, self.revision, True, documents)
+            return StoredChanges(0, self.revision, True, documents, self.era)
         changes = tuple(
             item for item in self._recent_changes if item.revision > revision
         )
-        return StoredChanges(revision, self.revision, False, changes)
+        return StoredChanges(revision, self.revision, False, changes, self.era)
+
+    def _begins_era(self, changes):
+        """Return whether a snapshot replaces the known history."""
+        if not changes.whole or changes.era <= self.era:
+            return False
+        return self.era > 0 or changes.to_revision < self.revision
+
+    def _is_same_era(self, era):
+        """Return whether changes are of this era; older builds send era 0."""
+        unknown = era == 0 or self.era == 0
+        return era == self.era or (unknown and not self.has_changed_era)
+
+    def _begin_era(self, changes, source):
+        """Apply a snapshot of a new era, but keep what is newer than the copy."""
+        now = self._clock.monotonic()
+        self._record_event(
+            "store_restored",
+            era=changes.era,
+            previous_era=self.era,
+            revision=changes.to_revision,
+            previous_revision=self.revision,
+            source=source,
+        )
+        self.has_changed_era = True
+        self._retain_until = now + self._lapse_s
+        previous, self._documents = self._documents, {}
+        self._recent_changes.clear()
+        self.era, self.revision = changes.era, changes.to_revision
+        for change in sorted(changes.changes, key=lambda item: item.revision):
+            if not self._is_outdated(change):
+                self._apply_change(change, source)
+            elif change.key in previous:
+                kept = attrs.evolve(previous[change.key], revision=change.revision)
+                self._documents[change.key] = kept
+            else:
+                self._documents[change.key] = change
+                self._list_later(change, now + RESTORED_ENTRY_TTL_S)
+        present_keys = {change.key for change in changes.changes}
+        for key in previous.keys() - present_keys:
+            kept = attrs.evolve(previous[key], revision=changes.to_revision)
+            if isinstance(self._decode_or_none(kept), ConfigDocument):
+                self._documents[key] = kept
+            else:
+                self._apply_change(attrs.evolve(kept, deleted=True), source)
+        self._rebuild_services()
+
+    def _is_outdated(self, change):
+        """Return whether this catalog already had a newer state of a document."""
+        document = self._decode_or_none(change)
+        if isinstance(document, ConfigDocument):
+            return document.config.version < self.config_version
+        if document is None or document.record is None:
+            return False
+        listed = self._servers.get(document.name)
+        if listed is not None:
+            listed.retained_until = 0.0
+            return document.record.written_as < listed.record.written_as
+        removed = self._removed.get(document.name)
+        return removed is not None and document.record.written_as <= removed
+
+    def _list_later(self, change, due):
+        """List a removed server whose entry was restored, if the entry stays."""
+        self._restored_entries[change.key] = (due, change)
+        self._next_expiry = min(self._next_expiry, due)
+
+    def _decode_or_none(self, change):
+        try:
+            return self._decode(change.key, change.content)
+        except DocumentError:
+            # _apply_change decodes it again and logs the error.
+            return None
+
+    def _apply_newer_config(self, changes, source):
+        """Apply a configuration that a peer kept from an era that was lost."""
+        for change in changes.changes:
+            document = self._decode_or_none(change)
+            if not isinstance(document, ConfigDocument):
+                continue
+            if document.config.version > self.config_version:
+                known = self._documents.get(change.key)
+                revision = known.revision if known else self.revision
+                kept = attrs.evolve(change, revision=revision)
+                self._documents[change.key] = kept
+                self._apply_config(document.config, kept, source)
 
     def _remove_expired(self):
-        """Remove retained servers whose entries were not written again in time."""
+        """
+        Remove retained servers whose entries were not written again in time.
+
+        Also list removed servers whose restored entries did not expire.
+        """
         now = self._clock.monotonic()
         retained = [item for item in self._servers.values() if item.retained_until]
         for listed in retained:
             if now >= listed.retained_until:
                 self._remove_server(listed.server.name, "lapsed")
-        self._next_expiry = min(
-            (item.retained_until for item in retained if now < item.retained_until),
-            default=math.inf,
-        )
+        for key, (due, change) in list(self._restored_entries.items()):
+            if now >= due:
+                del self._restored_entries[key]
+                self._apply_server(self._decode_or_none(change), change, "restored")
+        times = [item.retained_until for item in retained if now < item.retained_until]
+        times += [due for due, _ in self._restored_entries.values()]
+        self._next_expiry = min(times, default=math.inf)
         self._rebuild_services()
 
     def _apply_change(self, change, source):
         known = self._documents.get(change.key)
         if known is not None and change.revision <= known.revision:
             return
+        self._restored_entries.pop(change.key, None)
         if change.deleted:
             self._documents.pop(change.key, None)
         else:
@@ -225,6 +344,7 @@
             return
         record = document.record
         if listed is not None and listed.record == record and not listed.retained_until:
+            listed.record = record
             return
         restarted = (
             listed is not None
@@ -251,7 +371,11 @@
         self._notify(document.name)
 
     def _remove_server(self, name, source):
-        del self._servers[name]
+        listed = self._servers.pop(name)
+        self._removed[name] = listed.record.written_as
+        self._removed.move_to_end(name)
+        if len(self._removed) > MAX_REMOVED_SERVERS:
+            self._removed.popitem(last=False)
         self._record_event(
             "server_removed", server=name, revision=self.revision, source=source
         )
--- a/src/lavendermast/catalogsync.py
+++ b/src/lavendermast/catalogsync.py
@@ -34,11 +34,10 @@
     era = 0
 
     @abc.abstractmethod
-    def read_all(self, fresh):
+    def read_all(self):
         """
         Return all documents as ``StoredChanges``.
 
-        :param fresh: ``False`` allows a cheaper response that may be seconds old.
         :raises StoreError: when the store does not respond.
         """
 
@@ -71,7 +70,6 @@
         self._clock = clock
         self._record_event = record_event
         self._retry_delay_s = MIN_RETRY_DELAY_S
-        self._lost_history = False
         self._fetching = False
         self.store_reachable = True
         network.register(StoredChanges, self._handle_changes)
@@ -117,22 +115,20 @@
         return self._source.calls
 
     def _read(self):
-        if self._lost_history or not self._catalog.revision:
-            # After lost history the read has to be fresh: a stale response may again
-            # be older than the history that the store still has.
-            changes = self._source.read_all(self._lost_history)
-            self._lost_history = False
-            return changes
+        known_revision = self._catalog.revision
+        if not known_revision or self._source.era > self._catalog.era:
+            return self._source.read_all()
         try:
-            return self._source.watch(self._catalog.revision, WATCH_WAIT_S)
+            changes = self._source.watch(known_revision, WATCH_WAIT_S)
         except HistoryLostError:
-            self._lost_history = True
             self._record_event(
-                "history_lost",
-                revision=self._catalog.revision,
-                era=self._source.era,
+                "history_lost", revision=known_revision, era=self._source.era
             )
-            return self._read()
+            return self._source.read_all()
+        if changes.era > self._catalog.era:
+            # The revision also exists in the restored history, but names another state.
+            return self._source.read_all()
+        return changes
 
     def _handle_store_failure(self, error):
         if self.store_reachable:
@@ -152,12 +148,13 @@
             )
 
     def _apply(self, changes, source):
-        before = self._catalog.revision
-        if not self._catalog.apply(changes, source):
+        catalog = self._catalog
+        era, revision, version = catalog.era, catalog.revision, catalog.config_version
+        catalog.apply(changes, source)
+        now_known = (catalog.era, catalog.revision, catalog.config_version)
+        if source != "store" or now_known == (era, revision, version):
             return
-        if source != "store" or self._catalog.revision == before:
-            return
-        update = self._catalog.get_changes_since(before)
+        update = catalog.get_changes_since(revision, era)
         for name in self._fleet.get_vm_names():
             vm = self._fleet.vms.get(name)
             if vm is not None:
@@ -168,25 +165,40 @@
         self._network.request(vm.peer_address, update, deadline)
 
     def _handle_changes(self, envelope, address):
-        self._apply(envelope.body, envelope.sender)
-        if self._catalog.revision < envelope.body.to_revision:
+        changes = envelope.body
+        self._apply(changes, envelope.sender)
+        if self._is_ahead(changes.era, changes.to_revision):
             self._start_fetch(self._fleet.vms.get(envelope.sender))
-        return FetchChanges(self._catalog.revision)
+        return FetchChanges(self._catalog.revision, self._catalog.era)
 
     def _fetch_if_behind(self, presence):
-        if presence.revision > self._catalog.revision:
-            self._start_fetch(self._fleet.vms.get(presence.own.vm))
-
-    def _start_fetch(self, vm):
+        vm = self._fleet.vms.get(presence.own.vm)
+        if presence.config_version > self._catalog.config_version:
+            # The VM may have the version from an era that was lost in a restore.
+            self._start_fetch(vm, whole=True)
+        elif self._is_ahead(presence.store_era, presence.revision):
+            self._start_fetch(vm)
+
+    def _is_ahead(self, era, revision):
+        """Return whether a peer's state is newer; era 0 is that of an older build."""
+        catalog = self._catalog
+        if era == 0 and catalog.has_changed_era:
+            return False
+        return (era or catalog.era, revision) > (catalog.era, catalog.revision)
+
+    def _start_fetch(self, vm, whole=False):
         if vm is not None and not self._fetching:
             self._fetching = True
-            eventlet.spawn_n(self._fetch, vm)
+            eventlet.spawn_n(self._fetch, vm, whole)
 
-    def _fetch(self, vm):
+    def _fetch(self, vm, whole):
         deadline = self._clock.monotonic() + PEER_REQUEST_TIMEOUT_S
+        known_revision = 0 if whole else self._catalog.revision
         try:
             changes = self._network.request(
-                vm.peer_address, FetchChanges(self._catalog.revision), deadline
+                vm.peer_address,
+                FetchChanges(known_revision, self._catalog.era),
+                deadline,
             )
             if isinstance(changes, StoredChanges):
                 self._apply(changes, vm.vm)
@@ -196,4 +208,5 @@
             self._fetching = False
 
     def _handle_fetch(self, envelope, address):
-        return self._catalog.get_changes_since(envelope.body.revision)
+        wanted = envelope.body
+        return self._catalog.get_changes_since(wanted.revision, wanted.era)
--- a/src/lavendermast/entrymetrics.py
+++ b/src/lavendermast/entrymetrics.py
@@ -73,6 +73,11 @@
         "Version of the configuration in force.",
         lambda: [({}, node.catalog.config_version)],
     )
+    registry.add_gauge(
+        "lavendermast_entry_store_era",
+        "Era of the store that the configuration and servers in use are from.",
+        lambda: [({}, node.catalog.era)],
+    )
     registry.add_gauge(
         "lavendermast_entry_store_revision",
         "Revision of the store that the configuration and servers in use are from.",
--- a/src/lavendermast/entrymodel.py
+++ b/src/lavendermast/entrymodel.py
@@ -79,12 +79,19 @@
     :param slots: number of requests that it processes concurrently.
     :param started_unix_ms: its start time; a server may restart under the same name.
     :param warm_up_s: seconds of warm-up left when the entry was written.
+    :param sequence: counter of what this run of the server has written.
     """
 
     server: Server
     slots: int
     started_unix_ms: int = 0
     warm_up_s: float = 0.0
+    sequence: int = attrs.field(default=0, eq=False)
+
+    @property
+    def written_as(self):
+        """Start time and sequence, by which entries of one server are ordered."""
+        return self.started_unix_ms, self.sequence
 
 
 @attrs.frozen
--- a/src/lavendermast/entrynode.py
+++ b/src/lavendermast/entrynode.py
@@ -249,6 +249,7 @@
             self.catalog.config_version,
             self.catalog.revision,
             self.sync.store_reachable,
+            self.catalog.era,
         )
 
     def _compute_min_region_vms(self):
--- a/src/lavendermast/messages_model.py
+++ b/src/lavendermast/messages_model.py
@@ -506,6 +506,7 @@
     revision: int = 0
     store_reachable: bool = False
     reply_wanted: bool = False
+    store_era: int = 0
 
     def to_dict(self):
         """Return the fields as pycapnp accepts them."""
@@ -516,6 +517,7 @@
             "revision": self.revision,
             "storeReachable": self.store_reachable,
             "replyWanted": self.reply_wanted,
+            "storeEra": self.store_era,
         }
 
     @classmethod
@@ -528,6 +530,7 @@
             revision=reader.revision,
             store_reachable=reader.storeReachable,
             reply_wanted=reader.replyWanted,
+            store_era=reader.storeEra,
         )
 
 
@@ -721,6 +724,7 @@
     to_revision: int = 0
     whole: bool = False
     changes: tuple[StoredChange, ...] = ()
+    era: int = 0
 
     def to_dict(self):
         """Return the fields as pycapnp accepts them."""
@@ -729,6 +733,7 @@
             "toRevision": self.to_revision,
             "whole": self.whole,
             "changes": [item.to_dict() for item in self.changes],
+            "era": self.era,
         }
 
     @classmethod
@@ -739,6 +744,7 @@
             to_revision=reader.toRevision,
             whole=reader.whole,
             changes=tuple(StoredChange.from_reader(item) for item in reader.changes),
+            era=reader.era,
         )
 
 
@@ -747,11 +753,13 @@
     """Message struct FetchChanges."""
 
     revision: int = 0
+    era: int = 0
 
     def to_dict(self):
         """Return the fields as pycapnp accepts them."""
         return {
             "revision": self.revision,
+            "era": self.era,
         }
 
     @classmethod
@@ -759,6 +767,7 @@
         """Return an instance from a pycapnp reader."""
         return cls(
             revision=reader.revision,
+            era=reader.era,
         )
 
 
--- a/src/lavendermast/platform/documents.py
+++ b/src/lavendermast/platform/documents.py
@@ -67,6 +67,7 @@
             _check_type(info["capacity"], int),
             _check_type(entry.get("born", 0), int),
             float(status.get("warmup_left_ms", 0)) / 1000,
+            _check_type(status.get("sequence", 0), int),
         )
     except _DECODE_ERRORS:
         # Other programs write entries here that do not describe a usable server.
--- a/src/lavendermast/platform/store.py
+++ b/src/lavendermast/platform/store.py
@@ -38,34 +38,36 @@
         self.calls = 0
         self.era = 0
 
-    def read_all(self, fresh):
+    def read_all(self):
         """
         Return all documents as :class:`StoredChanges`.
 
         The pages may be of different revisions. The result has the oldest of them, so
-        that a watch from there delivers what the earlier pages missed.
-
-        :param fresh: ``False`` allows a cheaper response that may be seconds old.
+        that a watch from there delivers what the earlier pages missed. No response may
+        be stale: one from before a restore could name the era after it.
         """
-        changes, after, oldest = [], "", None
-        stale = {} if fresh else {"allow_stale": 1}
+        changes, after, oldest, era = [], "", None, None
         while True:
-            page = self._call("/kv-range", {"prefix": "", "after": after, **stale})
+            page, page_era = self._call("/kv-range", {"prefix": "", "after": after})
+            if era not in (None, page_era):
+                raise StoreError(f"restored while it was read: era {era} to {page_era}")
+            era = page_era
             changes += self._read_items(page["items"])
             revision = page["at_rev"]
             oldest = revision if oldest is None else min(oldest, revision)
             if not page.get("has_more") or not page["items"]:
-                return StoredChanges(0, oldest, True, tuple(changes))
+                return StoredChanges(0, oldest, True, tuple(changes), era)
             after = page["items"][-1]["key"]
 
     def watch(self, revision, wait_s):
         """Return the changes after a revision; blocks for up to ``wait_s`` seconds."""
         query = {"prefix": "", "after": revision, "wait_ms": int(wait_s * 1000)}
-        page = self._call("/kv-watch", query, wait_s)
+        page, era = self._call("/kv-watch", query, wait_s)
         changes = self._read_items(page["events"])
-        return StoredChanges(revision, page["at_rev"], False, tuple(changes))
+        return StoredChanges(revision, page["at_rev"], False, tuple(changes), era)
 
     def _call(self, path, query, wait_s=0.0):
+        """Return the content and the era of a response."""
         self.calls += 1
         fields = {name: str(value) for name, value in query.items() if value != ""}
         try:
@@ -80,7 +82,8 @@
             )
         except (urllib3.exceptions.HTTPError, OSError) as error:
             raise StoreError(f"{path}: {error}") from error
-        self.era = max(self.era, _read_era(response.headers))
+        era = _read_era(response.headers)
+        self.era = max(self.era, era)
         if response.status == 410:
             raise HistoryLostError(
                 f"{path}: the store no longer has the requested history"
@@ -88,7 +91,7 @@
         if response.status != 200:
             raise StoreError(f"{path}: unexpected status {response.status}")
         try:
-            return json.loads(response.data)
+            return json.loads(response.data), era
         except ValueError as error:
             raise StoreError(f"{path}: {error}") from error
 
@@ -109,9 +112,9 @@
 
 
 def _read_era(headers):
-    """Return the era of the store's history, 0 if the response does not name it."""
+    """Return the era of a response plus one; 0 stands for an unknown era."""
     text = headers.get(_ERA_HEADER, "")
-    return int(text) if _ERA.fullmatch(text) else 0
+    return int(text) + 1 if _ERA.fullmatch(text) else 0
 
 
 def _decode_value(text):
--- a/src/lavendermast/schema/messages.capnp
+++ b/src/lavendermast/schema/messages.capnp
@@ -158,6 +158,7 @@
   revision @3 :UInt64;
   storeReachable @4 :Bool;
   replyWanted @5 :Bool;
+  storeEra @6 :UInt64;
 }
 
 enum AttemptPhase {
@@ -222,16 +223,19 @@
 }
 
 # Changes that lead from one revision to another. If whole is set, they are the complete
-# state, and documents that are not in it do not exist.
+# state, and documents that are not in it do not exist. Revisions of different eras of
+# the store do not compare; era 0 is unknown.
 struct StoredChanges {
   fromRevision @0 :UInt64;
   toRevision @1 :UInt64;
   whole @2 :Bool;
   changes @3 :List(StoredChange);
+  era @4 :UInt64;
 }
 
 struct FetchChanges {
   revision @0 :UInt64;
+  era @1 :UInt64;
 }
 
 struct Message {
--- a/src/lavendermast/zonefleet.py
+++ b/src/lavendermast/zonefleet.py
@@ -70,7 +70,7 @@
     :param settings: settings of this entry VM.
     :param network: a :class:`~lavendermast.peers.PeerTransport`.
     :param get_store_state: callable that returns this VM's configuration version,
-        store revision and whether it reaches the store.
+        store revision, whether it reaches the store, and the store's era.
     :param get_rate: callable that returns this VM's requests per second.
     """
 
@@ -201,8 +201,15 @@
 
     def _make_presence(self, reply_wanted=False, others=()):
         self.local_vm = attrs.evolve(self.local_vm, rate=self._get_rate())
+        config_version, revision, reachable, era = self._get_store_state()
         return Presence(
-            self.local_vm, tuple(others), *self._get_store_state(), reply_wanted
+            self.local_vm,
+            tuple(others),
+            config_version,
+            revision,
+            reachable,
+            reply_wanted,
+            era,
         )
 
     def _send(self, addresses, others):
