Restore the store from a copy in the soak

Change: each seed restores the store once or twice from a copy that is some seconds old; operators and servers write again what was lost. The faults that older seeds draw are unchanged.

--- a/bench/soak.py
+++ b/bench/soak.py
@@ -6,11 +6,11 @@
 Each seed starts a store, servers and entry processes on loopback, sends requests and
 injects overlapping series of faults. Proxies delay data, block one or both directions
 and reset connections. Processes are stopped, paused, killed and restarted. The store
-refuses calls or drops its history. Servers hang, shed, truncate responses, leave, are
-replaced under another name, and name rate limits that change. The entry processes don't
-use the wall clock for decisions and write no files, so clock and disk faults are not
-injected. The checks use only what callers and servers observed. Findings are printed
-with their seed.
+refuses calls, drops its history or is restored from a copy. Servers hang, shed,
+truncate responses, leave, are replaced under another name, and name rate limits that
+change. The entry processes don't use the wall clock for decisions and write no files,
+so clock and disk faults are not injected. The checks use only what callers and servers
+observed. Findings are printed with their seed.
 """
 
 import argparse
@@ -74,9 +74,11 @@
             eventlet.spawn(self._run_series, random.Random(f"{self.seed}/{number}"))
             for number in range(count)
         ]
-        # A generator of its own: the faults of a seed stay those of earlier versions.
+        # Generators of their own: a seed's other faults stay those of earlier versions.
         limits_rng = random.Random(f"{self.seed}/limits")
         series.append(eventlet.spawn(self._limit_servers, limits_rng))
+        restore_rng = random.Random(f"{self.seed}/restore")
+        series.append(eventlet.spawn(self._restore_store, restore_rng))
         for task in series:
             task.wait()
         self.world.heal()
@@ -97,6 +99,21 @@
             )
             eventlet.sleep(rng.expovariate(1.0))
 
+    def _restore_store(self, rng):
+        """Restore the store from a copy some seconds old, once or twice."""
+        for _ in range(rng.randint(1, 2)):
+            sleep_random(rng, 0.1, self.seconds / 3)
+            copy = self.world.store.copy()
+            sleep_random(rng, 0.5, self.seconds / 3)
+            start = time.monotonic()
+            with self.account.record_outage(""):
+                self.world.store.failure = 503
+                sleep_random(rng, 0.2, 1.5)
+                self.world.store.restore(copy)
+                self.world.store.failure = None
+                self.world.write_again()
+            self.account.faults.append((start, time.monotonic(), "restore_store", ""))
+
     def _limit_servers(self, rng):
         """Let most servers of a service name limits that move up and down."""
         eventlet.sleep(rng.random() * self.seconds / 4)
--- a/bench/soakworld.py
+++ b/bench/soakworld.py
@@ -196,9 +196,21 @@
         return server
 
     def _register_server(self, server, state):
+        server.state = state
+        server.sequence = getattr(server, "sequence", 0) + 1
         entry = {**server.make_entry(state), "addr": server.proxy.address}
+        entry["status"]["sequence"] = server.sequence
         self.store.put(f"servers/{server.name}", entry)
 
+    def write_again(self):
+        """Let the operators and servers write again what a restored store has lost."""
+        self.store.put("op/config", self._config)
+        for server in self.servers.values():
+            self._register_server(server, server.state)
+        for server in self.removed_servers:
+            if f"servers/{server.name}" in self.store.items:
+                self.store.delete(f"servers/{server.name}")
+
     def replace_server(self, server):
         """Drain and remove a server, and give its address to a new one."""
         if server.name not in self.servers or server.name in self._account.drains:
@@ -208,7 +220,8 @@
         eventlet.sleep(DRAIN_TIME_S)
         del self.servers[server.name]
         self.removed_servers.append(server)
-        self.store.delete(f"servers/{server.name}")
+        if f"servers/{server.name}" in self.store.items:
+            self.store.delete(f"servers/{server.name}")
         new = self._add_server(server.service, server.proxy)
         return f"{server.name} by {new.name}"
 
@@ -229,6 +242,7 @@
         )
         upstream = config["upstreams"][0]
         config["upstreams"] = [{**upstream, "name": name} for name in SERVERS]
+        self._config = config
         self.store.put("op/config", config)
         self._account.moves.append((time.monotonic(), service))
 
