Move the end of a retention out of a predicate

Cause: found while reading the change: _is_outdated changed the server that it asked about. Change: _keep_or_list_later ends the retention; test of a server whose entry expired during an outage and is in the copy.

--- a/src/lavendermast/catalog.py
+++ b/src/lavendermast/catalog.py
@@ -219,7 +219,7 @@
                 self._documents[change.key] = kept
             else:
                 self._documents[change.key] = change
-                self._list_later(change, now + RESTORED_ENTRY_TTL_S)
+                self._keep_or_list_later(change, now + RESTORED_ENTRY_TTL_S)
         present_keys = {change.key for change in changes.changes}
         for key in previous.keys() - present_keys:
             kept = attrs.evolve(previous[key], revision=changes.to_revision)
@@ -238,13 +238,16 @@
             return False
         listed = self._servers.get(document.name)
         if listed is not None:
-            listed.retained_until = 0.0
             return document.record.written_as < listed.record.written_as
         removed = self._removed.get(document.name)
         return removed is not None and document.record.written_as <= removed
 
-    def _list_later(self, change, due):
-        """List a removed server whose entry was restored, if the entry stays."""
+    def _keep_or_list_later(self, change, due):
+        """Keep a retained server, or list a removed one if its restored entry stays."""
+        listed = self._servers.get(self._decode(change.key, change.content).name)
+        if listed is not None:
+            listed.retained_until = 0.0
+            return
         self._restored_entries[change.key] = (due, change)
         self._next_expiry = min(self._next_expiry, due)
 
--- a/tests/test_catalog.py
+++ b/tests/test_catalog.py
@@ -252,6 +252,17 @@
     assert get_names(catalog) == ["s1"]
 
 
+def test_lapsed_server_stays_if_the_restored_copy_lists_it(catalog, clock):
+    """Guards against dropping a server whose entry expired only during the outage."""
+    put_era(catalog, 1, 8, put("servers/s1", make_written(5), 8))
+    catalog.handle_store_recovery()
+    lapsed = StoredChanges(8, 9, False, (delete("servers/s1", 9),), 1)
+    catalog.apply(lapsed, "store")
+    put_era(catalog, 2, 6, put("servers/s1", make_written(4), 6))
+    clock.advance(10.0)
+    assert get_names(catalog) == ["s1"]
+
+
 def test_peer_of_an_older_build_without_eras_is_followed(catalog):
     """Guards against a fleet whose VMs do not all know eras yet."""
     put_era(catalog, 2, 6, put("servers/s1", make_written(4), 6))
