Sort candidates by room in one pass, share checks of the rate limits

Cause: found while reading the change again. Each choice of a server searched the list of usable candidates for each candidate, quadratic on the path of every request; the guard for servers without a limit, the reading of a limit from a message, the bound of doubtful servers and the number of a region's zones stood in two places or more. Change: one pass splits candidates; _find_limited, _observe_limit, is_doubtful and _count_region_zones are used by all. No decision changes.

--- a/src/lavendermast/entrynode.py
+++ b/src/lavendermast/entrynode.py
@@ -254,8 +254,11 @@
 
     def _compute_min_region_vms(self):
         """Return the minimum number of active VMs in all zones of this region."""
+        return self._count_region_zones() * MIN_ACTIVE_VMS
+
+    def _count_region_zones(self):
         regions = list(self._regions.values())
-        return max(regions.count(self.settings.region), 1) * MIN_ACTIVE_VMS
+        return max(regions.count(self.settings.region), 1)
 
     def _is_near(self, server_name):
         """Return whether a server is listed in this VM's region."""
@@ -267,8 +270,7 @@
         inactive = self.fleet.count_inactive()
         if not inactive:
             return 1.0
-        zones = list(self._regions.values()).count(self.settings.region)
-        return INACTIVE_SHARE / (inactive * zones)
+        return INACTIVE_SHARE / (inactive * self._count_region_zones())
 
     def _find_route(self, name):
         return self._routes.get(name)
--- a/src/lavendermast/evidenceregistry.py
+++ b/src/lavendermast/evidenceregistry.py
@@ -163,10 +163,7 @@
         now = self._clock.monotonic()
         for report in reports:
             if report.rate_limit:
-                observed_at = now - report.limit_age_ms / 1000
-                self._rate_limits.observe(
-                    report.server, report.rate_limit, observed_at, sender
-                )
+                self._observe_limit(report, sender, now)
             self._apply_report((sender, report.sequence), report, now)
         while len(self._remote_attempts) > MAX_REMOTE_ATTEMPTS:
             self._remote_attempts.popitem(last=False)
@@ -193,17 +190,19 @@
         now = self._clock.monotonic()
         for summary in summaries:
             if summary.rate_limit:
-                self._rate_limits.observe(
-                    summary.server,
-                    summary.rate_limit,
-                    now - summary.limit_age_ms / 1000,
-                    region,
-                )
+                self._observe_limit(summary, region, now)
                 self._rate_limits.apply_spare(summary.server, summary.spare_rate)
             self._servers[summary.server].apply_summary(
                 now, summary.sickness_permille / 1000, summary.pending
             )
 
+    def _observe_limit(self, message, source, now):
+        """Apply the rate limit in a report or summary."""
+        observed_at = now - message.limit_age_ms / 1000
+        self._rate_limits.observe(
+            message.server, message.rate_limit, observed_at, source
+        )
+
     def expire(self):
         """Remove reported attempts that are too old to count as evidence."""
         oldest = self._clock.monotonic() - 2 * MAX_EVIDENCE_AGE_S
@@ -216,17 +215,17 @@
     def _apply_report(self, key, report, now):
         evidence = self._servers[report.server]
         started = now - report.start_age_ms / 1000
-        if key not in self._remote_attempts:
+        is_new = key not in self._remote_attempts
+        if is_new:
             self._rate_limits.count_start(report.server, started)
+        attempt = self._remote_attempts.get(key)
         if report.phase == "refused":
-            known = self._remote_attempts.get(key)
-            if known is not None:
-                self._remove(evidence, known)
+            if attempt is not None:
+                self._remove(evidence, attempt)
             self._remote_attempts[key] = None
             return
-        attempt = self._remote_attempts.get(key)
         if attempt is None:
-            if key in self._remote_attempts:
+            if not is_new:
                 # An earlier report removed the attempt; this is a late copy.
                 return
             route = self._find_route(report.route)
--- a/src/lavendermast/ratelimits.py
+++ b/src/lavendermast/ratelimits.py
@@ -46,6 +46,11 @@
     spare: float = 0.0
     spare_at: float = -math.inf
 
+    @property
+    def is_limited(self):
+        """Whether the last known response of the server names a limit."""
+        return not math.isinf(self.limit)
+
 
 class RateLimits:
     """
@@ -98,14 +103,14 @@
         if limit == server.limit:
             return
         now = self._clock.monotonic()
-        if math.isinf(server.limit):
+        if not server.is_limited:
             server.level, server.updated_at = 0.0, now
             server.starts.clear()
         server.limit = limit
         self._record_event(
             "server_limit",
             server=name,
-            rate_limit=None if math.isinf(limit) else limit,
+            rate_limit=limit if server.is_limited else None,
             age_ms=round((now - observed_at) * 1000),
             source=source,
         )
@@ -120,19 +125,19 @@
 
     def count_start(self, name, started):
         """Count an attempt at a server, of this VM or reported by another."""
-        server = self._servers.get(name)
-        if server is None or math.isinf(server.limit):
+        server = self._find_limited(name)
+        if server is None:
             return
-        debt = max(self._refill(server, self._is_near(name)) * MAX_DEBT_S, 1.0)
+        debt = max(self._refill(name, server) * MAX_DEBT_S, 1.0)
         server.level = max(server.level - 1.0, -debt)
         server.starts.append(started)
 
     def compute_delay(self, name):
         """Return the seconds until a server may get a request, 0 if it may now."""
-        server = self._servers.get(name)
-        if server is None or math.isinf(server.limit):
+        server = self._find_limited(name)
+        if server is None:
             return 0.0
-        rate = self._refill(server, self._is_near(name))
+        rate = self._refill(name, server)
         if server.level >= 1.0:
             return 0.0
         return (1.0 - server.level) / rate if rate else math.inf
@@ -147,7 +152,7 @@
 
     def get_rate(self, name):
         """Return the requests per second that this region may send to a server."""
-        server = self._servers.get(name)
+        server = self._find_limited(name)
         if server is None:
             return math.inf
         return self._compute_rate(server, self._is_near(name))
@@ -163,7 +168,7 @@
             return 0.0, 0.0, 0.0
         now = self._clock.monotonic()
         age = max(now - server.observed_at, 0.0)
-        if math.isinf(server.limit):
+        if not server.is_limited:
             return math.inf, age, 0.0
         self._drop_old_starts(server, now)
         used = len(server.starts) / USAGE_WINDOW_S
@@ -172,24 +177,31 @@
     def apply_spare(self, name, spare):
         """Apply the spare rate that the region of a server reports."""
         server = self._servers.get(name)
-        if server is not None:
-            self._refill(server, self._is_near(name))
-            server.spare, server.spare_at = spare, self._clock.monotonic()
+        if server is None:
+            return
+        if server.is_limited:
+            self._refill(name, server)
+        server.spare, server.spare_at = spare, self._clock.monotonic()
 
     def count_limited(self):
         """Return the number of servers with a limit."""
-        return sum(not math.isinf(server.limit) for server in self._servers.values())
+        return sum(server.is_limited for server in self._servers.values())
+
+    def _find_limited(self, name):
+        server = self._servers.get(name)
+        return server if server is not None and server.is_limited else None
 
     def _compute_rate(self, server, near):
-        if near or math.isinf(server.limit):
+        if near:
             return server.limit
         if self._clock.monotonic() - server.spare_at > MAX_SPARE_AGE_S:
             return server.limit * UNREPORTED_SHARE / self._regions
         return server.spare / max(self._regions - 1, 1)
 
-    def _refill(self, server, near):
+    def _refill(self, name, server):
         """Add what the time since the last call allows; return the rate."""
         now = self._clock.monotonic()
+        near = self._is_near(name)
         rate = self._compute_rate(server, near) * self._get_share()
         burst = max(BURST_REQUESTS, rate * NEAR_BURST_S) if near else BURST_REQUESTS
         level = server.level + rate * (now - server.updated_at)
--- a/src/lavendermast/selection.py
+++ b/src/lavendermast/selection.py
@@ -78,6 +78,11 @@
 NON_IDEMPOTENT_TRIAL = TrialRule(5.0, 0.45)
 
 
+def is_doubtful(sick_probability):
+    """Return whether a server is too likely to be sick to relieve limited ones."""
+    return sick_probability > MAX_OVERFLOW_SICK_PROBABILITY
+
+
 @attrs.define(eq=False)
 class Candidate:
     """
@@ -99,7 +104,7 @@
     @property
     def is_doubtful(self):
         """Whether the server is too likely to be sick to relieve limited ones."""
-        return self.sick_probability > MAX_OVERFLOW_SICK_PROBABILITY
+        return is_doubtful(self.sick_probability)
 
     @property
     def fill(self):
@@ -210,19 +215,26 @@
 
     def _find_usable(self, in_region, far, response_bytes, assess):
         """Return the candidates of all regions that may get a request."""
-        candidates = list(in_region)
-        usable = [c for c in in_region if self._has_room(c.listed)]
+        usable, at_limit = self._split_by_room(in_region)
         # A server of another region costs at least its distance, so these are assessed
         # only if no server of this region costs less than that.
         distance = REGION_COST + REGION_COST_PER_BYTE * response_bytes
         if not usable or min(map(get_cost, usable)) > distance:
-            remote = [assess(listed) for listed in far]
-            candidates += remote
-            usable += [c for c in remote if self._has_room(c.listed)]
-        if not any(c not in usable and not c.is_doubtful for c in candidates):
+            remote, remote_at_limit = self._split_by_room(map(assess, far))
+            usable += remote
+            at_limit += remote_at_limit
+        if all(c.is_doubtful for c in at_limit):
             return usable
         return [c for c in usable if c.fill < MAX_OVERFLOW_FILL and not c.is_doubtful]
 
+    def _split_by_room(self, candidates):
+        """Return the candidates below their rate limits, and the others."""
+        usable, at_limit = [], []
+        for candidate in candidates:
+            has_room = self._has_room(candidate.listed)
+            (usable if has_room else at_limit).append(candidate)
+        return usable, at_limit
+
     def forecast_room(self, service):
         """
         Return when a server may get a request that is well but at its rate limit.
@@ -238,7 +250,7 @@
             if listed.server.state is not ServerState.LIVE or self._has_room(listed):
                 continue
             sick_probability = self._get_evidence(name).compute_sick_probability(now)
-            if sick_probability <= MAX_OVERFLOW_SICK_PROBABILITY:
+            if not is_doubtful(sick_probability):
                 delays.append(self._rate_limits.forecast_delay(name))
                 rate += self._rate_limits.get_rate(name)
         if not delays:
--- a/src/lavendermast/zonefleet.py
+++ b/src/lavendermast/zonefleet.py
@@ -169,15 +169,14 @@
         return ready[: self._count_active(ready)]
 
     def count_inactive(self):
-        """Return the number of inactive VMs of the zone, 0 if this VM is none of them.
+        """
+        Return the number of inactive VMs of the zone, 0 if this VM is none of them.
 
         A VM that is starting or leaving counts as active.
         """
         ready = self.get_ready(self.local_vm.zone)
-        active = self._count_active(ready)
-        if self.local_vm not in ready[active:]:
-            return 0
-        return len(ready) - active
+        inactive = ready[self._count_active(ready) :]
+        return len(inactive) if self.local_vm in inactive else 0
 
     def get_peer_addresses(self, region_zones):
         """Return the peer addresses of the active VMs of zones, except this VM."""
@@ -201,16 +200,8 @@
 
     def _make_presence(self, reply_wanted=False, others=()):
         self.local_vm = attrs.evolve(self.local_vm, rate=self._get_rate())
-        config_version, revision, reachable, era = self._get_store_state()
-        return Presence(
-            self.local_vm,
-            tuple(others),
-            config_version,
-            revision,
-            reachable,
-            reply_wanted,
-            era,
-        )
+        *store_state, era = self._get_store_state()
+        return Presence(self.local_vm, tuple(others), *store_state, reply_wanted, era)
 
     def _send(self, addresses, others):
         """Send the presence of this VM and others in as few datagrams as possible."""
