Split waiting for rate limits out of the attempt runner

Change: roomqueue.py holds the requests of a service that wait and the times at which refused callers return; one object for each service instead of two mappings. No decision changes.

--- a/src/lavendermast/attempts.py
+++ b/src/lavendermast/attempts.py
@@ -8,6 +8,7 @@
 from eventlet.queue import Empty, LightQueue
 
 from lavendermast.models import AttemptResult, AttemptStatus, Outcome, Reply
+from lavendermast.roomqueue import MAX_RETRY_AFTER_S, RoomQueue
 from lavendermast.selection import IDEMPOTENT_TRIAL, NON_IDEMPOTENT_TRIAL
 from lavendermast.suspicion import AttemptOutcome, compute_lost_probability
 from lavendermast.upstream import Cancellation
@@ -23,22 +24,15 @@
 MAX_NOT_RUN_ATTEMPTS = 4
 #: Interval at which a waiting request looks for a server again.
 SERVER_POLL_INTERVAL_S = 0.05
-#: Shortest wait for a server's rate limit, which another request may use up first.
-MIN_POLL_INTERVAL_S = 0.01
 #: Share of the route's latency goal after which a request is refused if no server is
 #: listed.
 NO_SERVER_WAIT_SHARE = 0.1
 #: A non-idempotent request waits at most this share of the route's latency goal for a
 #: server that is known to be healthy.
 EVIDENCE_WAIT_SHARE = 0.25
-#: A request waits for the rate limits of servers only if one of them will take it
-#: within this share of the route's latency goal.
-ROOM_WAIT_SHARE = 0.25
 #: Value of ``Retry-After`` for requests that did not run, unless rate limits of the
 #: servers tell when to return.
 RETRY_AFTER_S = 0.5
-#: Longest ``Retry-After``: rate limits change, so a later forecast is not reliable.
-MAX_RETRY_AFTER_S = 5.0
 #: Time for which a server that shed a request has a higher cost.
 SHED_PENALTY_S = 0.4
 #: No retry starts with less time than this until the deadline, because it could not be
@@ -112,8 +106,7 @@
         self._clock = clock
         self._record_event = record_event
         self.attempt_counts = {}
-        self._waiting_for_room = collections.Counter()
-        self._return_schedules = collections.defaultdict(_ReturnSchedule)
+        self._room_queues = collections.defaultdict(lambda: RoomQueue(clock))
 
     def run(self, request, route, service, caller_cancellation):
         """
@@ -193,17 +186,8 @@
                 return False
             self._clock.sleep(min(SERVER_POLL_INTERVAL_S, left))
             return True
-        bound = state.route.goal_s * ROOM_WAIT_SHARE - waited
-        waiting = self._waiting_for_room[state.service]
-        if forecast.delay_s + waiting * forecast.interval_s > bound:
-            return False
-        delay = max(forecast.delay_s, MIN_POLL_INTERVAL_S)
-        self._waiting_for_room[state.service] += 1
-        try:
-            self._clock.sleep(min(delay, left))
-        finally:
-            self._waiting_for_room[state.service] -= 1
-        return True
+        queue = self._room_queues[state.service]
+        return queue.wait(forecast, state.route.goal_s, waited, left)
 
     def _spend_budget(self, state, reason):
         """Spend budget for an attempt; a denial is logged once for each request."""
@@ -412,8 +396,7 @@
             return reason, RETRY_AFTER_S
         if state.failure is None:
             reason = "rate-limited"
-        schedule = self._return_schedules[state.service]
-        retry_after = schedule.add_caller(forecast, self._clock.monotonic())
+        retry_after = self._room_queues[state.service].plan_return(forecast)
         self._record(
             state,
             "rate_limited",
@@ -423,21 +406,6 @@
         return reason, retry_after
 
 
-class _ReturnSchedule:
-    """Spreads refused callers over the times at which limited servers take requests."""
-
-    def __init__(self):
-        self._last_return_at = 0.0
-
-    def add_caller(self, forecast, now):
-        """Return the seconds after which a caller that is refused now should return."""
-        return_at = max(
-            now + forecast.delay_s, self._last_return_at + forecast.interval_s
-        )
-        self._last_return_at = min(return_at, now + MAX_RETRY_AFTER_S)
-        return max(round(self._last_return_at - now, 3), MIN_POLL_INTERVAL_S)
-
-
 def _describe_rate_limit(result):
     """Return the log field of a rate limit; responses without one have none."""
     if result.rate_limit is None or math.isinf(result.rate_limit):
