Refuse at once when a region has no rate left at limited servers

Callers: a request was held until its deadline if all healthy servers that it could use were limited ones of other regions whose own region leaves nothing. Cause: found while reading the change again. The forecast is infinite then, and 0 waiting requests times an infinite interval is NaN, which no bound exceeds. Change: the interval counts only while requests wait.

--- a/src/lavendermast/roomqueue.py
+++ b/src/lavendermast/roomqueue.py
@@ -40,7 +40,9 @@
         :param left: seconds until its deadline.
         :return: ``False`` at once if the wait would be too long.
         """
-        delay = forecast.delay_s + self._waiting * forecast.interval_s
+        delay = forecast.delay_s
+        if self._waiting:  # 0 times an infinite interval is NaN.
+            delay += self._waiting * forecast.interval_s
         if delay > goal_s * ROOM_WAIT_SHARE - waited:
             return False
         self._waiting += 1
