--- a/src/lavendermast/catalog.py
+++ b/src/lavendermast/catalog.py
@@ -127,7 +127,7 @@
         if self._begins_era(changes):
             self._begin_era(changes, source)
             return True
-        if changes.whole and changes.era:
+        if changes.whole and changes.era and self.revision:
             self._apply_newer_config(changes, source)
         if not self._is_same_era(changes.era):
             return False
@@ -212,14 +212,15 @@
         self._recent_changes.clear()
         self.era, self.revision = changes.era, changes.to_revision
         for change in sorted(changes.changes, key=lambda item: item.revision):
-            if not self._is_outdated(change):
+            document = self._decode_or_none(change)
+            if not self._is_outdated(document):
                 self._apply_change(change, source)
             elif change.key in previous:
                 kept = attrs.evolve(previous[change.key], revision=change.revision)
                 self._documents[change.key] = kept
             else:
                 self._documents[change.key] = change
-                self._keep_or_list_later(change, now + RESTORED_ENTRY_TTL_S)
+                self._keep_or_list_later(document, change, now + RESTORED_ENTRY_TTL_S)
         present_keys = {change.key for change in changes.changes}
         for key in previous.keys() - present_keys:
             kept = attrs.evolve(previous[key], revision=changes.to_revision)
@@ -229,9 +230,8 @@
                 self._apply_change(attrs.evolve(kept, deleted=True), source)
         self._rebuild_services()
 
-    def _is_outdated(self, change):
+    def _is_outdated(self, document):
         """Return whether this catalog already had a newer state of a document."""
-        document = self._decode_or_none(change)
         if isinstance(document, ConfigDocument):
             return document.config.version < self.config_version
         if document is None or document.record is None:
@@ -242,13 +242,13 @@
         removed = self._removed.get(document.name)
         return removed is not None and document.record.written_as <= removed
 
-    def _keep_or_list_later(self, change, due):
+    def _keep_or_list_later(self, document, change, due):
         """Keep a retained server, or list a removed one if its restored entry stays."""
-        listed = self._servers.get(self._decode(change.key, change.content).name)
+        listed = self._servers.get(document.name)
         if listed is not None:
             listed.retained_until = 0.0
             return
-        self._restored_entries[change.key] = (due, change)
+        self._restored_entries[change.key] = (due, document, change)
         self._next_expiry = min(self._next_expiry, due)
 
     def _decode_or_none(self, change):
@@ -261,11 +261,13 @@
     def _apply_newer_config(self, changes, source):
         """Apply a configuration that a peer kept from an era that was lost."""
         for change in changes.changes:
+            known = self._documents.get(change.key)
+            if known is not None and known.content == change.content:
+                continue
             document = self._decode_or_none(change)
             if not isinstance(document, ConfigDocument):
                 continue
             if document.config.version > self.config_version:
-                known = self._documents.get(change.key)
                 revision = known.revision if known else self.revision
                 kept = attrs.evolve(change, revision=revision)
                 self._documents[change.key] = kept
@@ -282,12 +284,12 @@
         for listed in retained:
             if now >= listed.retained_until:
                 self._remove_server(listed.server.name, "lapsed")
-        for key, (due, change) in list(self._restored_entries.items()):
+        for key, (due, document, change) in list(self._restored_entries.items()):
             if now >= due:
                 del self._restored_entries[key]
-                self._apply_server(self._decode_or_none(change), change, "restored")
+                self._apply_server(document, change, "restored")
         times = [item.retained_until for item in retained if now < item.retained_until]
-        times += [due for due, _ in self._restored_entries.values()]
+        times += [due for due, _, _ in self._restored_entries.values()]
         self._next_expiry = min(times, default=math.inf)
         self._rebuild_services()
 
--- a/src/lavendermast/catalogsync.py
+++ b/src/lavendermast/catalogsync.py
@@ -149,10 +149,9 @@
 
     def _apply(self, changes, source):
         catalog = self._catalog
-        era, revision, version = catalog.era, catalog.revision, catalog.config_version
+        era, revision = catalog.era, catalog.revision
         catalog.apply(changes, source)
-        now_known = (catalog.era, catalog.revision, catalog.config_version)
-        if source != "store" or now_known == (era, revision, version):
+        if source != "store" or (catalog.era, catalog.revision) == (era, revision):
             return
         update = catalog.get_changes_since(revision, era)
         for name in self._fleet.get_vm_names():
