Let the stand-in server count its entries, share steps of the soak

Cause: found while reading the change again. The soak hung a counter and a task on the servers' objects, overwrote the counter in each entry, and had the removal of an entry and the record of a fault two and three times. Change: InstanceStandIn counts its entries; _remove_entry and _record_fault.

--- a/bench/soak.py
+++ b/bench/soak.py
@@ -94,11 +94,12 @@
         for _ in range(rng.randint(*EVENTS_RANGE)):
             start = time.monotonic()
             detail = action(rng)
-            self.account.faults.append(
-                (start, time.monotonic(), action.__name__.removeprefix("do_"), detail)
-            )
+            self._record_fault(start, action.__name__.removeprefix("do_"), detail)
             eventlet.sleep(rng.expovariate(1.0))
 
+    def _record_fault(self, start, name, detail):
+        self.account.faults.append((start, time.monotonic(), name, detail))
+
     def _restore_store(self, rng):
         """Restore the store from a copy some seconds old, once or twice."""
         for _ in range(rng.randint(1, 2)):
@@ -112,7 +113,7 @@
                 self.world.store.restore(copy)
                 self.world.store.failure = None
                 self.world.write_again()
-            self.account.faults.append((start, time.monotonic(), "restore_store", ""))
+            self._record_fault(start, "restore_store", "")
 
     def _limit_servers(self, rng):
         """Let most servers of a service name limits that move up and down."""
@@ -121,15 +122,15 @@
         service = rng.choice(sorted(SERVERS))
         servers = [s for s in self.world.servers.values() if s.service == service]
         limited = rng.sample(servers, rng.randint(len(servers) // 2, len(servers)))
-        for server in limited:
-            server.limit_task = eventlet.spawn(
+        tasks = [
+            eventlet.spawn(
                 self._move_limit, server, random.Random(f"{self.seed}/{server.name}")
             )
-        for server in limited:
-            server.limit_task.wait()
-        self.account.faults.append(
-            (start, time.monotonic(), "limit_servers", f"{len(limited)} of {service}")
-        )
+            for server in limited
+        ]
+        for task in tasks:
+            task.wait()
+        self._record_fault(start, "limit_servers", f"{len(limited)} of {service}")
 
     def _move_limit(self, server, rng):
         for _ in range(rng.randint(1, 2)):
--- a/bench/soakworld.py
+++ b/bench/soakworld.py
@@ -197,19 +197,21 @@
 
     def _register_server(self, server, state):
         server.state = state
-        server.sequence = getattr(server, "sequence", 0) + 1
         entry = {**server.make_entry(state), "addr": server.proxy.address}
-        entry["status"]["sequence"] = server.sequence
         self.store.put(f"servers/{server.name}", entry)
 
+    def _remove_entry(self, server):
+        """Remove a server's entry, unless the store was restored from before it."""
+        if f"servers/{server.name}" in self.store.items:
+            self.store.delete(f"servers/{server.name}")
+
     def write_again(self):
         """Let the operators and servers write again what a restored store has lost."""
         self.store.put("op/config", self._config)
         for server in self.servers.values():
             self._register_server(server, server.state)
         for server in self.removed_servers:
-            if f"servers/{server.name}" in self.store.items:
-                self.store.delete(f"servers/{server.name}")
+            self._remove_entry(server)
 
     def replace_server(self, server):
         """Drain and remove a server, and give its address to a new one."""
@@ -220,8 +222,7 @@
         eventlet.sleep(DRAIN_TIME_S)
         del self.servers[server.name]
         self.removed_servers.append(server)
-        if f"servers/{server.name}" in self.store.items:
-            self.store.delete(f"servers/{server.name}")
+        self._remove_entry(server)
         new = self._add_server(server.service, server.proxy)
         return f"{server.name} by {new.name}"
 
--- a/standins/instance.py
+++ b/standins/instance.py
@@ -12,7 +12,8 @@
 
     ``arrivals`` holds request id and monotonic time of each request for it, ``runs``
     request id, path and time of those that it ran. All its responses name
-    ``rate_limit``, requests per second, unless that is ``None``.
+    ``rate_limit``, requests per second, unless that is ``None``. ``sequence`` counts
+    its entries for the store.
 
     :param mode: ``ok``, ``hang``, ``shed``, ``error``, ``cut`` or ``unsigned``.
     :param work_s: service time of a request.
@@ -22,6 +23,7 @@
         self.name, self.service, self.zone, self.mode = name, service, zone, mode
         self.work_s = work_s
         self.rate_limit = None
+        self.sequence = 0
         self.arrivals = []
         self.runs = []
         self._socket = eventlet.listen(("127.0.0.1", 0))
@@ -34,7 +36,8 @@
     def make_entry(self, state="ready"):
         """Return its entry for the store."""
         info = {"service": self.service, "version": "v1", "zone": self.zone}
-        status = {"state": state, "sequence": 1, "warmup_left_ms": 0}
+        self.sequence += 1
+        status = {"state": state, "sequence": self.sequence, "warmup_left_ms": 0}
         info["capacity"] = 6
         return {"addr": self.address, "info": info, "status": status, "born": 1000}
 
