Key reported attempts by the sender's process, remember each one

Change: the key has the boot id of the sender; each reported attempt is remembered for as long as any other, also while no evidence counts it. A report on a route that becomes known is evidence from then on.

--- a/src/lavendermast/evidenceregistry.py
+++ b/src/lavendermast/evidenceregistry.py
@@ -27,12 +27,17 @@
     """
     An attempt that another VM reported.
 
-    :param evidence: the ``ServerEvidence`` that counts the attempt.
-    :param attempt: ``None`` after the server refused it.
+    :param started: monotonic time of its start.
+    :param evidence: the ``ServerEvidence`` that counts the attempt, ``None`` while its
+        route is not known here.
+    :param attempt: ``None`` while nothing counts it.
+    :param refused: whether the server refused it.
     """
 
-    evidence: ServerEvidence
+    started: float
+    evidence: ServerEvidence | None = None
     attempt: object = None
+    refused: bool = False
 
 
 @attrs.define(eq=False)
@@ -175,13 +180,17 @@
                 self._outbox.append((copies - 1, local))
         return tuple(batch.values())
 
-    def apply_reports(self, sender, reports):
-        """Apply the reports of another VM about its attempts."""
+    def apply_reports(self, sender, boot_id, reports):
+        """
+        Apply the reports of another VM about its attempts.
+
+        :param boot_id: identifier of the sender's process, which numbers its attempts.
+        """
         now = self._clock.monotonic()
         for report in reports:
             if report.rate_limit:
                 self._observe_limit(report, sender, now)
-            self._apply_report((sender, report.sequence), report, now)
+            self._apply_report((sender, boot_id, report.sequence), report, now)
         while len(self._remote_attempts) > MAX_REMOTE_ATTEMPTS:
             self._remote_attempts.popitem(last=False)
 
@@ -225,8 +234,7 @@
         oldest = self._clock.monotonic() - 2 * MAX_EVIDENCE_AGE_S
         while self._remote_attempts:
             key, remote = next(iter(self._remote_attempts.items()))
-            attempt = remote.attempt
-            if attempt is not None and attempt.started > oldest:
+            if remote.started > oldest:
                 return
             del self._remote_attempts[key]
 
@@ -234,28 +242,21 @@
         started = now - report.start_age_ms / 1000
         remote = self._remote_attempts.get(key)
         if remote is None:
+            # Remembered also while nothing else counts the attempt: the report is sent
+            # more than once, and the rate limit is charged only once.
+            remote = self._remote_attempts[key] = _RemoteAttempt(started)
             self._rate_limits.count_start(report.server, started)
         if report.phase == "refused":
-            if remote is None:
-                remote = _RemoteAttempt(self._servers[report.server])
-                self._remote_attempts[key] = remote
-            elif remote.attempt is not None:
+            if remote.attempt is not None:
                 self._remove(remote.evidence, remote.attempt)
                 remote.attempt = None
+            remote.refused = True
+        if remote.refused:
+            return
+        if remote.attempt is None and not self._count_remote(remote, report):
             return
-        if remote is None:
-            route = self._find_route(report.route)
-            if route is None:
-                return
-            evidence = self._servers[report.server]
-            attempt = evidence.start(
-                started, self.get_durations(route), route.idempotent
-            )
-            remote = _RemoteAttempt(evidence, attempt)
-            self._remote_attempts[key] = remote
         attempt = remote.attempt
-        if attempt is None or report.phase == "pending" or attempt.ended is not None:
-            # Without an attempt, an earlier report said that the server refused it.
+        if report.phase == "pending" or attempt.ended is not None:
             return
         outcome = AttemptOutcome(report.phase)
         ended = attempt.started + report.duration_ms / 1000
@@ -263,6 +264,17 @@
         if outcome is AttemptOutcome.SUCCEEDED:
             attempt.durations.add(report.duration_ms / 1000)
 
+    def _count_remote(self, remote, report):
+        """Add a reported attempt to the evidence if its route is known here."""
+        route = self._find_route(report.route)
+        if route is None:
+            return False
+        remote.evidence = self._servers[report.server]
+        remote.attempt = remote.evidence.start(
+            remote.started, self.get_durations(route), route.idempotent
+        )
+        return True
+
     def _remove(self, evidence, attempt):
         if attempt.ended is None:
             evidence.finish(attempt, self._clock.monotonic(), AttemptOutcome.ABANDONED)
--- a/src/lavendermast/evidencesharing.py
+++ b/src/lavendermast/evidencesharing.py
@@ -118,7 +118,9 @@
         return None
 
     def _handle_reports(self, envelope, address):
-        self._evidence.apply_reports(envelope.sender, envelope.body.attempts)
+        self._evidence.apply_reports(
+            envelope.sender, envelope.boot_id, envelope.body.attempts
+        )
 
     def _handle_summaries(self, envelope, address):
         message = envelope.body
--- a/tests/test_ratelimits.py
+++ b/tests/test_ratelimits.py
@@ -129,7 +129,7 @@
         reports = vm.registry.take_reports()
         for other in self.vms:
             if other.region == vm.region and other is not vm:
-                other.registry.apply_reports(vm.name, reports)
+                other.registry.apply_reports(vm.name, 1, reports)
 
     def _summarize(self):
         for region in set(REGIONS) - self.cut_regions:
@@ -275,5 +275,69 @@
     for _ in range(2):
         reports = registry.take_reports()
         assert [report.phase for report in reports] == ["refused"]
-        other.apply_reports("vm-1", reports)
+        other.apply_reports("vm-1", 1, reports)
     assert limits.compute_delay("s1") == 1.0
+
+
+def make_registry(clock, routes):
+    """Return a registry that knows the routes in ``routes``, and its rate limits."""
+    limits = RateLimits(clock, lambda event, **fields: None, lambda name: True)
+    return EvidenceRegistry(clock, routes.get, limits), limits
+
+
+def finish_attempt(registry, status, outcome):
+    attempt = registry.start("s1", ROUTE)
+    result = AttemptResult("s1", status, http_status=200, body=b"x")
+    registry.finish("s1", ROUTE, attempt, result, outcome)
+    return registry.take_reports()
+
+
+def test_attempts_of_a_restarted_vm_count_against_the_limit():
+    """
+    Guards against more requests than a server's limit allows.
+
+    A VM that restarts numbers its attempts from 1 again.
+    """
+    clock = ManualClock(100.0)
+    other, limits = make_registry(clock, {"r": ROUTE})
+    limits.observe("s1", 1.0, 100.0, "response")
+    for boot_id in (1, 2):
+        vm, _ = make_registry(clock, {"r": ROUTE})
+        vm.start("s1", ROUTE)
+        other.apply_reports("vm-1", boot_id, vm.take_reports())
+    assert limits.compute_delay("s1") == pytest.approx(3.0)
+    assert other.get("s1").pending == 2
+
+
+@pytest.mark.parametrize("routes", [{}, {"r": ROUTE}])
+def test_copies_of_a_report_are_charged_once(routes):
+    """
+    Guards against a limited server that gets less work than its limit allows.
+
+    The route of a report may not be known here, or the server refused the request. The
+    copies of a report arrive seconds apart when the sender is slow.
+    """
+    clock = ManualClock(100.0)
+    vm, _ = make_registry(clock, {"r": ROUTE})
+    reports = finish_attempt(vm, AttemptStatus.SHED, AttemptOutcome.ABANDONED)
+    other, limits = make_registry(clock, routes)
+    limits.observe("s1", 1.0, 100.0, "response")
+    for _ in range(2):
+        other.apply_reports("vm-1", 1, reports)
+        other.expire()
+    assert limits.compute_delay("s1") == pytest.approx(2.0)
+
+
+def test_report_on_a_route_that_becomes_known_is_evidence():
+    """Guards against ignoring the outcome of an attempt on a new route."""
+    clock = ManualClock(100.0)
+    vm, _ = make_registry(clock, {"r": ROUTE})
+    attempt = vm.start("s1", ROUTE)
+    routes = {}
+    other, _ = make_registry(clock, routes)
+    other.apply_reports("vm-1", 1, vm.take_reports())
+    routes["r"] = ROUTE
+    result = AttemptResult("s1", AttemptStatus.OK, http_status=200, body=b"x")
+    vm.finish("s1", ROUTE, attempt, result, AttemptOutcome.SUCCEEDED)
+    other.apply_reports("vm-1", 1, vm.take_reports())
+    assert [a.outcome for a in other.get("s1").attempts] == [AttemptOutcome.SUCCEEDED]
--- a/tests/test_selection.py
+++ b/tests/test_selection.py
@@ -249,13 +249,13 @@
     """Guards against an attempt that stays pending for ever after a lost datagram."""
     other = EvidenceRegistry(world.clock, lambda name: ROUTE, world.rate_limits)
     attempt = world.registry.start("near", ROUTE)
-    other.apply_reports("vm-1", world.registry.take_reports())
+    other.apply_reports("vm-1", 1, world.registry.take_reports())
     assert other.get("near").pending == 1
     world.clock.advance(0.3)
     result = AttemptResult("near", AttemptStatus.OK, body=b"x")
     world.registry.finish("near", ROUTE, attempt, result, AttemptOutcome.SUCCEEDED)
     world.registry.take_reports()
-    other.apply_reports("vm-1", world.registry.take_reports())
+    other.apply_reports("vm-1", 1, world.registry.take_reports())
     assert other.get("near").pending == 0
     assert other.get("near").attempts[0].outcome is AttemptOutcome.SUCCEEDED
 
@@ -329,9 +329,9 @@
     """
     other = EvidenceRegistry(world.clock, lambda name: ROUTE, world.rate_limits)
     attempt = world.registry.start("near", ROUTE)
-    other.apply_reports("vm-1", world.registry.take_reports())
+    other.apply_reports("vm-1", 1, world.registry.take_reports())
     other.remove_server("near")
     result = AttemptResult("near", AttemptStatus.OK, body=b"x")
     world.registry.finish("near", ROUTE, attempt, result, AttemptOutcome.SUCCEEDED)
-    other.apply_reports("vm-1", world.registry.take_reports())
+    other.apply_reports("vm-1", 1, world.registry.take_reports())
     assert other.get("near").pending == 0
