--- a/src/lavendermast/catalog.py
+++ b/src/lavendermast/catalog.py
@@ -152,6 +152,10 @@
                 )
         for change in sorted(changes.changes, key=lambda item: item.revision):
             self._apply_change(change, source)
+        if changes.whole:
+            # A snapshot does not name what was removed before it, so peers that are
+            # behind need the snapshot too.
+            self._recent_changes.clear()
         self.era = max(self.era, changes.era)
         self.revision = changes.to_revision
         self._rebuild_services()
--- a/tests/test_catalog.py
+++ b/tests/test_catalog.py
@@ -274,3 +274,19 @@
     assert other.apply(fresh, "vm")
     assert other.apply(StoredChanges(3, 7, False, (delete("servers/s1", 7),), 2), "vm")
     assert other.era == 2
+
+
+def test_peer_between_two_snapshots_learns_of_removals(catalog, clock):
+    """
+    Guards against a server that stays listed on a VM that missed its removal.
+
+    The VM is behind a peer that read a snapshot without the server, because the store
+    had dropped its history.
+    """
+    peer = make_catalog(clock)
+    apply(catalog, 0, 5, put("servers/s1", make_entry(), 5), whole=True)
+    apply(peer, 0, 5, put("servers/s1", make_entry(), 5), whole=True)
+    apply(peer, 5, 6, put("servers/s2", make_entry(), 6))
+    apply(catalog, 0, 9, put("servers/s3", make_entry(), 8), whole=True)
+    assert peer.apply(catalog.get_changes_since(6), "vm")
+    assert get_names(peer) == get_names(catalog) == ["s3"]
