Reject documents and frames that raise unexpected errors, keep the tasks

One entry in the store that is nested too deeply or has a number too large for a float raised RecursionError or OverflowError in the task that applies all documents: no VM applied any later change, so callers were sent to servers that had left. A frame whose decoding raised an error that the codec does not expect ended the task that receives datagrams.

Change: the decoder counts both errors as a malformed document; datagrams are handled like messages, with errors counted and logged. A port of other digits than ASCII is no address.

The new tests failed before (RecursionError, OverflowError, no member after the frame).

--- a/src/lavendermast/peers.py
+++ b/src/lavendermast/peers.py
@@ -224,7 +224,8 @@
                 self.counts.drops["receive_error"] += 1
                 eventlet.sleep(0.05)
                 continue
-            self._handle_frame(frame, f"{source[0]}:{source[1]}")
+            address = f"{source[0]}:{source[1]}"
+            self.run_safely(self._handle_frame, frame, address)
 
     def _accept_connections(self):
         while not self._closed:
--- a/src/lavendermast/platform/documents.py
+++ b/src/lavendermast/platform/documents.py
@@ -23,7 +23,16 @@
     "download": RequestKind.DOWNLOAD,
 }
 _STATES = {"ready": ServerState.LIVE, "draining": ServerState.LEAVING}
-_DECODE_ERRORS = (KeyError, TypeError, ValueError, AttributeError)
+#: Errors that a malformed document causes: a number too large for a float raises
+#: ``OverflowError``, JSON that is nested too deeply ``RecursionError``.
+_DECODE_ERRORS = (
+    KeyError,
+    TypeError,
+    ValueError,
+    AttributeError,
+    OverflowError,
+    RecursionError,
+)
 
 
 def is_needed(key):
@@ -52,7 +61,7 @@
         entry = json.loads(content)
         info, status = entry["info"], entry["status"]
         host, _, port = entry["addr"].rpartition(":")
-        if not host or not port.isdigit():
+        if not host or not (port.isascii() and port.isdigit()):
             return None
         server = Server(
             name,
--- a/tests/test_catalog.py
+++ b/tests/test_catalog.py
@@ -290,3 +290,27 @@
     apply(catalog, 0, 9, put("servers/s3", make_entry(), 8), whole=True)
     assert peer.apply(catalog.get_changes_since(6), "vm")
     assert get_names(peer) == get_names(catalog) == ["s3"]
+
+
+@pytest.mark.parametrize(
+    "content",
+    [
+        b"[" * 200_000,
+        make_entry(status={"state": "ready", "warmup_left_ms": 10**400}),
+        make_entry(address="10.0.0.1:\u00b2"),
+    ],
+)
+def test_document_that_no_parser_accepts_does_not_stop_the_others(catalog, content):
+    """Guards against one document that ends the task which applies all of them."""
+    apply(
+        catalog,
+        0,
+        5,
+        put("servers/bad", content, 4),
+        put(CONFIG_KEY, make_config(7), 5),
+        put("servers/s1", make_entry(), 5),
+        whole=True,
+    )
+    assert apply(catalog, 5, 6, put(CONFIG_KEY, b"[" * 200_000, 6))
+    assert get_names(catalog) == ["s1"]
+    assert catalog.config_version == 7
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -1,6 +1,7 @@
 """Peer transport over real sockets on the loopback interface."""
 
 import random
+import types
 
 import attrs
 import eventlet
@@ -130,3 +131,23 @@
         envelope = fleet.transports["10.0.0.0:7000"].make_envelope(body, fleet.clock)
         sizes.append(len(CODEC.encode(envelope)))
     assert max(sizes) <= MAX_DATAGRAM_BYTES
+
+
+def test_frame_that_raises_an_unexpected_error_does_not_stop_receiving(start_vm):
+    """Guards against one datagram that ends the task which receives all of them."""
+    network, first = start_vm("vm-1")
+    decode, failures = CODEC.decode, []
+
+    def fail_once(frame):
+        if not failures:
+            failures.append(frame)
+            raise RuntimeError("unexpected")
+        return decode(frame)
+
+    network._codec = types.SimpleNamespace(encode=CODEC.encode, decode=fail_once)
+    other, second = start_vm("vm-2", (network.address,))
+    other._udp.sendto(b"\x01\x01noise", parse_address(network.address))
+    wait_until(lambda: failures)
+    second.readiness.contact_peers()
+    wait_until(lambda: first.membership.get_member("vm-2") is not None)
+    assert network.counts.drops["handler_error"] == 1
