Bound the bytes of a server that are no response to the request

Callers could be told "not run" for a request that its server ran: a response without the identifier was taken as that of the request in flight.

Change: a response without the identifier is skipped like one to another request; interim responses, skipped responses and their bytes are bounded; after 256 KB a read yields, so that the attempt's timer runs.

The new tests failed before: status 503 in place of 200, and no end within 4 MB or 100,000 reads.

--- a/src/lavendermast/framing.py
+++ b/src/lavendermast/framing.py
@@ -2,6 +2,8 @@
 
 import re
 
+import eventlet
+
 from lavendermast.exceptions import FramingError, TruncatedResponseError
 from lavendermast.sockets import receive
 
@@ -9,7 +11,14 @@
 #: Limit on the header section, so that a server cannot exhaust memory.
 MAX_HEAD_BYTES = 65536
 MAX_CHUNK_LINE_BYTES = 4096
+MAX_INTERIM_RESPONSES = 8
 MAX_SKIPPED_RESPONSES = 2
+#: Limit on the bodies of responses to other requests.
+MAX_SKIPPED_BYTES = 1024 * 1024
+#: A read that finds data does not yield to the hub. After this many bytes it does, so
+#: that a server that sends without end neither delays other requests nor outlasts the
+#: deadline of its attempt.
+YIELD_INTERVAL_BYTES = 256 * 1024
 _STATUS_LINE = re.compile(rb"HTTP/1\.([01]) ([1-9][0-9]{2})(?: [^\r\n]*)?")
 _FIELD_NAME = re.compile(rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+")
 _CHUNK_LINE = re.compile(rb"([0-9A-Fa-f]{1,16})[ \t]*(?:;[^\r\n]*)?")
@@ -65,6 +74,7 @@
         self._chunked = False
         self._close_delimited = False
         self._remaining = 0
+        self._unyielded_bytes = 0
         self.length = None
         self.status = 0
         self.headers = []
@@ -79,9 +89,13 @@
         :raises TruncatedResponseError: when the connection closes before their end.
         """
         self._read_head()
+        interim_responses = 0
         while self.status < 200:
             if self.status == 101:
                 raise FramingError("unexpected 101 Switching Protocols")
+            interim_responses += 1
+            if interim_responses > MAX_INTERIM_RESPONSES:
+                raise FramingError("too many interim responses")
             self._read_head()
         values = {}
         for name, value in self.headers:
@@ -133,7 +147,7 @@
     def _read_until_close(self):
         piece = self._buffer[self._start :]
         self._buffer, self._start = b"", 0
-        piece = piece or receive(self._sock, READ_BYTES)
+        piece = piece or self._receive_bytes()
         self.finished = not piece
         return piece
 
@@ -145,8 +159,17 @@
     def _count_buffered(self):
         return len(self._buffer) - self._start
 
-    def _receive(self):
+    def _receive_bytes(self):
+        """Return the next bytes of the connection, empty when the server closed it."""
+        if self._unyielded_bytes >= YIELD_INTERVAL_BYTES:
+            self._unyielded_bytes = 0
+            eventlet.sleep(0)
         data = receive(self._sock, READ_BYTES)
+        self._unyielded_bytes += len(data)
+        return data
+
+    def _receive(self):
+        data = self._receive_bytes()
         if not data:
             raise TruncatedResponseError("connection closed before the response ended")
         # Consumed bytes are removed only here, so that small chunks need no copies.
@@ -241,7 +264,8 @@
     A response of a server that returns the request identifier in a header.
 
     Responses to other requests, which may arrive late on a reused connection, are
-    skipped. Extra bytes after the body are no error, but prevent reuse of the
+    skipped, and so are responses without an identifier: they prove nothing about this
+    request, least of all that it did not run. Extra bytes after the body are no error, but prevent reuse of the
     connection.
 
     :param id_header: lower-case name of the header with the identifier.
@@ -266,13 +290,16 @@
 
     def _matches_request(self):
         ids = [value for name, value in self.headers if name.lower() == self._id_header]
-        return not ids or ids == [self._request_id]
+        return ids == [self._request_id] or not (ids or self._request_id)
 
     def _skip(self):
         if self._close_delimited:
             raise FramingError("response to another request has no length")
-        while self.read_piece():
-            pass
+        skipped_bytes = 0
+        while piece := self.read_piece():
+            skipped_bytes += len(piece)
+            if skipped_bytes > MAX_SKIPPED_BYTES:
+                raise FramingError("response to another request is too long")
         self.finished = False
         self.length = None
         self._remaining = 0
--- a/tests/test_identified_responses.py
+++ b/tests/test_identified_responses.py
@@ -113,3 +113,87 @@
     with pytest.raises(ConnectionResetError):
         while response.read_piece():
             pass
+
+
+REFUSAL = b"HTTP/1.1 503 -\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+
+
+def test_response_without_an_identifier_is_not_that_of_the_request():
+    """
+    Guards against "not run" for a request that the server runs.
+
+    A faulty server sends a refusal without the identifier before its response.
+    """
+    response, body = read(REFUSAL, make_answer("mine", b"new"))
+    assert (response.status, body) == (200, b"new")
+    with pytest.raises(TruncatedResponseError):
+        read(REFUSAL)
+
+
+def test_request_without_an_identifier_accepts_a_response_without_one():
+    """Guards against rejecting the response to a caller that sends no identifier."""
+    response, _ = read(REFUSAL, request_id="")
+    assert response.status == 503
+
+
+@pytest.mark.parametrize(
+    "endless",
+    [
+        b"HTTP/1.1 100 Continue\r\n\r\n",
+        b"HTTP/1.1 103 -\r\nLink: a\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\nRequest-Id: old\r\nTransfer-Encoding: chunked\r\n\r\n"
+        + b"400\r\n" * 2
+        + b"x" * 1024,
+        b"x",
+        b"HTTP/1.1 200 OK\r\nx-a: " + b"x" * 1000,
+        b"HTTP/1.1 200 OK\r\nRequest-Id: old\r\nContent-Length: 99999999999\r\n\r\n",
+    ],
+)
+def test_bytes_that_are_no_response_are_bounded(endless):
+    """Guards against a server that sends bytes without end in place of a response."""
+
+    class EndlessSocket:
+        received = 0
+
+        def recv(self, count):
+            self.received += len(endless)
+            assert self.received < 4 * 1024 * 1024
+            return endless if self.received < 2**20 else b"x" * 65536
+
+    response = IdentifiedResponse(
+        EndlessSocket(), id_header="request-id", request_id="mine"
+    )
+    with pytest.raises(FramingError):
+        response.begin()
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\nRequest-Id: mine\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\nContent-Length: 999999999999\r\nRequest-Id: mine\r\n\r\n",
+    ],
+)
+def test_reading_yields_while_data_keeps_coming(data):
+    """
+    Guards against an attempt whose deadline never ends it.
+
+    A read that finds data does not yield, so the timer of the deadline cannot run.
+    """
+
+    class BusySocket:
+        pieces = 0
+
+        def recv(self, count):
+            self.pieces += 1
+            assert self.pieces < 100_000, "the timer never ran"
+            if self.pieces == 1:
+                return data
+            return b"1;" + b"x" * 4000 + b"\r\ny\r\n" if b"chunked" in data else b"y" * 9
+
+    response = IdentifiedResponse(BusySocket(), id_header="none", request_id="")
+    response.begin()
+    with pytest.raises(eventlet.Timeout), eventlet.Timeout(0.05):
+        while response.read_piece():
+            pass
