Use no connection twice for one request, none after a refusal without an id

Callers could be told "not run, try again" for a request that its server ran, or the request ran at a second server: a faulty server writes an earlier refusal once more on a kept connection. A request that is tried again keeps its identifier, so the copy of its first refusal looked like the response to its second try; without identifiers any copy did.

Change: a request is never sent again on a connection that it used; with a protocol without identifiers, a connection is closed after a refusal.

Both new tests failed before (SHED in place of OK).

--- a/src/lavendermast/models.py
+++ b/src/lavendermast/models.py
@@ -130,6 +130,9 @@
     :param arrived_at: monotonic time of arrival.
     :param key: idempotency key, or empty.
     :param idempotent: setting of its route; ``None`` derives it from the method.
+    :param used_connections: connections to servers that it was sent on. None is used
+        for it again: a second copy of an earlier response would look like that of the
+        later attempt, as both have the same identifier.
     """
 
     id: str
@@ -144,6 +147,7 @@
     arrived_at: float
     key: str = ""
     idempotent: bool | None = None
+    used_connections: list = attrs.field(factory=list, eq=False, repr=False)
 
     @property
     def retryable(self):
--- a/src/lavendermast/upstream.py
+++ b/src/lavendermast/upstream.py
@@ -304,7 +304,7 @@
         target = f"{request.path}?{request.query}" if request.query else request.path
         headers = self._protocol.build_headers(request, attempt.server)
         while True:
-            reused = self._acquire_connection(attempt, request.retryable)
+            reused = self._acquire_connection(attempt, request)
             try:
                 attempt.connection.prepare(
                     request.method, target, headers, request.body
@@ -326,15 +326,20 @@
                 if not reused:
                     raise
                 continue
+            finally:
+                request.used_connections.append(attempt.connection)
             return self._read_response(attempt, response)
 
-    def _acquire_connection(self, attempt, retryable):
+    def _acquire_connection(self, attempt, request):
         now = self._clock.monotonic()
         idle = self._idle.get(attempt.server.name)
         while idle:
             connection = idle.pop()
             service = attempt.server.service
-            reusable = self._is_reusable(connection, service, retryable, now)
+            reusable = (
+                self._is_reusable(connection, service, request.retryable, now)
+                and connection not in request.used_connections
+            )
             if reusable and connection.has_no_input():
                 attempt.idle_s = now - connection.idle_since
                 attempt.connection = connection
@@ -361,11 +366,16 @@
                 if size > self._buffer_bytes:
                     result.stream = BodyStream(self, attempt, response, pieces)
                     break
+        self._protocol.fill_result(result, response)
         if result.stream is None:
             result.body = pieces[0] if len(pieces) == 1 else b"".join(pieces)
-            self.release(attempt, response)
-        self._protocol.fill_result(result, response)
-        if result.stream is not None and not result.ran:
+            if result.ran or self._protocol.response_id_header:
+                self.release(attempt, response)
+            else:
+                # A second copy of a refusal without an identifier would look like the
+                # response to the next request.
+                attempt.connection.close()
+        elif not result.ran:
             result.stream.close()
             result.stream = None
         return result
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -11,6 +11,7 @@
 from lavendermast.exceptions import FramingError, RequestError, TruncatedResponseError
 from lavendermast.framing import ServerResponse
 from lavendermast.models import AttemptStatus, CallerRequest, Server
+from lavendermast.platform.calls import PlatformServerProtocol
 from lavendermast.upstream import REDUCED_MAX_IDLE_TTL_S, Cancellation, Upstream
 
 OK_RESPONSE = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
@@ -483,3 +484,56 @@
     clock.advance(2.0)
     assert make("POST").status is AttemptStatus.OK
     assert upstream.connections_opened == 2
+
+
+SHED_RESPONSE = (
+    b"HTTP/1.1 503 -\r\nX-Server-State: shedding\r\nContent-Length: 0\r\n\r\n"
+)
+
+
+def test_connection_of_a_refusal_without_an_identifier_is_not_reused(start):
+    """
+    Guards against "not run" for a request that its server runs.
+
+    A faulty server sends its refusal once more, while the next request on the
+    connection runs.
+    """
+
+    def refuse_again_and_answer(sock):
+        if sock is server.connections[0]:
+            sock.sendall(SHED_RESPONSE)
+        sock.sendall(OK_RESPONSE)
+
+    server = start(SHED_RESPONSE, refuse_again_and_answer)
+    upstream = make_upstream()
+    assert send(upstream, server).status is AttemptStatus.SHED
+    assert send(upstream, server, method="POST").status is AttemptStatus.OK
+
+
+REFUSAL = b"HTTP/1.1 503 -\r\nRequest-Id: r1\r\nNot-Executed: 1\r\nContent-Length: 0"
+
+
+def test_request_does_not_use_a_connection_twice(start):
+    """
+    Guards against "not run", or a second run, of a request that its server runs.
+
+    A server that refused a request gets it again, and sends a second copy of the
+    refusal, with the identifier of the request, while it runs.
+    """
+
+    def refuse_again_and_answer(sock):
+        if sock is server.connections[0]:
+            sock.sendall(REFUSAL + b"\r\n\r\n")
+        head = b"HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nServer-Signature: s\r\n"
+        sock.sendall(head + b"Content-Length: 2\r\n\r\nok")
+
+    server = start(REFUSAL + b"\r\n\r\n", refuse_again_and_answer)
+    clock = SystemClock()
+    protocol = PlatformServerProtocol(clock)
+    upstream = Upstream(clock, 1000, {"stock": 4}, protocol)
+    request = make_request("POST")
+    request.deadline = clock.monotonic() + 5.0
+    statuses = [
+        upstream.send(request, server.server, request.deadline).status for _ in range(2)
+    ]
+    assert statuses == [AttemptStatus.SHED, AttemptStatus.OK]
