Count a request as in flight until its response is written

During a planned stop under load, callers that read slowly got a truncated answer: the process exits when nothing is in flight, and a request was not counted any more once its reply was known, while the response was still being written. A caller of HTTP/1.0 took a streamed body that broke off for a whole one, as it had neither a length nor chunks. The daemon, on the other hand, refused such bodies with 502 to callers of HTTP/1.1 too, because eventlet's WSGI environment always names HTTP/1.0.

Change: the WSGI server ends the request when it has written the body or failed to; an entry VM refuses a stream without a length to a caller of HTTP/1.0, like the daemon; the listeners name the caller's protocol version.

New tests failed before: in_flight 0 while the body was written, and 200 with a short body for HTTP/1.0.

--- a/src/lavendermast/answers.py
+++ b/src/lavendermast/answers.py
@@ -1,5 +1,7 @@
 """WSGI responses whose complete body is known in advance."""
 
+from lavendermast.models import Outcome, Reply
+
 
 def send_response(start_response, status, content=b"", content_type=None):
     """
@@ -12,3 +14,27 @@
     headers.append(("Content-Length", str(len(content))))
     start_response(status, headers)
     return [content]
+
+
+def accepts_chunks(environ):
+    """Return whether the caller detects a truncated body without Content-Length."""
+    return environ["SERVER_PROTOCOL"] != "HTTP/1.0"
+
+
+def reject_unknown_length(reply):
+    """
+    Replace a streamed body without Content-Length by an error.
+
+    HTTP/1.0 has no chunked coding, so the caller could not detect a truncated body.
+    """
+    reply.stream.close()
+    detail = b'{"reason": "http-1.0", "detail": "use HTTP/1.1 for this answer"}'
+    return Reply(
+        Outcome.UNKNOWN,
+        "unframed-answer",
+        502,
+        [("Content-Type", "application/json")],
+        detail,
+        server=reply.server,
+        attempts=reply.attempts,
+    )
--- a/src/lavendermast/entry.py
+++ b/src/lavendermast/entry.py
@@ -4,7 +4,11 @@
 
 import attrs
 
-from lavendermast.answers import send_response
+from lavendermast.answers import (
+    accepts_chunks,
+    reject_unknown_length,
+    send_response,
+)
 from lavendermast.callers import DisconnectWatcher
 from lavendermast.exceptions import LavendermastError, RequestError
 from lavendermast.gateway import get_status_line
@@ -41,6 +45,25 @@
     request_id_header: str
 
 
+class _ResponseBody:
+    """
+    Parts of a response's body.
+
+    :param on_close: called once the WSGI server has written them or failed to.
+    """
+
+    def __init__(self, parts, on_close):
+        self._parts = parts
+        self._on_close = on_close
+
+    def __iter__(self):
+        return iter(self._parts)
+
+    def close(self):
+        """End the request."""
+        self._on_close()
+
+
 class EntryApplication:
     """
     Forwards callers' requests to backend servers.
@@ -48,6 +71,8 @@
     :param header_names: a :class:`CallerHeaderNames`.
     :param node: object with ``router``, ``config``, ``leaving`` and ``refusing``.
     :param runner: an :class:`~lavendermast.attempts.AttemptRunner`.
+
+    ``in_flight`` counts the requests whose response is not written yet.
     """
 
     def __init__(self, header_names, node, runner, clock, record_event):
@@ -65,6 +90,19 @@
         arrived_at = self._clock.monotonic()
         self.in_flight += 1
         self.started_requests += 1
+        try:
+            route, reply = self._make_reply(environ, arrived_at)
+            parts = self._send(reply, route, environ, arrived_at, start_response)
+        except BaseException:
+            self.in_flight -= 1
+            raise
+        return _ResponseBody(parts, self._end_request)
+
+    def _end_request(self):
+        self.in_flight -= 1
+
+    def _make_reply(self, environ, arrived_at):
+        """Return the route, ``None`` if there is none, and the reply."""
         route = None
         try:
             route = self._find_route(environ)
@@ -77,9 +115,7 @@
                 reply = self._runner.run(request, route, service, caller_cancellation)
         except RequestError as error:
             reply = make_refusal(error)
-        finally:
-            self.in_flight -= 1
-        return self._send(reply, route, environ, arrived_at, start_response)
+        return route, reply
 
     def _find_route(self, environ):
         if self._node.refusing:
@@ -119,6 +155,9 @@
 
     def _send(self, reply, route, environ, arrived_at, start_response):
         request_id = environ.get(self._header_names.request_id_variable, "")
+        stream = reply.stream
+        if stream is not None and stream.length is None and not accepts_chunks(environ):
+            reply = reject_unknown_length(reply)
         headers = [
             pair
             for pair in reply.headers
@@ -144,7 +183,6 @@
         return [reply.body]
 
     def _stream(self, reply, request_id):
-        self.in_flight += 1
         try:
             yield from reply.stream
         except LavendermastError as error:
@@ -152,7 +190,6 @@
             # Raising closes the connection before the end of the body.
             raise ConnectionAbortedError(str(error)) from error
         finally:
-            self.in_flight -= 1
             reply.stream.close()
 
     def _record_reply(self, reply, route, request_id, arrived_at):
--- a/src/lavendermast/gateway.py
+++ b/src/lavendermast/gateway.py
@@ -6,6 +6,7 @@
 import urllib.parse
 
 from lavendermast.addresses import ADDRESSES_PATH
+from lavendermast.answers import accepts_chunks, reject_unknown_length
 from lavendermast.exceptions import LavendermastError, RequestError
 from lavendermast.logs import DIGEST_CHARACTERS, digest_bytes
 from lavendermast.models import Outcome, Reply
@@ -111,8 +112,9 @@
 
     def _send(self, reply, context, start_response):
         environ, request_id = context[0], context[1]
-        if reply.stream is not None and environ["SERVER_PROTOCOL"] == "HTTP/1.0":
-            reply = self._reject_unknown_length(reply)
+        has_length = any(name == "Content-Length" for name, _ in reply.headers)
+        if reply.stream is not None and not (has_length or accepts_chunks(environ)):
+            reply = reject_unknown_length(reply)
         headers = [item for item in reply.headers if item[0] != "Content-Length"]
         headers += [
             (REQUEST_HEADER, request_id),
@@ -131,26 +133,6 @@
         self._log_request(reply, context, len(reply.body), digest_bytes(reply.body))
         return [reply.body]
 
-    def _reject_unknown_length(self, reply):
-        """
-        Replace a body without Content-Length by an error.
-
-        HTTP/1.0 has no chunked coding, so the caller could not detect a truncated body.
-        """
-        if any(name == "Content-Length" for name, _ in reply.headers):
-            return reply
-        reply.stream.close()
-        detail = b'{"reason": "http-1.0", "detail": "use HTTP/1.1 for this answer"}'
-        return Reply(
-            Outcome.UNKNOWN,
-            "unframed-answer",
-            502,
-            [("Content-Type", "application/json")],
-            detail,
-            server=reply.server,
-            attempts=reply.attempts,
-        )
-
     def _stream(self, reply, context, headers, start_response):
         headers += [item for item in reply.headers if item[0] == "Content-Length"]
         start_response(get_status_line(reply.status), headers)
--- a/src/lavendermast/listeners.py
+++ b/src/lavendermast/listeners.py
@@ -23,6 +23,16 @@
     error = info
 
 
+class _HttpProtocol(eventlet.wsgi.HttpProtocol):
+    """Names the caller's protocol version, where eventlet always has HTTP/1.0."""
+
+    def get_environ(self):
+        """Return the WSGI environment of a request."""
+        environ = super().get_environ()
+        environ["SERVER_PROTOCOL"] = self.request_version
+        return environ
+
+
 class HttpListener:
     """
     Serves a WSGI application on one address.
@@ -45,6 +55,7 @@
             self._application,
             log=_NullLog(),
             log_output=False,
+            protocol=_HttpProtocol,
             custom_pool=self._pool,
             socket_timeout=SOCKET_TIMEOUT_S,
             debug=False,
