Let idle VMs of a large zone cost less

Change: in a zone with more VMs than fit a datagram, those that neither serve callers nor carry heartbeats send one heartbeat in three, and hubs list them in one list of eight; each list says how long its updates are valid, so that dead active VMs are still dropped after 1.6 s. A starting VM pushes nothing.

Tests without the bench: what an idle VM hears does not grow from 11 to 32 VMs (it did by 2.9), members stay known, killed VMs are replaced in time, the zone follows its load.

--- a/src/lavendermast/catalog.py
+++ b/src/lavendermast/catalog.py
@@ -144,12 +144,7 @@
         if changes.from_revision > self.revision and not changes.whole:
             return False
         if changes.whole:
-            present_keys = {change.key for change in changes.changes}
-            deleted_keys = [key for key in self._documents if key not in present_keys]
-            for key in deleted_keys:
-                self._apply_change(
-                    StoredChange(key, changes.to_revision, True, b""), source
-                )
+            self._delete_absent(changes, source)
         for change in sorted(changes.changes, key=lambda item: item.revision):
             self._apply_change(change, source)
         if changes.whole:
@@ -161,6 +156,13 @@
         self._rebuild_services()
         return True
 
+    def _delete_absent(self, snapshot, source):
+        present_keys = {change.key for change in snapshot.changes}
+        for key in [key for key in self._documents if key not in present_keys]:
+            self._apply_change(
+                StoredChange(key, snapshot.to_revision, True, b""), source
+            )
+
     def get_changes_since(self, revision, era=0):
         """
         Return the changes since a revision.
--- a/src/lavendermast/catalogsync.py
+++ b/src/lavendermast/catalogsync.py
@@ -153,6 +153,10 @@
         catalog.apply(changes, source)
         if source != "store" or (catalog.era, catalog.revision) == (era, revision):
             return
+        if not revision:
+            # This VM has just started. Peers that are behind fetch what they miss;
+            # a snapshot for each of them would delay the start of a whole zone.
+            return
         update = catalog.get_changes_since(revision, era)
         for name in self._fleet.get_vm_names():
             vm = self._fleet.vms.get(name)
--- a/src/lavendermast/messages_model.py
+++ b/src/lavendermast/messages_model.py
@@ -467,6 +467,7 @@
     age_ms: int = 0
     rate: float = 0.0
     cores: float = 0.0
+    interval_ms: int = 0
 
     def to_dict(self):
         """Return the fields as pycapnp accepts them."""
@@ -479,6 +480,7 @@
             "ageMs": self.age_ms,
             "rate": self.rate,
             "cores": self.cores,
+            "intervalMs": self.interval_ms,
         }
 
     @classmethod
@@ -493,6 +495,7 @@
             age_ms=reader.ageMs,
             rate=reader.rate,
             cores=reader.cores,
+            interval_ms=reader.intervalMs,
         )
 
 
--- a/src/lavendermast/schema/messages.capnp
+++ b/src/lavendermast/schema/messages.capnp
@@ -147,6 +147,8 @@
   # Requests of callers per second, and the share of a core that the VM may use.
   rate @6 :Float32;
   cores @7 :Float32;
+  # Interval at which the sender sends updates on the VM, 0 for every heartbeat.
+  intervalMs @8 :UInt16;
 }
 
 # A heartbeat with the sender's view of other VMs, its configuration version and store
--- a/src/lavendermast/zonefleet.py
+++ b/src/lavendermast/zonefleet.py
@@ -12,6 +12,17 @@
 HEARTBEAT_INTERVAL_S = 0.4
 #: A VM of this zone is removed after this time without a heartbeat: four intervals.
 ZONE_TIMEOUT_S = 1.6
+#: A VM with rarer updates is removed after this many intervals without one.
+MAX_MISSED_INTERVALS = 2.5
+#: In a zone with more VMs than fit a datagram, those that neither serve callers nor
+#: carry heartbeats send one in this many rounds.
+IDLE_HEARTBEAT_ROUNDS = 3
+#: Hubs list these VMs to such a zone in one of this many lists only. The three hubs
+#: together then list them about every IDLE_LIST_INTERVAL_S.
+IDLE_LIST_TURNS = 8
+IDLE_LIST_INTERVAL_S = 4.0
+#: VMs that are next to become active are listed like active ones.
+STANDBY_VMS = 2
 #: Interval of summaries between zones, which cross paid links.
 SUMMARY_INTERVAL_S = 1.5
 #: A VM of another zone is removed after this time without an update on it: four
@@ -40,6 +51,7 @@
     Another VM and its last known state.
 
     :param last_seen_at: monotonic time of its latest heartbeat.
+    :param interval_s: interval of the updates on it.
     :param rate: callers' requests per second.
     :param cores: CPU capacity, in cores of standard speed.
     :param last_presence: the latest ``Presence`` received from the VM itself, ``None``
@@ -55,6 +67,7 @@
     last_seen_at: float
     rate: float = 0.0
     cores: float = 1.0
+    interval_s: float = 0.0
     last_presence: Presence | None = None
     last_presence_at: float = 0.0
 
@@ -67,6 +80,9 @@
     to them, and the hubs take turns in sending the list of members to the zone. The
     first hub sends summaries to other zones. All of these are ``Presence`` messages.
 
+    In a large zone the VMs that serve no callers send fewer heartbeats and are listed
+    less often, so that the cost of an idle VM does not grow with the zone.
+
     :param settings: settings of this entry VM.
     :param network: a :class:`~lavendermast.peers.PeerTransport`.
     :param get_store_state: callable that returns this VM's configuration version,
@@ -98,6 +114,8 @@
         self._next_remote_list = 0.0
         self._seed_index = 0
         self._rounds = 0
+        self._list_turns = 0
+        self._prompt_names = set()
         network.boot_id = boot_id
         network.register(Presence, self._handle_presence)
 
@@ -124,9 +142,19 @@
         sends_list = self.local_vm.vm in hubs and hubs.index(self.local_vm.vm) == (
             self._rounds % len(hubs)
         )
-        names = zone_names if sends_list else hubs
-        addresses = [self.vms[name].peer_address for name in names if name in self.vms]
-        self._send(addresses, self._list_others(now) if sends_list else ())
+        idle = self._is_large(zone_names) and self.local_vm.vm not in (
+            self._find_prompt_names(hubs)
+        )
+        if not idle or self._rounds % IDLE_HEARTBEAT_ROUNDS == 0:
+            interval_s = IDLE_HEARTBEAT_ROUNDS * HEARTBEAT_INTERVAL_S if idle else 0.0
+            self.local_vm = attrs.evolve(
+                self.local_vm, interval_ms=round(interval_s * 1000)
+            )
+            names = zone_names if sends_list else hubs
+            addresses = [
+                self.vms[name].peer_address for name in names if name in self.vms
+            ]
+            self._send(addresses, self._list_others(now, hubs) if sends_list else ())
         if zone_names[0] == self.local_vm.vm and now >= self._next_summary:
             self._next_summary = now + SUMMARY_INTERVAL_S
             self._send_summaries(now)
@@ -209,15 +237,58 @@
             part = others[first : first + MAX_VMS_PER_DATAGRAM]
             self._network.broadcast(addresses, self._make_presence(others=part))
 
-    def _list_others(self, now):
+    def _is_large(self, zone_names):
+        """Return whether a list of the zone does not fit a datagram."""
+        return len(zone_names) > MAX_VMS_PER_DATAGRAM + 1
+
+    def _find_prompt_names(self, hubs):
+        """Return the names of the zone's VMs on which others need prompt updates."""
+        ready = self.get_ready(self.local_vm.zone)
+        prompt = ready[: self._count_active(ready) + STANDBY_VMS]
+        return {vm.vm for vm in prompt}.union(hubs)
+
+    def _list_zone(self, now, hubs):
+        """Return the VMs of this zone that a hub lists to it in this round."""
+        vms = [vm for vm in self.vms.values() if vm.zone == self.local_vm.zone]
+        if not self._is_large(vms):
+            return [_make_vm_presence(vm, now) for vm in vms]
+        prompt_names = self._find_prompt_names(hubs)
+        # Receivers drop a VM soon after its last prompt update, so one that needs none
+        # any more stays listed until they hear of its longer interval.
+        self._prompt_names |= prompt_names
+        self._list_turns += 1
+        if self._list_turns % IDLE_LIST_TURNS:
+            vms = [
+                vm
+                for vm in vms
+                if vm.vm in self._prompt_names or vm.state in ("starting", "leaving")
+            ]
+            return [_make_vm_presence(vm, now) for vm in vms]
+        self._prompt_names = prompt_names
+        return self._describe_vms(vms, now)
+
+    def _describe_vms(self, vms, now):
+        """Return VMs for a list that only the next long list repeats."""
+        zone_names = self.get_vm_names()
+        rarely_listed = set()
+        if self._is_large(zone_names):
+            prompt_names = self._find_prompt_names(zone_names[:HUBS_PER_ZONE])
+            rarely_listed = set(zone_names) - prompt_names
+        return [
+            _make_vm_presence(vm, now, IDLE_LIST_INTERVAL_S * (vm.vm in rarely_listed))
+            for vm in vms
+        ]
+
+    def _list_others(self, now, hubs):
         """Return the VMs that a hub lists to its zone in this round."""
-        listed = [vm for vm in self.vms.values() if vm.zone == self.local_vm.zone]
+        listed = self._list_zone(now, hubs)
         if now >= self._next_remote_list:
             self._next_remote_list = now + REMOTE_LIST_INTERVAL_S
             for other in self._get_other_zones():
                 names = self.get_vm_names(other)[:MAX_SUMMARY_VMS]
-                listed += [self.vms[name] for name in names if name in self.vms]
-        return [_make_vm_presence(vm, now) for vm in listed]
+                vms = [self.vms[name] for name in names if name in self.vms]
+                listed += [_make_vm_presence(vm, now) for vm in vms]
+        return listed
 
     def _get_other_zones(self):
         return {vm.zone for vm in self.vms.values()} - {self.local_vm.zone}
@@ -254,10 +325,7 @@
             if other.vm != self.local_vm.vm:
                 self._merge(other, now)
         if presence.reply_wanted:
-            others = [
-                _make_vm_presence(vm, now)
-                for vm in self._choose_reply_vms(presence.own)
-            ]
+            others = self._describe_vms(self._choose_reply_vms(presence.own), now)
             self._send([presence.own.peer_address], others)
         for handler in self.on_presence:
             handler(presence)
@@ -289,8 +357,10 @@
             known.state, known.boot_id = presence.state, presence.boot_id
             known.peer_address = presence.peer_address
             known.rate, known.cores = presence.rate, presence.cores
+            known.interval_s = presence.interval_ms / 1000
             return known
-        if now - last_seen_at > self._get_timeout(presence.zone):
+        interval_s = presence.interval_ms / 1000
+        if now - last_seen_at > self._get_timeout(presence.zone, interval_s):
             return None
         known = FleetVm(
             presence.vm,
@@ -301,6 +371,7 @@
             last_seen_at,
             presence.rate,
             presence.cores,
+            interval_s,
         )
         self.vms[presence.vm] = known
         self._log_change(presence.vm, presence.zone, presence.state)
@@ -309,12 +380,14 @@
     def _remove_timed_out(self, now):
         for vm in list(self.vms.values()):
             age = now - vm.last_seen_at
-            if age > self._get_timeout(vm.zone):
+            if age > self._get_timeout(vm.zone, vm.interval_s):
                 del self.vms[vm.vm]
                 self._log_change(vm.vm, vm.zone, "silent", round(age * 1000))
 
-    def _get_timeout(self, zone):
-        return ZONE_TIMEOUT_S if zone == self.local_vm.zone else REMOTE_ZONE_TIMEOUT_S
+    def _get_timeout(self, zone, interval_s):
+        if zone != self.local_vm.zone:
+            return REMOTE_ZONE_TIMEOUT_S
+        return max(ZONE_TIMEOUT_S, MAX_MISSED_INTERVALS * interval_s)
 
     def _log_change(self, vm, zone, state, age_ms=0):
         self._record_event(
@@ -322,8 +395,14 @@
         )
 
 
-def _make_vm_presence(vm, now):
+def _make_vm_presence(vm, now, interval_s=0.0):
+    """
+    Return what this VM tells others of a VM.
+
+    :param interval_s: interval at which this VM sends updates on it.
+    """
     age_ms = max(0, round((now - vm.last_seen_at) * 1000))
+    interval_s = max(interval_s, vm.interval_s)
     return VmPresence(
         vm.vm,
         vm.zone,
@@ -333,4 +412,5 @@
         age_ms,
         vm.rate,
         vm.cores,
+        round(interval_s * 1000),
     )
--- a/tests/test_identified_responses.py
+++ b/tests/test_identified_responses.py
@@ -190,7 +190,9 @@
             assert self.pieces < 100_000, "the timer never ran"
             if self.pieces == 1:
                 return data
-            return b"1;" + b"x" * 4000 + b"\r\ny\r\n" if b"chunked" in data else b"y" * 9
+            return (
+                b"1;" + b"x" * 4000 + b"\r\ny\r\n" if b"chunked" in data else b"y" * 9
+            )
 
     response = IdentifiedResponse(BusySocket(), id_header="none", request_id="")
     response.begin()
--- a/tests/test_zonefleet.py
+++ b/tests/test_zonefleet.py
@@ -31,6 +31,7 @@
         self.transports = {}
         self.cut = set()
         self.sent = 0
+        self.requests = 0
 
     def find(self, sender, address):
         if address in self.cut or sender in self.cut:
@@ -54,6 +55,7 @@
             transport.dispatch(self.make_envelope(body, self._clock), self.vm)
 
     def request(self, address, body, deadline):
+        self._network.requests += 1
         transport = self._network.find(self.vm, address)
         if transport is None:
             raise PeerError(address)
@@ -142,6 +144,15 @@
     return types.SimpleNamespace(clock=clock, network=network, source=source, vms=vms)
 
 
+def make_large_zone(size=32):
+    clock, network, source = ManualClock(100.0), InMemoryNetwork(), FakeSource()
+    names = [f"a{n:02}" for n in range(1, size + 1)]
+    vms = {name: make_vm(name, network, clock, source) for name in names}
+    for vm in vms.values():
+        vm.fleet.seeds = ("a01", "a02")
+    return types.SimpleNamespace(clock=clock, network=network, source=source, vms=vms)
+
+
 def run_rounds(fleet, rounds, without=()):
     for _ in range(rounds):
         for name, vm in fleet.vms.items():
@@ -342,3 +353,83 @@
     run_rounds(fleet, 6)
     eventlet.sleep(0)
     assert {vm.catalog.config_version for vm in fleet.vms.values()} == {12}
+
+
+def count_received(fleet, name, rounds):
+    """Return the VMs that a VM hears of in some rounds, on average per round."""
+    heard = []
+    vm = fleet.vms[name].fleet
+    vm._next_seed = float("inf")
+    vm.on_presence.append(lambda presence: heard.append(1 + len(presence.others)))
+    run_rounds(fleet, rounds)
+    return sum(heard) / rounds
+
+
+def test_cost_of_an_idle_vm_does_not_grow_with_its_zone():
+    """Guards against idle VMs that spend their time on lists of idle VMs."""
+    small, large = make_large_zone(11), make_large_zone(32)
+    for fleet in (small, large):
+        run_rounds(fleet, 24)
+    heard = count_received(large, "a32", 24)
+    assert heard < 1.3 * count_received(small, "a11", 24)
+    before = large.network.sent
+    for _ in range(6):
+        large.vms["a31"].fleet.send_heartbeats()
+    assert large.network.sent - before <= 2 * HUBS_PER_ZONE + 2
+
+
+def test_large_zone_agrees_on_its_members(fleet):
+    """Guards against VMs that are dropped because they are rarely listed."""
+    fleet = make_large_zone()
+    run_rounds(fleet, 24)
+    for vm in fleet.vms.values():
+        vm.events.clear()
+    run_rounds(fleet, 75)
+    assert [vm.events for vm in fleet.vms.values()] == [[]] * 32
+    for vm in fleet.vms.values():
+        assert get_active(vm, "a") == ["a01", "a02"]
+        assert len(vm.fleet.get_vm_names()) == 32
+
+
+def test_killed_vms_of_a_large_zone_are_replaced():
+    """Guards against directory responses that list dead VMs of a large zone."""
+    fleet = make_large_zone()
+    run_rounds(fleet, 24)
+    killed = ("a01", "a02", "a20")
+    fleet.network.cut.update(killed)
+    run_rounds(fleet, int(ZONE_TIMEOUT_S / HEARTBEAT_INTERVAL_S) + 5, without=killed)
+    for name in ("a03", "a04", "a32"):
+        assert get_active(fleet.vms[name], "a") == ["a03", "a04"]
+    run_rounds(fleet, 40, without=killed)
+    for name in ("a03", "a31"):
+        assert "a20" not in fleet.vms[name].fleet.get_vm_names()
+
+
+def test_large_zone_follows_its_load():
+    """Guards against callers that move to a zone whose VMs stay idle."""
+    fleet = make_large_zone()
+    run_rounds(fleet, 24)
+    for name in ("a01", "a02"):
+        fleet.vms[name].rate = 60.0
+    run_rounds(fleet, 4)
+    active = get_active(fleet.vms["a30"], "a")
+    assert len(active) >= 8
+    for name in active:
+        fleet.vms[name].rate = 15.0
+    run_rounds(fleet, 8)
+    for vm in fleet.vms.values():
+        assert get_active(vm, "a") == active
+    for name in active:
+        fleet.vms[name].rate = 0.0
+    run_rounds(fleet, 24)
+    for vm in fleet.vms.values():
+        assert get_active(vm, "a") == ["a01", "a02"]
+
+
+def test_starting_vm_sends_no_snapshot_to_its_zone(fleet):
+    """Guards against a zone whose VMs start together and send each other snapshots."""
+    run_rounds(fleet, 8)
+    before = fleet.network.requests
+    for vm in fleet.vms.values():
+        vm.sync._apply(vm.sync._read(), "store")
+    assert fleet.network.requests == before
