Follow another zone when the store turns a zone's reader away

Cause, from the code: a reader whose watch hangs counts as reader for up to 11.5 s, and a VM that fetched a change from another zone kept it to itself, so that each VM of the zone waited for a hub's next heartbeats to fetch it too.

Change: hubs push what they get from another zone, and a watch that is still silent 0.8 s after a peer had a newer state is ended, so that the next VM reads. The store was not down then, so removed servers are not retained.

The new tests fail without the change, the one on pushes by other VMs excepted.

--- a/src/lavendermast/catalogsync.py
+++ b/src/lavendermast/catalogsync.py
@@ -1,10 +1,16 @@
 """Keeps the catalog current: one VM per zone reads the store and updates its peers."""
 
 import abc
+import math
 
 import eventlet
 
-from lavendermast.exceptions import HistoryLostError, PeerError, StoreError
+from lavendermast.exceptions import (
+    HistoryLostError,
+    PeerError,
+    StoreError,
+    StoreLagError,
+)
 from lavendermast.messages_model import FetchChanges, StoredChanges
 
 #: Maximum duration of one watch call; short enough to notice a store that hangs.
@@ -17,6 +23,9 @@
 #: Interval at which a VM that is not the reader checks whether it has become it.
 ROLE_CHECK_INTERVAL_S = 0.2
 PEER_REQUEST_TIMEOUT_S = 1.0
+#: A watch that still delivers nothing this long after a peer had a newer state is
+#: ended, and the next VM reads.
+MAX_WATCH_LAG_S = 0.8
 #: A VM whose latest heartbeat is older does not count as the reader of its zone. Each
 #: hub sends one to the zone every 1.2 s, and one datagram may be lost.
 READER_TIMEOUT_S = 2.6
@@ -57,7 +66,8 @@
 
     The reader is the first live VM of the zone by name that reaches the store. The
     other VMs apply what it pushes, and fetch changes that they missed from a peer. A VM
-    without documents reads the store itself.
+    without documents reads the store itself. A hub that gets changes from another zone
+    pushes them too, because the store may have turned away the reader of its own zone.
 
     :param source: a :class:`DocumentSource`.
     """
@@ -71,6 +81,10 @@
         self._record_event = record_event
         self._retry_delay_s = MIN_RETRY_DELAY_S
         self._fetching = False
+        self._task = None
+        self._watching = False
+        self._watch_deadline = math.inf
+        self._was_lost = False
         self.store_reachable = True
         network.register(StoredChanges, self._handle_changes)
         network.register(FetchChanges, self._handle_fetch)
@@ -78,6 +92,7 @@
 
     def run(self):
         """Watch the store until the task is killed."""
+        self._task = eventlet.getcurrent()
         while True:
             if not self.is_reader():
                 self._clock.sleep(ROLE_CHECK_INTERVAL_S)
@@ -119,7 +134,7 @@
         if not known_revision or self._source.era > self._catalog.era:
             return self._source.read_all()
         try:
-            changes = self._source.watch(known_revision, WATCH_WAIT_S)
+            changes = self._watch(known_revision)
         except HistoryLostError:
             self._record_event(
                 "history_lost", revision=known_revision, era=self._source.era
@@ -130,17 +145,43 @@
             return self._source.read_all()
         return changes
 
+    def _watch(self, revision):
+        self._watching = True
+        self._watch_deadline = math.inf
+        try:
+            return self._source.watch(revision, WATCH_WAIT_S)
+        finally:
+            self._watching = False
+
+    def _limit_watch(self):
+        """End a watch that peers have been ahead of for too long."""
+        if not self._watching:
+            return
+        now = self._clock.monotonic()
+        if self._watch_deadline == math.inf:
+            self._watch_deadline = now + MAX_WATCH_LAG_S
+            self._network.spawn(self._end_late_watch, self._watch_deadline)
+
+    def _end_late_watch(self, deadline):
+        self._clock.sleep(deadline - self._clock.monotonic())
+        if self._watching and self._watch_deadline == deadline:
+            eventlet.kill(self._task, StoreLagError("the watch is behind other zones"))
+
     def _handle_store_failure(self, error):
         if self.store_reachable:
             self._record_event("store_lost", detail=str(error))
         self.store_reachable = False
+        # Entries expire only while the store serves nobody.
+        self._was_lost |= not isinstance(error, StoreLagError)
         self._retry_delay_s = min(self._retry_delay_s * 1.5, MAX_RETRY_DELAY_S)
 
     def _handle_store_success(self):
         self._retry_delay_s = MIN_RETRY_DELAY_S
         if not self.store_reachable:
             self.store_reachable = True
-            self._catalog.handle_store_recovery()
+            if self._was_lost:
+                self._catalog.handle_store_recovery()
+            self._was_lost = False
             self._record_event(
                 "store_regained",
                 revision=self._catalog.revision,
@@ -151,8 +192,12 @@
         catalog = self._catalog
         era, revision = catalog.era, catalog.revision
         catalog.apply(changes, source)
-        if source != "store" or (catalog.era, catalog.revision) == (era, revision):
+        if (catalog.era, catalog.revision) == (era, revision):
             return
+        if source != "store":
+            self._limit_watch()
+            if not (self._fleet.is_hub() and self._is_in_another_zone(source)):
+                return
         if not revision:
             # This VM has just started. Peers that are behind fetch what they miss;
             # a snapshot for each of them would delay the start of a whole zone.
@@ -163,6 +208,10 @@
             if vm is not None:
                 self._network.spawn(self._push, vm, update)
 
+    def _is_in_another_zone(self, name):
+        vm = self._fleet.vms.get(name)
+        return vm is not None and vm.zone != self._fleet.local_vm.zone
+
     def _push(self, vm, update):
         deadline = self._clock.monotonic() + PEER_REQUEST_TIMEOUT_S
         self._network.request(vm.peer_address, update, deadline)
--- a/src/lavendermast/exceptions.py
+++ b/src/lavendermast/exceptions.py
@@ -41,6 +41,10 @@
     """The store no longer has the changes after a revision; a full read is needed."""
 
 
+class StoreLagError(StoreError):
+    """The store delivers no changes to this VM, but does to others."""
+
+
 class DocumentError(LavendermastError):
     """A document of the store is invalid; the last valid one stays in effect."""
 
--- a/src/lavendermast/zonefleet.py
+++ b/src/lavendermast/zonefleet.py
@@ -180,6 +180,10 @@
             names.append(self.local_vm.vm)
         return sorted(names) or [self.local_vm.vm]
 
+    def is_hub(self):
+        """Return whether this VM carries the heartbeats of its zone."""
+        return self.local_vm.vm in self.get_vm_names()[:HUBS_PER_ZONE]
+
     def get_ready(self, zone):
         """Return the VMs of a zone that serve callers, by descending capacity."""
         ready = [
--- a/tests/test_zonefleet.py
+++ b/tests/test_zonefleet.py
@@ -7,9 +7,18 @@
 import pytest
 
 from lavendermast.catalog import Catalog
-from lavendermast.catalogsync import CatalogSync, DocumentSource
-from lavendermast.clock import ManualClock
-from lavendermast.exceptions import HistoryLostError, PeerError, StoreError
+from lavendermast.catalogsync import (
+    MAX_WATCH_LAG_S,
+    CatalogSync,
+    DocumentSource,
+)
+from lavendermast.clock import ManualClock, SystemClock
+from lavendermast.exceptions import (
+    HistoryLostError,
+    PeerError,
+    StoreError,
+    StoreLagError,
+)
 from lavendermast.messages_model import StoredChange, StoredChanges
 from lavendermast.peers import PeerTransport
 from lavendermast.platform.documents import decode_document
@@ -433,3 +442,68 @@
     for vm in fleet.vms.values():
         vm.sync._apply(vm.sync._read(), "store")
     assert fleet.network.requests == before
+
+
+def read_store(fleet):
+    for vm in fleet.vms.values():
+        vm.sync._apply(vm.sync._read(), "store")
+
+
+def test_zone_whose_reader_hears_nothing_follows_another_zone(fleet):
+    """Guards against a zone that is late because the store turns its reader away."""
+    read_store(fleet)
+    run_rounds(fleet, 8)
+    fleet.source.changes.append(StoredChange("op/config", 3, False, make_config(9)))
+    changes = fleet.vms["b1"].sync._read()
+    fleet.vms["a2"].sync._apply(changes, "b1")
+    assert {fleet.vms[f"a{n}"].catalog.config_version for n in range(1, 7)} == {9}
+
+
+def test_vm_that_is_no_hub_does_not_push_what_it_fetched(fleet):
+    """Guards against a push by each VM of a zone for each change."""
+    read_store(fleet)
+    run_rounds(fleet, 8)
+    fleet.source.changes.append(StoredChange("op/config", 3, False, make_config(9)))
+    before = fleet.network.requests
+    fleet.vms["a5"].sync._apply(fleet.vms["b1"].sync._read(), "b1")
+    assert fleet.network.requests == before
+
+
+class HangingSource(FakeSource):
+    """A store that never delivers what changes after the watch began."""
+
+    def watch(self, revision, wait_s):
+        self.calls += 1
+        eventlet.sleep(wait_s)
+        return StoredChanges(revision, self.revision, False, (), self.era)
+
+
+def test_reader_gives_up_a_watch_that_peers_are_ahead_of(fleet):
+    """Guards against a zone that depends on a reader whose watch hangs."""
+    reader = fleet.vms["a1"]
+    read_store(fleet)
+    run_rounds(fleet, 8)
+    reader.sync._source = HangingSource()
+    reader.sync._network.spawn = lambda *call: eventlet.spawn_n(*call)
+    reader.sync._clock = SystemClock()
+    task = eventlet.spawn(reader.sync.run)
+    eventlet.sleep(0)
+    fleet.source.changes.append(StoredChange("op/config", 3, False, make_config(9)))
+    reader.sync._apply(fleet.vms["b1"].sync._read(), "b1")
+    with eventlet.Timeout(MAX_WATCH_LAG_S + 5):
+        while reader.sync.store_reachable:
+            eventlet.sleep(0.02)
+    task.kill()
+    run_rounds(fleet, 4)
+    assert fleet.vms["a2"].sync.is_reader()
+
+
+def test_removed_server_is_not_retained_after_a_watch_was_given_up(fleet):
+    """Guards against a server that left and is used again, though the store was up."""
+    reader = fleet.vms["a1"]
+    read_store(fleet)
+    reader.sync._handle_store_failure(StoreLagError("behind"))
+    reader.sync._handle_store_success()
+    fleet.source.changes.append(StoredChange("servers/s1", 3, True, b""))
+    reader.sync._apply(reader.sync._read(), "store")
+    assert reader.catalog.get_server("s1") is None
