--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -171,6 +171,23 @@
     assert len(server.runs) == runs
 
 
+def test_request_at_a_server_that_stops_reporting_ends_whole(world):
+    """
+    Guards against work that is given up or started again elsewhere because its server
+    is silent at the store for a while.
+    """
+    slow = world.add("s1")
+    slow.work_s = 1.0
+    world.wait_ready(1)
+    task = eventlet.spawn(world.send, "/book/1", "POST")
+    world.wait_for(lambda: slow.runs)
+    other = world.add("s2")
+    world.store.delete("servers/s1")
+    reply = task.wait()
+    assert (reply.status, reply.data) == (200, b"s1 /book/1")
+    assert (len(slow.runs), other.runs) == (1, [])
+
+
 def test_invalid_settings_are_rejected_with_all_findings(tmp_path):
     """Guards against a process that starts with incomplete settings."""
     path = tmp_path / "entry.json"
--- a/tests/test_identified_responses.py
+++ b/tests/test_identified_responses.py
@@ -6,6 +6,7 @@
 import eventlet
 import pytest
 from eventlet.green import socket as green_socket
+from hypothesis import given, strategies as st
 
 from lavendermast.exceptions import FramingError, TruncatedResponseError
 from lavendermast.framing import IdentifiedResponse
@@ -199,3 +200,50 @@
     with pytest.raises(eventlet.Timeout), eventlet.Timeout(0.05):
         while response.read_piece():
             pass
+
+
+def split(wire, ends):
+    """Return the packets of some bytes that end at the given positions."""
+    ends = [*sorted(end for end in ends if end < len(wire)), len(wire)]
+    return [wire[a:b] for a, b in zip([0, *ends], ends, strict=False)]
+
+
+responses = st.builds(
+    lambda request_id, body, chunked: (
+        (
+            f"HTTP/1.1 200 OK\r\nRequest-Id: {request_id}\r\n"
+            "Transfer-Encoding: chunked\r\n\r\n"
+        ).encode()
+        + b"".join(b"1\r\n%c\r\n" % byte for byte in body)
+        + b"0\r\n\r\n"
+        if chunked
+        else make_answer(request_id, body)
+    ),
+    st.just("mine"),
+    st.binary(max_size=30),
+    st.booleans(),
+)
+PREFIXES = [b"", REFUSAL, make_answer("old", b"old"), b"HTTP/1.1 100 -\r\n\r\n"]
+
+
+@given(st.sampled_from(PREFIXES), responses, st.sets(st.integers(1, 200)), st.data())
+def test_response_that_breaks_off_never_looks_complete(prefix, wire, ends, data):
+    """
+    Guards against a broken-off response that a caller takes for a whole one.
+
+    The server closes anywhere in the head or the body.
+    """
+    end = data.draw(st.integers(0, len(wire) - 1))
+    with pytest.raises((TruncatedResponseError, FramingError)):
+        read(*split(prefix + wire[:end], ends))
+
+
+@given(responses, st.binary(max_size=40), st.sets(st.integers(1, 200)))
+def test_extra_bytes_are_never_part_of_a_response(wire, extra, ends):
+    """Guards against bytes after a response that reach its caller or the next one."""
+    whole, body = read(wire)
+    packets = split(wire + extra, ends)
+    response, read_body = read(*packets)
+    assert read_body == body
+    assert whole.reusable
+    assert response.reusable == (not extra or len(wire) in ends)
