--- a/bench/soakworld.py
+++ b/bench/soakworld.py
@@ -121,11 +121,13 @@
     def stop(self):
         """Send SIGTERM; kill the process if it still runs after its grace period."""
         self._account.stops[self.name].append(time.monotonic())
+        # Faults overlap, so another one may start the next process meanwhile.
+        process = self._process
         self._signal(signal.SIGTERM)
         until = time.monotonic() + GRACE_S
-        while self._process.poll() is None and time.monotonic() < until:
+        while process.poll() is None and time.monotonic() < until:
             eventlet.sleep(0.05)
-        if self._process.poll() is None:
+        if process.poll() is None:
             if self._account.is_in_contact(self.name, until - GRACE_S, until):
                 self._account.overdue_stops.append(
                     f"{self.name} still ran after its grace period"
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -6,6 +6,7 @@
 import eventlet
 import pytest
 
+from bench import soakworld
 from bench.soak import CALLERS, Soak, run_seed
 from bench.soakchecks import Account, Call, check_account
 
@@ -157,3 +158,43 @@
         world = types.SimpleNamespace(servers={"s1": server}, removed_servers=[])
         found = [f.partition(":")[0] for f in check_account(account, world)]
         assert found == findings
+
+
+class FakeProcess:
+    """A process that runs until ``ended`` is set."""
+
+    ended = False
+
+    def poll(self):
+        return 0 if self.ended else None
+
+    def wait(self):
+        self.ended = True
+
+    def send_signal(self, number):
+        pass
+
+
+@pytest.mark.parametrize(("ended", "findings"), [(True, 0), (False, 1)])
+def test_stop_waits_for_the_process_that_got_the_signal(
+    tmp_path, monkeypatch, ended, findings
+):
+    """
+    Guards against a finding about a process that no stop was sent to.
+
+    Two stops overlap: the first one has started the next process before the second one
+    has seen that the signalled process exited.
+    """
+    monkeypatch.setattr(soakworld, "GRACE_S", 0.2)
+    account = Account()
+    store = types.SimpleNamespace(address="127.0.0.1:9")
+    vm = soakworld.SoakVm("a1", "a", tmp_path, store, account, {})
+    signalled = vm._process = FakeProcess()
+
+    def start_next():
+        signalled.ended = ended
+        vm._process = FakeProcess() if ended else signalled
+
+    eventlet.spawn_after(0.06, start_next)
+    vm.stop()
+    assert len(account.overdue_stops) == findings
