Add evidence that cannot change any more once

Change: the probability after the attempts before the first pending one is kept.

A hypothesis test compares with the whole fold after each history; without the reset for late reports it fails.

--- a/src/lavendermast/evidenceregistry.py
+++ b/src/lavendermast/evidenceregistry.py
@@ -278,5 +278,4 @@
     def _remove(self, evidence, attempt):
         if attempt.ended is None:
             evidence.finish(attempt, self._clock.monotonic(), AttemptOutcome.ABANDONED)
-        if attempt in evidence.attempts:
-            evidence.attempts.remove(attempt)
+        evidence.discard(attempt)
--- a/src/lavendermast/suspicion.py
+++ b/src/lavendermast/suspicion.py
@@ -6,6 +6,7 @@
 
 import collections
 import enum
+import itertools
 import math
 
 import attrs
@@ -85,9 +86,14 @@
         self.last_started = 0.0
         self.busy_until = 0.0
         self.reported_at = 0.0
-        self.reported_sick_probability = PRIOR_SICK_PROBABILITY
         self.reported_pending = 0
         self._cached = (0.0, PRIOR_SICK_PROBABILITY)
+        # The probability after the evidence that was dropped, and after the attempts
+        # before the first pending one, which add the same evidence each time. Each with
+        # the time that it is from, ``None`` for the prior.
+        self._base = (PRIOR_SICK_PROBABILITY, None)
+        self._settled = self._base
+        self._settled_count = 0
 
     def start(self, now, durations, retryable=True):
         """Add an attempt that starts at ``now`` and return it."""
@@ -98,6 +104,8 @@
         while index and attempts[index - 1].started > now:
             index -= 1
         attempts.insert(index, attempt)
+        if index < self._settled_count:
+            self._unsettle()
         if len(attempts) > MAX_STORED_ATTEMPTS:
             self._drop_oldest(now)
         self.pending += 1
@@ -113,13 +121,19 @@
         attempt.outcome = outcome
         self._cached = (0.0, 0.0)
 
+    def discard(self, attempt):
+        """Remove an attempt that says nothing about the server."""
+        if attempt in self.attempts:
+            self.attempts.remove(attempt)
+            self._unsettle()
+            self._cached = (0.0, 0.0)
+
     def apply_summary(self, now, sick_probability, pending):
         """Apply a summary of the server from the region that it belongs to."""
         self.reported_at = now
-        self.reported_sick_probability = min(
-            max(sick_probability, MIN_PROBABILITY), MAX_PROBABILITY
-        )
         self.reported_pending = pending
+        self._base = (min(max(sick_probability, MIN_PROBABILITY), MAX_PROBABILITY), now)
+        self._unsettle()
         self._cached = (0.0, 0.0)
 
     def count_pending(self, now):
@@ -141,36 +155,52 @@
         attempts = self.attempts
         while attempts and attempts[0].started < now - MAX_EVIDENCE_AGE_S:
             self._drop_oldest(now)
-        sick_probability, moment = PRIOR_SICK_PROBABILITY, None
-        if now - self.reported_at < MAX_EVIDENCE_AGE_S:
-            sick_probability, moment = self.reported_sick_probability, self.reported_at
-        for attempt in attempts:
-            if attempt.started < self.reported_at - attempt.durations.assumed_typical_s:
-                continue
-            if moment is not None:
-                sick_probability = decay_to_prior(
-                    sick_probability, max(attempt.started - moment, 0.0)
-                )
-            moment = max(attempt.started, moment or 0.0)
-            odds = (
-                sick_probability
-                / (1 - sick_probability)
-                * compute_likelihood_ratio(attempt, now)
-            )
-            sick_probability = min(
-                max(odds / (1 + odds), MIN_PROBABILITY), MAX_PROBABILITY
-            )
+        if self._base[1] is not None and self._base[1] < now - MAX_EVIDENCE_AGE_S:
+            self._base = (PRIOR_SICK_PROBABILITY, None)
+        if not self._settled_count:
+            self._settled = self._base
+        state, settled = self._settled, True
+        for attempt in itertools.islice(attempts, self._settled_count, None):
+            state = self._add(state, attempt, now)
+            settled = settled and attempt.ended is not None
+            if settled:
+                self._settled_count += 1
+                self._settled = state
+        sick_probability, moment = state
         return (
             decay_to_prior(sick_probability, now - moment)
             if moment is not None
             else sick_probability
         )
 
+    def _add(self, state, attempt, now):
+        """Return the probability after an attempt, and the time that it is from."""
+        sick_probability, moment = state
+        if attempt.started < self.reported_at - attempt.durations.assumed_typical_s:
+            return state
+        if moment is not None:
+            sick_probability = decay_to_prior(
+                sick_probability, max(attempt.started - moment, 0.0)
+            )
+        odds = (
+            sick_probability
+            / (1 - sick_probability)
+            * compute_likelihood_ratio(attempt, now)
+        )
+        sick_probability = min(max(odds / (1 + odds), MIN_PROBABILITY), MAX_PROBABILITY)
+        return sick_probability, max(attempt.started, moment or 0.0)
+
+    def _unsettle(self):
+        self._settled_count = 0
+
     def _drop_oldest(self, now):
         old = self.attempts.popleft()
         if old.ended is None:
             self.pending -= 1
             old.ended = now
+        self._base = self._add(self._base, old, now)
+        if self._settled_count:
+            self._settled_count -= 1
 
 
 def decay_to_prior(sick_probability, seconds):
--- a/tests/test_suspicion.py
+++ b/tests/test_suspicion.py
@@ -1,6 +1,7 @@
 """Evidence about servers from the ages and results of attempts."""
 
 import pytest
+from hypothesis import given, strategies as st
 
 from lavendermast.durations import Durations
 from lavendermast.suspicion import (
@@ -96,3 +97,40 @@
     for _ in range(2):
         erring.finish(erring.start(11.5, durations), 11.9, AttemptOutcome.ERROR)
     assert erring.compute_sick_probability(11.9) > 0.8
+
+
+steps = st.lists(
+    st.tuples(
+        st.sampled_from(["start", "late", "finish", "finish", "discard"]),
+        st.integers(0, 30),
+        st.sampled_from(list(AttemptOutcome)),
+    ),
+    min_size=1,
+    max_size=120,
+)
+
+
+@given(steps)
+def test_probability_does_not_depend_on_when_it_was_computed(steps):
+    """
+    Guards against evidence that counts twice or not at all.
+
+    Evidence that cannot change any more is added once and kept. Reports of other VMs
+    arrive late, and a server keeps only its newest attempts.
+    """
+    durations, evidence, running, now = Durations(2.0), ServerEvidence(), [], 50.0
+    for step, number, outcome in steps:
+        now += 0.1
+        if step == "start":
+            running.append(evidence.start(now, durations))
+        elif step == "late":
+            running.append(evidence.start(now - number / 20, durations))
+        elif running and step in ("finish", "discard"):
+            attempt = running.pop(number % len(running))
+            evidence.finish(attempt, max(now, attempt.started), outcome)
+            if step == "discard":
+                evidence.discard(attempt)
+        evidence.compute_sick_probability(now)
+    value = evidence.compute_sick_probability(now + 0.1)
+    evidence._unsettle()
+    assert evidence._compute_posterior(now + 0.1) == pytest.approx(value, rel=1e-9)
