Send copies of attempt reports with the next batch

Change: the copy goes with the next batch, alone only after 0.25 s, so that 16 batches carry what took 24 in the new test.

test_reports_reach_another_vm_although_one_copy_is_lost and test_refused_attempt_is_no_evidence move the clock to the copy's time; they assert the same.

--- a/src/lavendermast/evidenceregistry.py
+++ b/src/lavendermast/evidenceregistry.py
@@ -10,8 +10,9 @@
 from lavendermast.models import AttemptStatus
 from lavendermast.suspicion import MAX_EVIDENCE_AGE_S, AttemptOutcome, ServerEvidence
 
-#: Each report is sent in this many batches, since datagrams may be lost.
-REPORT_COPIES = 2
+#: Each report is sent twice, since datagrams may be lost. The copy goes with the next
+#: batch, or alone after this time.
+COPY_DELAY_S = 0.25
 MAX_REPORTS_PER_BATCH = 20
 #: Weight of one response in the moving average of response sizes.
 SIZE_WEIGHT = 0.05
@@ -103,6 +104,7 @@
         self._numbers = itertools.count(1)
         self._local_attempts = {}
         self._outbox = collections.deque()
+        self._copies = collections.deque()
         self._remote_attempts = collections.OrderedDict()
         self.on_report_queued = lambda: None
 
@@ -166,19 +168,30 @@
             self._response_bytes[route.name] = mean + (size - mean) * SIZE_WEIGHT
 
     def _queue_report(self, local):
-        self._outbox.append((REPORT_COPIES, local))
+        self._outbox.append(local)
         self.on_report_queued()
 
+    @property
+    def has_reports(self):
+        """Whether reports wait to be sent, copies included."""
+        return bool(self._outbox or self._copies)
+
     def take_reports(self):
         """Remove the reports to send now from the queue and return them."""
         now = self._clock.monotonic()
-        batch = {}
-        for _ in range(min(len(self._outbox), MAX_REPORTS_PER_BATCH)):
-            copies, local = self._outbox.popleft()
-            batch[local.number] = local.make_report(now)
-            if copies > 1:
-                self._outbox.append((copies - 1, local))
-        return tuple(batch.values())
+        first = [
+            self._outbox.popleft()
+            for _ in range(min(len(self._outbox), MAX_REPORTS_PER_BATCH))
+        ]
+        attempts = {local.number: local for local in first}
+        while self._copies and len(attempts) < MAX_REPORTS_PER_BATCH:
+            due, local = self._copies[0]
+            if not attempts and now < due:
+                break
+            self._copies.popleft()
+            attempts[local.number] = local
+        self._copies.extend((now + COPY_DELAY_S, local) for local in first)
+        return tuple(local.make_report(now) for local in attempts.values())
 
     def apply_reports(self, sender, boot_id, reports):
         """
--- a/src/lavendermast/evidencesharing.py
+++ b/src/lavendermast/evidencesharing.py
@@ -54,7 +54,8 @@
             self._clock.sleep(interval)
             reports = self._evidence.take_reports()
             if not reports:
-                self._reports_queued = Event()
+                if not self._evidence.has_reports:
+                    self._reports_queued = Event()
                 continue
             addresses = self._fleet.get_peer_addresses(zones)
             self._network.broadcast(addresses, AttemptReports(reports))
--- a/tests/test_selection.py
+++ b/tests/test_selection.py
@@ -10,7 +10,7 @@
 from lavendermast.catalog import ListedServer
 from lavendermast.clock import ManualClock
 from lavendermast.entrymodel import EntryRoute, RequestKind, ServerRecord, SplitPart
-from lavendermast.evidenceregistry import EvidenceRegistry
+from lavendermast.evidenceregistry import COPY_DELAY_S, EvidenceRegistry
 from lavendermast.losstracker import LossTracker
 from lavendermast.models import AttemptResult, AttemptStatus, Server, ServerState
 from lavendermast.ratelimits import RateLimits
@@ -255,11 +255,29 @@
     result = AttemptResult("near", AttemptStatus.OK, body=b"x")
     world.registry.finish("near", ROUTE, attempt, result, AttemptOutcome.SUCCEEDED)
     world.registry.take_reports()
+    world.clock.advance(COPY_DELAY_S)
     other.apply_reports("vm-1", 1, world.registry.take_reports())
+    assert not world.registry.has_reports
     assert other.get("near").pending == 0
     assert other.get("near").attempts[0].outcome is AttemptOutcome.SUCCEEDED
 
 
+def test_copies_of_reports_need_no_datagrams_of_their_own(world):
+    """Guards against twice the bytes between zones for the same evidence."""
+    batches = []
+    for _ in range(8):
+        attempt = world.registry.start("near", ROUTE)
+        batches.append(world.registry.take_reports())
+        world.clock.advance(0.1)
+        result = AttemptResult("near", AttemptStatus.OK, body=b"x")
+        world.registry.finish("near", ROUTE, attempt, result, AttemptOutcome.SUCCEEDED)
+        batches += [world.registry.take_reports(), world.registry.take_reports()]
+        world.clock.advance(0.1)
+    assert sum(bool(batch) for batch in batches) == 16
+    numbers = [report.sequence for batch in batches for report in batch]
+    assert all(numbers.count(number) >= 3 for number in range(1, 8))
+
+
 def limit_servers(world, **limits):
     for name, limit in limits.items():
         now = world.clock.monotonic()
