Learn how strongly an error response points to a sick server

Change: the ratio follows how often the next attempt at a server fails with an error too, by all attempts of the region; 8 to 1 at the start and at least, 40 to 1 at most.

The new test failed before.

--- a/src/lavendermast/evidenceregistry.py
+++ b/src/lavendermast/evidenceregistry.py
@@ -6,6 +6,7 @@
 import attrs
 
 from lavendermast.durations import Durations
+from lavendermast.errorrates import ErrorRates
 from lavendermast.messages_model import AttemptReport, ServerSummary
 from lavendermast.models import AttemptStatus
 from lavendermast.suspicion import MAX_EVIDENCE_AGE_S, AttemptOutcome, ServerEvidence
@@ -98,7 +99,8 @@
         self._clock = clock
         self._find_route = find_route
         self._rate_limits = rate_limits
-        self._servers = collections.defaultdict(ServerEvidence)
+        error_rates = ErrorRates()
+        self._servers = collections.defaultdict(lambda: ServerEvidence(error_rates))
         self._durations = {}
         self._response_bytes = {}
         self._numbers = itertools.count(1)
--- a/src/lavendermast/suspicion.py
+++ b/src/lavendermast/suspicion.py
@@ -11,6 +11,13 @@
 
 import attrs
 
+from lavendermast.errorrates import (
+    HEALTHY_FAILURE_RATE,
+    MAX_GAP_S,
+    MAX_LIKELIHOOD_RATIO,
+    ErrorRates,
+)
+
 #: Probability that a server without recent attempts is sick.
 PRIOR_SICK_PROBABILITY = 0.3
 #: Time constant with which evidence decays: it loses 63% of its weight in this time.
@@ -25,13 +32,6 @@
 MAX_STORED_ATTEMPTS = 24
 #: Share of the requests to a sick server that fail.
 SICK_FAILURE_RATE = 0.7
-#: Share of the requests to a healthy server that fail.
-HEALTHY_FAILURE_RATE = 0.015
-#: Likelihood ratio of an error response. Healthy servers respond to 1 to 2% of the
-#: requests with an error, while sick ones mostly do not respond at all.
-ERROR_LIKELIHOOD_RATIO = 8.0
-#: Upper bound on the likelihood ratio of a single attempt.
-MAX_LIKELIHOOD_RATIO = 40.0
 #: Probabilities are kept within these bounds, so that new evidence still changes them.
 MIN_PROBABILITY = 0.004
 MAX_PROBABILITY = 0.985
@@ -78,9 +78,12 @@
 
     The server is modelled as a hidden state that changes between healthy and sick. Each
     attempt is evidence of the state at its start.
+
+    :param error_rates: the :class:`~lavendermast.errorrates.ErrorRates` of all servers.
     """
 
-    def __init__(self):
+    def __init__(self, error_rates=None):
+        self._error_rates = error_rates or ErrorRates()
         self.attempts = collections.deque()
         self.pending = 0
         self.last_started = 0.0
@@ -120,6 +123,21 @@
         attempt.ended = now
         attempt.outcome = outcome
         self._cached = (0.0, 0.0)
+        if outcome is not AttemptOutcome.ABANDONED and self._follows_error(attempt):
+            self._error_rates.add_follower(repeated=outcome is AttemptOutcome.ERROR)
+
+    def _follows_error(self, attempt):
+        """Return whether the attempt before this one had an error response."""
+        previous = None
+        for other in self.attempts:
+            if other is attempt:
+                break
+            previous = other
+        return (
+            previous is not None
+            and previous.outcome is AttemptOutcome.ERROR
+            and attempt.started - previous.started <= MAX_GAP_S
+        )
 
     def discard(self, attempt):
         """Remove an attempt that says nothing about the server."""
@@ -185,7 +203,7 @@
         odds = (
             sick_probability
             / (1 - sick_probability)
-            * compute_likelihood_ratio(attempt, now)
+            * compute_likelihood_ratio(attempt, now, self._error_rates.likelihood_ratio)
         )
         sick_probability = min(max(odds / (1 + odds), MIN_PROBABILITY), MAX_PROBABILITY)
         return sick_probability, max(attempt.started, moment or 0.0)
@@ -215,15 +233,19 @@
     ) * math.exp(-seconds / DECAY_TIME_S)
 
 
-def compute_likelihood_ratio(attempt, now):
-    """Return the factor by which an attempt changes the odds of a sick server."""
+def compute_likelihood_ratio(attempt, now, error_ratio):
+    """
+    Return the factor by which an attempt changes the odds of a sick server.
+
+    :param error_ratio: the factor of an error response.
+    """
     if attempt.outcome is AttemptOutcome.SUCCEEDED:
         duration = attempt.ended - attempt.started
         # A response that took unusually long is no evidence of health.
         survival = attempt.durations.compute_survival(duration)
         return _SUCCESS_LIKELIHOOD_RATIO if survival > 0.1 else 1.0
     if attempt.outcome is AttemptOutcome.ERROR:
-        return ERROR_LIKELIHOOD_RATIO
+        return error_ratio
     if attempt.outcome is AttemptOutcome.FAILED:
         return _FAILURE_LIKELIHOOD_RATIO
     age = (now if attempt.ended is None else attempt.ended) - attempt.started
--- a/tests/test_suspicion.py
+++ b/tests/test_suspicion.py
@@ -1,9 +1,12 @@
 """Evidence about servers from the ages and results of attempts."""
 
+import types
+
 import pytest
 from hypothesis import given, strategies as st
 
 from lavendermast.durations import Durations
+from lavendermast.errorrates import ErrorRates
 from lavendermast.suspicion import (
     AttemptOutcome,
     ServerEvidence,
@@ -118,7 +121,10 @@
     Evidence that cannot change any more is added once and kept. Reports of other VMs
     arrive late, and a server keeps only its newest attempts.
     """
-    durations, evidence, running, now = Durations(2.0), ServerEvidence(), [], 50.0
+    rates = types.SimpleNamespace(
+        likelihood_ratio=9.0, add_follower=lambda repeated: None
+    )
+    durations, evidence, running, now = Durations(2.0), ServerEvidence(rates), [], 50.0
     for step, number, outcome in steps:
         now += 0.1
         if step == "start":
@@ -134,3 +140,32 @@
     value = evidence.compute_sick_probability(now + 0.1)
     evidence._unsettle()
     assert evidence._compute_posterior(now + 0.1) == pytest.approx(value, rel=1e-9)
+
+
+def fail_in_turn(evidence, durations, count, every):
+    """Add attempts, 0.5 s apart, of which each ``every``-th has an error response."""
+    for number in range(count):
+        attempt = evidence.start(10.0 + number * 0.5, durations)
+        error = number % every == 0
+        outcome = AttemptOutcome.ERROR if error else AttemptOutcome.SUCCEEDED
+        evidence.finish(attempt, attempt.started + 0.1, outcome)
+
+
+@pytest.mark.parametrize(("every", "suspect"), [(1, True), (20, False)])
+def test_first_error_accuses_more_where_errors_repeat(durations, every, suspect):
+    """
+    Guards against a server that loses several requests before it is avoided.
+
+    Servers of some services respond with errors while they are sick, those of others
+    only now and then while they are healthy. All servers show which of the two it is.
+    """
+    error_rates = ErrorRates()
+    fail_in_turn(ServerEvidence(error_rates), durations, 60, every)
+    evidence = ServerEvidence(error_rates)
+    for step in range(4):
+        attempt = evidence.start(50.0 + step * 0.2, durations)
+        evidence.finish(attempt, 50.1 + step * 0.2, AttemptOutcome.SUCCEEDED)
+    attempt = evidence.start(51.0, durations)
+    evidence.finish(attempt, 51.1, AttemptOutcome.ERROR)
+    probability = evidence.compute_sick_probability(51.2)
+    assert (probability > 0.2) == suspect
