Spend no retry budget for a request that reached no server

Cause: the budget bounds what arrives at servers beyond the first of each request, and an attempt whose connection failed arrives nowhere. The next one is the first. The new test failed before (not-run after two attempts).

--- a/src/lavendermast/attempts.py
+++ b/src/lavendermast/attempts.py
@@ -49,6 +49,7 @@
     AttemptStatus.CUT: AttemptOutcome.FAILED,
     AttemptStatus.CONNECT_FAILED: AttemptOutcome.FAILED,
 }
+_NOT_SENT_STATUSES = {AttemptStatus.CONNECT_FAILED, AttemptStatus.EXPIRED}
 _STATUS_CODES = {
     AttemptStatus.TIMEOUT: 504,
     AttemptStatus.EXPIRED: 504,
@@ -78,6 +79,7 @@
     attempts: int = 0
     not_run_attempts: int = 0
     may_have_run: bool = False
+    has_arrived: bool = False
     awaits_evidence: bool = False
     wait_logged: bool = False
     denial_logged: bool = False
@@ -242,7 +244,9 @@
         if reason == "first" and self._should_wait(state, candidate):
             self._record_wait(state, candidate)
             return False
-        if reason != "first" and not self._spend_budget(state, reason):
+        # A request that reached no server yet is not repeated by another attempt.
+        is_repeat = state.has_arrived or bool(state.running)
+        if is_repeat and not self._spend_budget(state, reason):
             return False
         server = candidate.listed.server
         state.attempts += 1
@@ -336,6 +340,8 @@
         """Return the final reply after an attempt, or ``None`` to continue."""
         state.running.pop(running.number, None)
         status = result.status
+        if status not in _NOT_SENT_STATUSES:
+            state.has_arrived = True
         if status is AttemptStatus.OK:
             return make_response_reply(state, result)
         if result.ran:
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -26,6 +26,7 @@
 
 OK, SHED = AttemptStatus.OK, AttemptStatus.SHED
 CUT, ERROR = AttemptStatus.CUT, AttemptStatus.ERROR
+CONNECT_FAILED = AttemptStatus.CONNECT_FAILED
 
 
 class FixedCatalog:
@@ -288,6 +289,24 @@
     assert [(item["reason"], item["cause"]) for item in denied] == [("retry", "budget")]
 
 
+@pytest.mark.parametrize("kind", RequestKind)
+def test_request_that_reached_no_server_needs_no_budget(kind):
+    """
+    Guards against a refusal while other servers are free.
+
+    An attempt whose connection failed repeats nothing at the servers.
+    """
+    script = [(0, CONNECT_FAILED)] * 3 + [(0, OK)]
+    reply, upstream, _, _ = run(
+        script,
+        make_route(kind, max_attempts=4),
+        servers=("s1", "s2", "s3", "s4"),
+        slack=0,
+    )
+    assert reply.outcome is Outcome.ANSWERED
+    assert len(set(upstream.sent)) == 4
+
+
 def test_request_without_a_listed_server_is_refused_at_once():
     """Guards against holding a request until its deadline without any attempt."""
     reply, upstream, _, seconds = run([], make_route(), timeout_s=3.0, servers=())
