Return a server's error when a hedge fails after it

Callers got 502 or 504 in place of the server's own error response, when that arrived while a hedge ran and the hedge failed later; the stream of a long one stayed open. The error is kept until the hedge ends, and a stream that is not passed on is closed.

--- a/src/lavendermast/attempts.py
+++ b/src/lavendermast/attempts.py
@@ -351,20 +351,25 @@
         if status is AttemptStatus.SHED:
             penalty_until = self._clock.monotonic() + SHED_PENALTY_S
             self._evidence.get(running.server.name).busy_until = penalty_until
-        if status is AttemptStatus.ERROR and (
-            not state.route.idempotent
-            or state.possible_runs >= state.route.max_attempts
+        if (
+            status is AttemptStatus.ERROR
+            and not state.running
+            and not self._may_try_again(state)
         ):
-            # The server's error response is passed on unchanged, unless another attempt
-            # is still running.
-            return None if state.running else make_response_reply(state, result)
-        if state.failure is None or result.status is AttemptStatus.ERROR:
-            state.failure = result
+            return make_response_reply(state, result)
         if result.stream is not None:
+            # Only a final response is streamed, and another attempt may succeed.
             result.stream.close()
             result.stream = None
+            result.status = AttemptStatus.CUT
+        if state.failure is None or result.status is AttemptStatus.ERROR:
+            state.failure = result
         return None
 
+    def _may_try_again(self, state):
+        """Return whether the request may run at another server."""
+        return state.route.idempotent and state.possible_runs < state.route.max_attempts
+
     def _make_failure_reply(self, state, status):
         """
         Return the final reply when no attempt succeeded.
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -278,6 +278,13 @@
     assert len(upstream.sent) == 1
 
 
+def test_server_error_is_returned_when_the_hedge_fails_later():
+    """Guards against an error response that is dropped because a hedge still runs."""
+    reply, upstream, _, _ = run([(0.5, ERROR), (0.6, CUT)], make_route())
+    assert len(upstream.sent) == 2
+    assert (reply.status, reply.body) == (500, b"whole")
+
+
 def test_exhausted_budget_stops_retries():
     """Guards against a retry storm, and against a denied retry that is not logged."""
     reply, upstream, events, _ = run(
