Use enough servers in the first seconds of a service

Cause: servers that answered first are preferred to those that nothing is known of, and which requests are lost is known after a second only, so the floor came too late.

Change: 0.6 to 1.6 s after the first request of a service, servers that had none get one each until as many are in use as the floor requires. The new test failed before.

--- a/src/lavendermast/selection.py
+++ b/src/lavendermast/selection.py
@@ -77,6 +77,14 @@
 #: probability, 29% of these trials were lost.
 NON_IDEMPOTENT_TRIAL = TrialRule(5.0, 0.45)
 
+#: In this time after the first request of a service, servers that had none yet get one
+#: until as many are in use as the floor requires. Which requests are lost is known only
+#: after a second, when it is too late to keep the floor of the first seconds.
+START_SPREAD_FROM_S = 0.6
+START_SPREAD_UNTIL_S = 1.6
+#: Servers that other regions report as sick are not used for that.
+MAX_START_SICK_PROBABILITY = 0.45
+
 
 def is_doubtful(sick_probability):
     """Return whether a server is too likely to be sick to relieve limited ones."""
@@ -279,13 +287,18 @@
         max_sick_probability = self._loss_tracker.find_max_sick_probability(
             service, names, now
         )
-        if max_sick_probability is None:
+        since_first = now - first_choice_at
+        if START_SPREAD_FROM_S <= since_first <= START_SPREAD_UNTIL_S:
+            max_sick_probability = MAX_START_SICK_PROBABILITY
+            idle = [c for c in in_region if self._is_unused(c.listed, first_choice_at)]
+        elif max_sick_probability is not None:
+            idle = [
+                c
+                for c in in_region
+                if self._is_idle(c.listed, now, first_choice_at, FLOOR_IDLE_S)
+            ]
+        else:
             return None
-        idle = [
-            c
-            for c in in_region
-            if self._is_idle(c.listed, now, first_choice_at, FLOOR_IDLE_S)
-        ]
         if not self._loss_tracker.is_below_floor(
             len(in_region) - len(idle), len(in_region)
         ):
@@ -298,6 +311,10 @@
         chosen.reason = "floor"
         return chosen
 
+    def _is_unused(self, listed, first_choice_at):
+        """Return whether a server had no request since the first of its service."""
+        return self._get_evidence(listed.server.name).last_started < first_choice_at
+
     def _find_trial(self, in_region, now, first_choice_at, rule):
         """Return a server that is due for a trial, or ``None``."""
         if not self._add_trial_credit():
--- a/tests/test_selection.py
+++ b/tests/test_selection.py
@@ -4,6 +4,7 @@
 import random
 import types
 
+import attrs
 import pytest
 
 from lavendermast.attempts import classify_attempt
@@ -75,6 +76,11 @@
         world.registry.finish(name, ROUTE, attempt, result, outcome)
 
 
+def finish(world, name, attempt):
+    result = AttemptResult(name, AttemptStatus.OK, body=b"x" * BYTES)
+    world.registry.finish(name, ROUTE, attempt, result, AttemptOutcome.SUCCEEDED)
+
+
 def choose(world, size=BYTES, **options):
     return world.server_selector.choose("stock", size, **options).listed.server.name
 
@@ -296,6 +302,32 @@
     assert choose(world) == "near"
 
 
+@pytest.mark.parametrize(("delay", "spread"), [(0.4, False), (0.7, True), (2.0, False)])
+def test_servers_without_requests_are_used_after_the_start(world, delay, spread):
+    """
+    Guards against sound servers that get nothing in the first two seconds.
+
+    The servers that answered first are preferred to unknown ones, and which requests
+    are lost is not known before a second has passed.
+    """
+    near = world.listed[0].record
+    for number in range(9):
+        server = attrs.evolve(near.server, name=f"s{number}")
+        world.listed.append(ListedServer(attrs.evolve(near, server=server), 0, 0))
+    choose(world)
+    world.clock.advance(0.01)
+    for name in ("near", "region", "s0"):
+        finish(world, name, world.registry.start(name, ROUTE))
+    world.clock.advance(delay)
+    used = {"near", "region", "s0"}
+    for _ in range(20):
+        name = choose(world, is_first=True, retryable=False)
+        finish(world, name, world.registry.start(name, ROUTE))
+        used.add(name)
+        world.clock.advance(0.01)
+    assert (len(used - {"far"}) >= 0.75 * 11) is spread
+
+
 def test_server_at_its_rate_limit_counts_for_the_floor(world):
     """Guards against a floor that is taken of the servers without a limit only."""
     for name in ("far", "region"):
