--- a/src/lavendermast/entrymetrics.py
+++ b/src/lavendermast/entrymetrics.py
@@ -106,6 +106,19 @@
         "Live VMs that this one knows, without itself.",
         lambda: [({}, len(node.fleet.vms))],
     )
+    registry.add_gauge(
+        "lavendermast_entry_active_vms",
+        "VMs that callers are directed to, by zone.",
+        lambda: [
+            ({"zone": item.zone}, len(node.fleet.get_active(item.zone)))
+            for item in node.settings.zones
+        ],
+    )
+    registry.add_gauge(
+        "lavendermast_entry_error_likelihood_ratio",
+        "Factor by which an error response changes the odds of a sick server.",
+        lambda: [({}, node.evidence.error_rates.likelihood_ratio)],
+    )
     return registry
 
 
--- a/src/lavendermast/evidenceregistry.py
+++ b/src/lavendermast/evidenceregistry.py
@@ -99,8 +99,10 @@
         self._clock = clock
         self._find_route = find_route
         self._rate_limits = rate_limits
-        error_rates = ErrorRates()
-        self._servers = collections.defaultdict(lambda: ServerEvidence(error_rates))
+        self.error_rates = ErrorRates()
+        self._servers = collections.defaultdict(
+            lambda: ServerEvidence(self.error_rates)
+        )
         self._durations = {}
         self._response_bytes = {}
         self._numbers = itertools.count(1)
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -45,7 +45,10 @@
     assert world.send("/none/").status == 404
     big = {f"X-{number}": "x" * 3000 for number in range(6)}
     assert world.send("/stock/7", headers=big).status == 431
-    assert "lavendermast_entry_request_seconds_bucket" in world.read_metrics()
+    metrics = world.read_metrics()
+    assert "lavendermast_entry_request_seconds_bucket" in metrics
+    assert 'lavendermast_entry_active_vms{zone="a"} 1' in metrics
+    assert "lavendermast_entry_error_likelihood_ratio 8" in metrics
     eventlet.sleep(0.2)
     log = world.stop()
     lines = [line for line in log.splitlines() if "request=id-1 " in line]
