--- a/src/lavendermast/catalogsync.py
+++ b/src/lavendermast/catalogsync.py
@@ -165,7 +165,7 @@
     def _end_late_watch(self, deadline):
         self._clock.sleep(deadline - self._clock.monotonic())
         if self._watching and self._watch_deadline == deadline:
-            eventlet.kill(self._task, StoreLagError("the watch is behind other zones"))
+            eventlet.kill(self._task, StoreLagError("the watch is behind other VMs"))
 
     def _handle_store_failure(self, error):
         if self.store_reachable:
