Give up a response of the store that does not end

A response of the store that sends bytes without end held the reader for ever, as the time limit of urllib3 starts again with each byte; its body was read whole into memory, and a length that is too large raised MemoryError in place of StoreError.

Change: a response has a time limit as a whole and at most 16 MB.

--- a/src/lavendermast/platform/store.py
+++ b/src/lavendermast/platform/store.py
@@ -4,6 +4,7 @@
 import json
 import re
 
+import eventlet
 import urllib3
 from urllib3.util import Timeout
 
@@ -19,6 +20,10 @@
 #: Longer than a slow store takes (60 times its usual 4 ms); a later response
 #: is ignored and the call fails.
 READ_TIMEOUT_S = 1.5
+#: A response that is longer, or still arrives this long after the time for its first
+#: bytes, is given up: the store sends pages of about 1 MB.
+MAX_RESPONSE_BYTES = 16 * 1024 * 1024
+MAX_TRANSFER_S = 5.0
 #: Rises by one each time the store is restored from a copy.
 _ERA_HEADER = "Store-Era"
 _ERA = re.compile(r"[0-9]{1,18}")
@@ -70,16 +75,23 @@
         """Return the content and the era of a response."""
         self.calls += 1
         fields = {name: str(value) for name, value in query.items() if value != ""}
+        read_timeout_s = READ_TIMEOUT_S + wait_s
+        transfer_timeout = eventlet.Timeout(read_timeout_s + MAX_TRANSFER_S)
         try:
-            response = self._pool.request(
-                "GET",
-                path,
-                fields=fields,
-                retries=False,
-                timeout=Timeout(
-                    connect=CONNECT_TIMEOUT_S, read=READ_TIMEOUT_S + wait_s
-                ),
-            )
+            with transfer_timeout:
+                response = self._pool.request(
+                    "GET",
+                    path,
+                    fields=fields,
+                    retries=False,
+                    preload_content=False,
+                    timeout=Timeout(connect=CONNECT_TIMEOUT_S, read=read_timeout_s),
+                )
+                data = _read_body(response)
+        except eventlet.Timeout as error:
+            if error is not transfer_timeout:  # A timeout set by the calling code.
+                raise
+            raise StoreError(f"{path}: the response does not end") from error
         except (urllib3.exceptions.HTTPError, OSError) as error:
             raise StoreError(f"{path}: {error}") from error
         era = _read_era(response.headers)
@@ -91,7 +103,7 @@
         if response.status != 200:
             raise StoreError(f"{path}: unexpected status {response.status}")
         try:
-            return json.loads(response.data), era
+            return json.loads(data), era
         except ValueError as error:
             raise StoreError(f"{path}: {error}") from error
 
@@ -111,6 +123,19 @@
             raise StoreError(f"malformed item: {error}") from error
 
 
+def _read_body(response):
+    """Return the body of a response and release its connection."""
+    try:
+        data = response.read(MAX_RESPONSE_BYTES + 1)
+        if len(data) > MAX_RESPONSE_BYTES:
+            raise StoreError("the response is too long")
+    except BaseException:
+        response.close()
+        raise
+    response.release_conn()
+    return data
+
+
 def _read_era(headers):
     """Return the era of a response plus one; 0 stands for an unknown era."""
     text = headers.get(_ERA_HEADER, "")
