List the active VMs of a zone to other zones, not the first by name

Cause: hubs forward four VMs of each other zone to their own, and chose the first by name. Callers are directed to the largest ones. In zones of nine VMs and more, or of unequal ones, these are others.

Change: the largest ones and the first by name, a hub, are listed. The new test failed before: VMs of the other zone took a01 and a02 for active in place of a07 and a09.

--- a/src/lavendermast/zonefleet.py
+++ b/src/lavendermast/zonefleet.py
@@ -32,7 +32,7 @@
 REMOTE_LIST_INTERVAL_S = 3.0
 #: VMs of a zone that receive the heartbeats of all others in it.
 HUBS_PER_ZONE = 3
-#: Maximum number of VMs of a zone that are listed to other zones.
+#: Number of the largest VMs of a zone that are listed to other zones.
 MAX_SUMMARY_VMS = 4
 #: Each VM takes up to 110 bytes of a datagram of 1,400.
 MAX_VMS_PER_DATAGRAM = 10
@@ -191,9 +191,7 @@
         ]
         if zone == self.local_vm.zone and self.local_vm.state == "alive":
             ready.append(self.local_vm)
-        # Peers send 32-bit floats, the settings hold 64-bit ones; rounding makes equal
-        # sizes compare equal on all VMs.
-        return sorted(ready, key=lambda vm: (-round(vm.cores, 3), vm.vm))
+        return sorted(ready, key=_rank_by_capacity)
 
     def get_active(self, zone):
         """Return the VMs of a zone that callers are directed to."""
@@ -289,8 +287,7 @@
         if now >= self._next_remote_list:
             self._next_remote_list = now + REMOTE_LIST_INTERVAL_S
             for other in self._get_other_zones():
-                names = self.get_vm_names(other)[:MAX_SUMMARY_VMS]
-                vms = [self.vms[name] for name in names if name in self.vms]
+                vms = self._choose_remote_vms(other)
                 listed += [_make_vm_presence(vm, now) for vm in vms]
         return listed
 
@@ -338,13 +335,26 @@
         """Return the VMs to list to a requester: all of its zone and some of others."""
         chosen = []
         for zone in {vm.zone for vm in self.vms.values()}:
-            vms = sorted(
-                (vm for vm in self.vms.values() if vm.zone == zone),
-                key=lambda vm: vm.vm,
-            )
-            chosen += vms if zone == requester.zone else vms[:MAX_SUMMARY_VMS]
+            if zone == requester.zone:
+                chosen += [vm for vm in self.vms.values() if vm.zone == zone]
+            else:
+                chosen += self._choose_remote_vms(zone)
         return [vm for vm in chosen if vm.vm != requester.vm]
 
+    def _choose_remote_vms(self, zone):
+        """
+        Return the VMs that are listed to other zones.
+
+        They are the first one by name, a hub, and the largest ones, to which callers
+        are directed.
+        """
+        vms = [
+            vm for vm in self.vms.values() if vm.zone == zone and vm.state != "leaving"
+        ]
+        first = sorted(vms, key=lambda vm: vm.vm)[:1]
+        largest = sorted(vms, key=_rank_by_capacity)[:MAX_SUMMARY_VMS]
+        return first + [vm for vm in largest if vm not in first]
+
     def _merge(self, presence, now):
         if presence.vm == self.local_vm.vm:
             return None
@@ -399,6 +409,13 @@
         )
 
 
+def _rank_by_capacity(vm):
+    """Return a sort key: VMs that serve callers first, the largest first."""
+    # Peers send 32-bit floats, the settings hold 64-bit ones; rounding makes equal
+    # sizes compare equal on all VMs.
+    return vm.state != "alive", -round(vm.cores, 3), vm.vm
+
+
 def _make_vm_presence(vm, now, interval_s=0.0):
     """
     Return what this VM tells others of a VM.
--- a/tests/test_zonefleet.py
+++ b/tests/test_zonefleet.py
@@ -204,6 +204,26 @@
     assert get_active(fleet.vms["a6"], "a") == ["a5", "a6"]
 
 
+def test_other_zones_know_the_active_vms_of_a_large_zone():
+    """
+    Guards against a region whose zones do not hear of each other's attempts.
+
+    Callers are directed to the largest VMs, which need not be the first by name.
+    """
+    clock, network, source = ManualClock(100.0), InMemoryNetwork(), FakeSource()
+    names = [f"a{n:02}" for n in range(1, 13)] + ["b1", "b2", "b3", "b4", "b5"]
+    vms = {name: make_vm(name, network, clock, source) for name in names}
+    for vm in vms.values():
+        vm.fleet.seeds = ("a01", "b1")
+    for name in ("a07", "a09"):
+        vm = vms[name]
+        vm.fleet.local_vm = attrs.evolve(vm.fleet.local_vm, cores=0.9)
+    run_rounds(types.SimpleNamespace(clock=clock, vms=vms), 40)
+    assert {tuple(get_active(vm, "a")) for vm in vms.values()} == {("a07", "a09")}
+    peers = vms["b5"].fleet.get_peer_addresses(["a", "b"])
+    assert {"a07", "a09"} <= set(peers)
+
+
 def test_capacities_of_unequal_vms_are_added(fleet):
     """Guards against activating many small VMs while the large ones have capacity."""
     for name, vm in fleet.vms.items():
