--- a/src/lavendermast/ratelimits.py
+++ b/src/lavendermast/ratelimits.py
@@ -99,7 +99,8 @@
         if observed_at <= server.observed_at:
             return
         server.observed_at = observed_at
-        limit = max(limit, MIN_RATE_LIMIT)
+        # Reports carry 32-bit floats.
+        limit = round(max(limit, MIN_RATE_LIMIT), 3)
         if limit == server.limit:
             return
         now = self._clock.monotonic()
--- a/tests/test_ratelimits.py
+++ b/tests/test_ratelimits.py
@@ -342,3 +342,15 @@
     vm.finish("s1", ROUTE, attempt, result, AttemptOutcome.SUCCEEDED)
     other.apply_reports("vm-1", 1, vm.take_reports())
     assert [a.outcome for a in other.get("s1").attempts] == [AttemptOutcome.SUCCEEDED]
+
+
+def test_limit_in_a_report_is_the_same_as_in_the_response():
+    """Guards against a log line for each response of a limited server."""
+    clock, events = ManualClock(100.0), []
+    limits = RateLimits(
+        clock, lambda event, **fields: events.append(event), lambda name: True
+    )
+    for number, limit in enumerate((4.3, 4.300000190734863, 4.3)):
+        limits.observe("s1", limit, 100.0 + number, "response")
+    assert events == ["server_limit"]
+    assert limits.get_rate("s1") == 4.3
