--- a/src/lavendermast/attempts.py
+++ b/src/lavendermast/attempts.py
@@ -90,6 +90,11 @@
         """Number of attempts that ran, may have run or are in flight."""
         return self.attempts - self.not_run_attempts
 
+    @property
+    def may_run_again(self):
+        """Whether the request may run at another server."""
+        return self.route.idempotent and self.possible_runs < self.route.max_attempts
+
 
 class AttemptRunner:
     """
@@ -201,9 +206,7 @@
         return False
 
     def _consider_hedge(self, state):
-        if not state.route.idempotent or not state.running:
-            return
-        if state.possible_runs >= state.route.max_attempts:
+        if not state.running or not state.may_run_again:
             return
         now = self._clock.monotonic()
         durations = self._evidence.get_durations(state.route)
@@ -354,7 +357,7 @@
         if (
             status is AttemptStatus.ERROR
             and not state.running
-            and not self._may_try_again(state)
+            and not state.may_run_again
         ):
             return make_response_reply(state, result)
         if result.stream is not None:
@@ -366,10 +369,6 @@
             state.failure = result
         return None
 
-    def _may_try_again(self, state):
-        """Return whether the request may run at another server."""
-        return state.route.idempotent and state.possible_runs < state.route.max_attempts
-
     def _make_failure_reply(self, state, status):
         """
         Return the final reply when no attempt succeeded.
