Log and measure how old the state of an entry VM may be

No line or metric told for how long a VM had followed nothing, so that a reader without news looked like one that is up to date. Heartbeats carry the time since the store confirmed the sender's revision, the metric lavendermast_entry_store_age_seconds and the event state_unconfirmed show it. Older builds ignore the field.

--- a/src/lavendermast/catalogsync.py
+++ b/src/lavendermast/catalogsync.py
@@ -26,6 +26,11 @@
 #: A watch that still delivers nothing this long after a peer had a newer state is
 #: ended, and the next VM reads.
 MAX_WATCH_LAG_S = 0.8
+#: Operators expect changes in force within this time; a VM whose state the store has
+#: not confirmed for longer logs it.
+MAX_CONFIRMED_AGE_S = 2.5
+#: Longest age that fits the field of a heartbeat.
+MAX_REPORTED_AGE_MS = 2**32 - 2
 #: A VM whose latest heartbeat is older does not count as the reader of its zone. Each
 #: hub sends one to the zone every 1.2 s, and one datagram may be lost.
 READER_TIMEOUT_S = 2.6
@@ -85,7 +90,10 @@
         self._watching = False
         self._watch_deadline = math.inf
         self._was_lost = False
+        self._late_logged = False
         self.store_reachable = True
+        #: Time at which the store last confirmed that this VM's state is the newest.
+        self.confirmed_at = -math.inf
         network.register(StoredChanges, self._handle_changes)
         network.register(FetchChanges, self._handle_fetch)
         fleet.on_presence.append(self._fetch_if_behind)
@@ -94,6 +102,7 @@
         """Watch the store until the task is killed."""
         self._task = eventlet.getcurrent()
         while True:
+            self._record_late_state()
             if not self.is_reader():
                 self._clock.sleep(ROLE_CHECK_INTERVAL_S)
                 continue
@@ -104,8 +113,11 @@
                 self._clock.sleep(self._retry_delay_s)
                 continue
             self._handle_store_success()
-            if self._catalog.revision != changes.to_revision or changes.whole:
+            is_news = self._catalog.revision != changes.to_revision or changes.whole
+            if is_news:
                 self._apply(changes, "store")
+            self._confirm(changes.era, changes.to_revision, self._clock.monotonic())
+            if is_news:
                 self._clock.sleep(BATCH_DELAY_S)
 
     def is_reader(self):
@@ -124,11 +136,46 @@
                 return False
         return True
 
+    def get_confirmed_age_ms(self):
+        """
+        Return the time since the store confirmed this VM's state, in ms plus one.
+
+        :return: 0 if it never did.
+        """
+        if self.confirmed_at == -math.inf:
+            return 0
+        age_ms = round((self._clock.monotonic() - self.confirmed_at) * 1000)
+        return min(max(age_ms, 0), MAX_REPORTED_AGE_MS) + 1
+
     @property
     def calls(self):
         """Number of calls to the store so far."""
         return self._source.calls
 
+    def _confirm(self, era, revision, moment):
+        """
+        Record that a state was the newest one at a moment, if this VM's is as new.
+
+        :param era: era of the state, 0 if it is not known.
+        :param moment: monotonic time at which the store confirmed the state.
+        """
+        is_comparable = bool(era) or not self._catalog.has_changed_era
+        if is_comparable and not self._is_ahead(era, revision):
+            self.confirmed_at = max(self.confirmed_at, moment)
+
+    def _record_late_state(self):
+        """Log once that the store has not confirmed this VM's state for long."""
+        age_s = self._clock.monotonic() - self.confirmed_at
+        is_late = bool(self._catalog.revision) and age_s > MAX_CONFIRMED_AGE_S
+        if is_late and not self._late_logged:
+            self._record_event(
+                "state_unconfirmed",
+                age_ms=round(age_s * 1000) if math.isfinite(age_s) else None,
+                revision=self._catalog.revision,
+                is_reader=self.is_reader(),
+            )
+        self._late_logged = is_late
+
     def _read(self):
         known_revision = self._catalog.revision
         if not known_revision or self._source.era > self._catalog.era:
@@ -224,6 +271,11 @@
         return FetchChanges(self._catalog.revision, self._catalog.era)
 
     def _fetch_if_behind(self, presence):
+        age_s = presence.confirmed_age_ms / 1000
+        if age_s or presence.store_reachable:
+            # Older builds send no age, but say whether they reach the store.
+            moment = self._clock.monotonic() - age_s
+            self._confirm(presence.store_era, presence.revision, moment)
         vm = self._fleet.vms.get(presence.own.vm)
         if presence.config_version > self._catalog.config_version:
             # The VM may have the version from an era that was lost in a restore.
--- a/src/lavendermast/entrymetrics.py
+++ b/src/lavendermast/entrymetrics.py
@@ -88,6 +88,11 @@
         "Whether the last call of the store succeeded.",
         lambda: [({}, int(sync.store_reachable))],
     )
+    registry.add_gauge(
+        "lavendermast_entry_store_age_seconds",
+        "Time since the store confirmed that configuration and servers are the newest.",
+        lambda: [({}, round(sync.get_confirmed_age_ms() / 1000, 3))],
+    )
     registry.add_gauge(
         "lavendermast_entry_servers",
         "Listed servers by service.",
--- a/src/lavendermast/entrynode.py
+++ b/src/lavendermast/entrynode.py
@@ -250,6 +250,7 @@
             self.catalog.revision,
             self.sync.store_reachable,
             self.catalog.era,
+            self.sync.get_confirmed_age_ms(),
         )
 
     def _compute_min_region_vms(self):
--- a/src/lavendermast/messages_model.py
+++ b/src/lavendermast/messages_model.py
@@ -510,6 +510,7 @@
     store_reachable: bool = False
     reply_wanted: bool = False
     store_era: int = 0
+    confirmed_age_ms: int = 0
 
     def to_dict(self):
         """Return the fields as pycapnp accepts them."""
@@ -521,6 +522,7 @@
             "storeReachable": self.store_reachable,
             "replyWanted": self.reply_wanted,
             "storeEra": self.store_era,
+            "confirmedAgeMs": self.confirmed_age_ms,
         }
 
     @classmethod
@@ -534,6 +536,7 @@
             store_reachable=reader.storeReachable,
             reply_wanted=reader.replyWanted,
             store_era=reader.storeEra,
+            confirmed_age_ms=reader.confirmedAgeMs,
         )
 
 
--- a/src/lavendermast/schema/messages.capnp
+++ b/src/lavendermast/schema/messages.capnp
@@ -152,7 +152,8 @@
 }
 
 # A heartbeat with the sender's view of other VMs, its configuration version and store
-# revision.
+# revision. confirmedAgeMs is the time since the store last confirmed that revision, plus
+# one; 0 is unknown.
 struct Presence {
   own @0 :VmPresence;
   others @1 :List(VmPresence);
@@ -161,6 +162,7 @@
   storeReachable @4 :Bool;
   replyWanted @5 :Bool;
   storeEra @6 :UInt64;
+  confirmedAgeMs @7 :UInt32;
 }
 
 enum AttemptPhase {
--- a/src/lavendermast/zonefleet.py
+++ b/src/lavendermast/zonefleet.py
@@ -86,7 +86,8 @@
     :param settings: settings of this entry VM.
     :param network: a :class:`~lavendermast.peers.PeerTransport`.
     :param get_store_state: callable that returns this VM's configuration version,
-        store revision, whether it reaches the store, and the store's era.
+        store revision, whether it reaches the store, the store's era, and the time
+        since the store confirmed the revision in ms plus one.
     :param get_rate: callable that returns this VM's requests per second.
     """
 
@@ -230,8 +231,15 @@
 
     def _make_presence(self, reply_wanted=False, others=()):
         self.local_vm = attrs.evolve(self.local_vm, rate=self._get_rate())
-        *store_state, era = self._get_store_state()
-        return Presence(self.local_vm, tuple(others), *store_state, reply_wanted, era)
+        *store_state, era, confirmed_age_ms = self._get_store_state()
+        return Presence(
+            self.local_vm,
+            tuple(others),
+            *store_state,
+            reply_wanted,
+            era,
+            confirmed_age_ms,
+        )
 
     def _send(self, addresses, others):
         """Send the presence of this VM and others in as few datagrams as possible."""
--- a/tests/test_zonefleet.py
+++ b/tests/test_zonefleet.py
@@ -137,6 +137,7 @@
             vm.catalog.revision,
             vm.sync.store_reachable,
             vm.catalog.era,
+            vm.sync.get_confirmed_age_ms(),
         ),
         lambda: vm.rate,
     )
