Send nothing to servers that say they are leaving

A VM now remembers the run of a server that said so and chooses it for no attempt, retry, hedge, trial or the floor, in contact with the store or not. The notice ends when the server has restarted.

--- a/src/lavendermast/attempts.py
+++ b/src/lavendermast/attempts.py
@@ -102,13 +102,17 @@
 
     :param selector: chooses servers.
     :param evidence: ``EvidenceRegistry`` that records each attempt.
+    :param notices: ``ServerNotices`` that keeps what servers say of themselves.
     :param get_budget: function from a service to its ``WindowedRetryBudget``.
     """
 
-    def __init__(self, upstream, selector, evidence, get_budget, clock, record_event):
+    def __init__(
+        self, upstream, selector, evidence, notices, get_budget, clock, record_event
+    ):
         self._upstream = upstream
         self._selector = selector
         self._evidence = evidence
+        self._notices = notices
         self._get_budget = get_budget
         self._clock = clock
         self._record_event = record_event
@@ -325,6 +329,8 @@
         self._evidence.finish(
             running.server.name, state.route, running.evidence_attempt, result, outcome
         )
+        if result.is_leaving:
+            self._notices.mark_leaving(running.server.name)
         key = (state.service, result.status.value)
         self.attempt_counts[key] = self.attempt_counts.get(key, 0) + 1
         self._record_event(
--- a/src/lavendermast/entrymetrics.py
+++ b/src/lavendermast/entrymetrics.py
@@ -106,6 +106,11 @@
         "Servers that name a rate limit.",
         lambda: [({}, node.rate_limits.count_limited())],
     )
+    registry.add_gauge(
+        "lavendermast_entry_leaving_servers",
+        "Listed servers that said in a response that they are leaving.",
+        lambda: [({}, node.notices.count_leaving())],
+    )
     registry.add_gauge(
         "lavendermast_entry_vms",
         "Live VMs that this one knows, without itself.",
--- a/src/lavendermast/entrynode.py
+++ b/src/lavendermast/entrynode.py
@@ -24,6 +24,7 @@
 from lavendermast.listeners import HttpListener
 from lavendermast.logs import EventLog
 from lavendermast.losstracker import LossTracker
+from lavendermast.notices import ServerNotices
 from lavendermast.peers import PeerNetwork
 from lavendermast.ratelimits import INACTIVE_SHARE, RateLimits
 from lavendermast.retries import WindowedRetryBudget
@@ -129,6 +130,7 @@
         self.upstream = Upstream(
             self.clock, MAX_BUFFERED_BYTES, {}, platform.protocol, CONNECT_TIMEOUT_S
         )
+        self.notices = ServerNotices(self.catalog.get_server, record)
         selector = ServerSelector(
             self.catalog,
             self.evidence.get,
@@ -139,12 +141,14 @@
             self._loss_tracker,
             self.upstream.has_connection,
             self.rate_limits,
+            self.notices,
             self._compute_min_region_vms(),
         )
         self.runner = AttemptRunner(
             self.upstream,
             selector,
             self.evidence,
+            self.notices,
             self._get_budget,
             self.clock,
             record,
--- a/src/lavendermast/platform/calls.py
+++ b/src/lavendermast/platform/calls.py
@@ -17,6 +17,8 @@
 _SIGNATURE_HEADER = "server-signature"
 #: Requests per second that a server accepts from all VMs together.
 _RATE_LIMIT_HEADER = "server-limit"
+#: Has the value 1 in all responses of a server that is leaving.
+_LEAVING_HEADER = "server-leaving"
 _DECIMAL = re.compile(r"[0-9]{1,9}(\.[0-9]{1,9})?")
 _REPLACED_HEADERS = frozenset(
     {"deadline-ms", "expect-instance", "content-length", "expect"}
@@ -60,6 +62,7 @@
             result.status = AttemptStatus.ERROR
         if result.status not in _FOREIGN_STATUSES:
             result.rate_limit = _read_rate_limit(names.get(_RATE_LIMIT_HEADER), result)
+            result.is_leaving = names.get(_LEAVING_HEADER, "").strip() == "1"
 
 
 def _read_rate_limit(text, result):
--- a/src/lavendermast/selection.py
+++ b/src/lavendermast/selection.py
@@ -143,6 +143,7 @@
     :param has_connection: function of a server and of whether the request is
         retryable; returns whether an open connection can be reused.
     :param rate_limits: the :class:`~lavendermast.ratelimits.RateLimits` of servers.
+    :param notices: the :class:`~lavendermast.notices.ServerNotices`.
     :param vms: number of VMs of the region that choose servers concurrently.
     """
 
@@ -157,6 +158,7 @@
         loss_tracker,
         has_connection,
         rate_limits,
+        notices,
         vms=1,
     ):
         self._catalog = catalog
@@ -171,6 +173,7 @@
         self._loss_tracker = loss_tracker
         self._has_connection = has_connection
         self._rate_limits = rate_limits
+        self._notices = notices
         self._vms = vms
 
     def choose(
@@ -197,7 +200,7 @@
         near, far = [], []
         for listed in self._catalog.get_servers(service):
             server = listed.server
-            if server.state is ServerState.LIVE and server.name not in excluded:
+            if self._is_live(listed) and server.name not in excluded:
                 (near if server.region == self._region else far).append(listed)
 
         def assess(listed):
@@ -255,7 +258,7 @@
         delays, rate = [], 0.0
         for listed in self._catalog.get_servers(service):
             name = listed.server.name
-            if listed.server.state is not ServerState.LIVE or self._has_room(listed):
+            if not self._is_live(listed) or self._has_room(listed):
                 continue
             sick_probability = self._get_evidence(name).compute_sick_probability(now)
             if not is_doubtful(sick_probability):
@@ -265,6 +268,11 @@
             return None
         return RoomForecast(min(delays), self._vms / rate if rate else math.inf)
 
+    def _is_live(self, listed):
+        """Return whether neither its entry nor its responses say that it leaves."""
+        is_live = listed.server.state is ServerState.LIVE
+        return is_live and not self._notices.is_leaving(listed)
+
     def _has_room(self, listed):
         """Return whether the rate limit of a server allows another request."""
         return self._rate_limits.compute_delay(listed.server.name) == 0.0
--- a/standins/instance.py
+++ b/standins/instance.py
@@ -12,8 +12,8 @@
 
     ``arrivals`` holds request id and monotonic time of each request for it, ``runs``
     request id, path and time of those that it ran. All its responses name
-    ``rate_limit``, requests per second, unless that is ``None``. ``sequence`` counts
-    its entries for the store.
+    ``rate_limit``, requests per second, unless that is ``None``, and that it is leaving
+    if ``leaving`` is set. ``sequence`` counts its entries for the store.
 
     :param mode: ``ok``, ``hang``, ``shed``, ``error``, ``cut`` or ``unsigned``.
     :param work_s: service time of a request.
@@ -23,7 +23,9 @@
         self.name, self.service, self.zone, self.mode = name, service, zone, mode
         self.work_s = work_s
         self.rate_limit = None
+        self.leaving = False
         self.sequence = 0
+        self.born = 1000
         self.arrivals = []
         self.runs = []
         self._socket = eventlet.listen(("127.0.0.1", 0))
@@ -39,7 +41,12 @@
         self.sequence += 1
         status = {"state": state, "sequence": self.sequence, "warmup_left_ms": 0}
         info["capacity"] = 6
-        return {"addr": self.address, "info": info, "status": status, "born": 1000}
+        return {
+            "addr": self.address,
+            "info": info,
+            "status": status,
+            "born": self.born,
+        }
 
     def __call__(self, environ, start_response):
         request_id = environ.get("HTTP_REQUEST_ID", "")
@@ -49,6 +56,8 @@
         self.arrivals.append((request_id, time.monotonic()))
         if self.rate_limit is not None:
             headers.append(("Server-Limit", f"{self.rate_limit:g}"))
+        if self.leaving:
+            headers.append(("Server-Leaving", "1"))
         if self.mode == "shed":
             headers.append(("Not-Executed", "1"))
             return self._respond(start_response, 503, headers, b"")
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -18,6 +18,7 @@
     Outcome,
     Server,
 )
+from lavendermast.notices import ServerNotices
 from lavendermast.ratelimits import RateLimits
 from lavendermast.retries import WindowedRetryBudget
 from lavendermast.selection import ServerSelector
@@ -88,6 +89,7 @@
     registry = EvidenceRegistry(clock, lambda name: route, rate_limits)
     prepare(registry)
     catalog, loss_tracker = FixedCatalog(servers), LossTracker(registry.get, 0.7)
+    notices = ServerNotices(lambda name: None, lambda event, **fields: None)
 
     def has_connection(server, retryable):
         return True
@@ -102,6 +104,7 @@
         loss_tracker,
         has_connection,
         rate_limits,
+        notices,
     )
     upstream = ScriptedUpstream(script)
     budget = WindowedRetryBudget(0.2 if slack else 0.0, slack, 10.0, clock)
@@ -109,6 +112,7 @@
         upstream,
         selector,
         registry,
+        notices,
         lambda service: budget,
         clock,
         lambda event, **fields: events.append((event, fields)),
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -104,6 +104,30 @@
     assert server.runs == []
 
 
+def test_server_that_says_it_is_leaving_gets_no_further_request(world):
+    """
+    Guards against work for a server that leaves while the store does not know (DRAIN).
+
+    The server gets requests again once it has restarted.
+    """
+    leaving, other = world.add("s1"), world.add("s2")
+    world.wait_ready(2)
+    leaving.leaving = True
+    world.wait_for(lambda: world.send().data.startswith(b"s1"))
+    arrivals = len(leaving.arrivals)
+    world.store.failure = 503
+    for _ in range(30):
+        assert world.send().status == 200
+        assert world.send("/book/1", "POST").status == 200
+    assert len(leaving.arrivals) == arrivals
+    world.store.failure = None
+    other.mode = "shed"
+    assert world.send().status == 503
+    leaving.leaving, leaving.born = False, 2000
+    world.store.put("servers/s1", leaving.make_entry())
+    world.wait_for(lambda: world.send().data.startswith(b"s1"))
+
+
 def test_draining_server_and_new_configuration_take_effect(world):
     """
     Guards against requests to a draining server and against an outdated configuration,
--- a/tests/test_ratelimits.py
+++ b/tests/test_ratelimits.py
@@ -12,6 +12,7 @@
 from lavendermast.evidenceregistry import COPY_DELAY_S, EvidenceRegistry
 from lavendermast.losstracker import LossTracker
 from lavendermast.models import AttemptResult, AttemptStatus, Server
+from lavendermast.notices import ServerNotices
 from lavendermast.ratelimits import MIN_RATE_LIMIT, RateLimits
 from lavendermast.selection import ServerSelector
 from lavendermast.suspicion import AttemptOutcome
@@ -71,6 +72,7 @@
             LossTracker(registry.get, 0.7),
             lambda server, retryable: True,
             rate_limits,
+            ServerNotices(lambda name: None, lambda event, **fields: None),
             VMS_PER_REGION,
         )
         return types.SimpleNamespace(
--- a/tests/test_selection.py
+++ b/tests/test_selection.py
@@ -14,6 +14,7 @@
 from lavendermast.evidenceregistry import COPY_DELAY_S, EvidenceRegistry
 from lavendermast.losstracker import LossTracker
 from lavendermast.models import AttemptResult, AttemptStatus, Server, ServerState
+from lavendermast.notices import ServerNotices
 from lavendermast.ratelimits import RateLimits
 from lavendermast.selection import (
     IDEMPOTENT_TRIAL,
@@ -28,6 +29,17 @@
 BYTES = 1500
 
 
+def ignore_event(event, **fields):
+    pass
+
+
+def find_listed(listed, name):
+    return next((item for item in listed if item.server.name == name), None)
+
+
+NO_NOTICES = ServerNotices(lambda name: None, ignore_event)
+
+
 @pytest.fixture
 def world():
     clock = ManualClock(100.0)
@@ -46,6 +58,7 @@
     catalog = types.SimpleNamespace(get_servers=lambda service: listed)
     loss_tracker = LossTracker(registry.get, 0.7)
     unconnected = set()
+    notices = ServerNotices(lambda name: find_listed(listed, name), ignore_event)
     selector = ServerSelector(
         catalog,
         registry.get,
@@ -56,6 +69,7 @@
         loss_tracker,
         lambda server, retryable: server.name not in unconnected,
         rate_limits,
+        notices,
     )
     return types.SimpleNamespace(
         clock=clock,
@@ -63,6 +77,7 @@
         rate_limits=rate_limits,
         listed=listed,
         server_selector=selector,
+        notices=notices,
         unconnected=unconnected,
     )
 
@@ -85,6 +100,22 @@
     return world.server_selector.choose("stock", size, **options).listed.server.name
 
 
+def test_server_that_said_it_is_leaving_gets_no_request_until_it_restarts(world):
+    """Guards against requests to a leaving server whose entry still says ready."""
+    for name in ("far", "region", "near"):
+        observe(world, name)
+    world.notices.mark_leaving("near")
+    rules = (None, IDEMPOTENT_TRIAL, NON_IDEMPOTENT_TRIAL)
+    for _ in range(40):
+        world.clock.advance(2.0)
+        for rule in rules:
+            assert choose(world, trial=rule, is_first=True) != "near"
+    assert world.notices.count_leaving() == 1
+    restarted = world.listed[0].record
+    world.listed[0].record = attrs.evolve(restarted, started_unix_ms=7)
+    assert choose(world) == "near"
+
+
 def test_equal_servers_are_chosen_by_distance(world):
     """Guards against sending long responses over paid links."""
     for name in ("far", "region", "near"):
@@ -175,6 +206,7 @@
         LossTracker(world.registry.get, 0.7),
         lambda server, retryable: True,
         world.rate_limits,
+        NO_NOTICES,
         vms=2,
     )
     assert not selector.choose("stock", BYTES).awaits_evidence
