Tell crashes of servers from cut attempts and count their suspects

No line or metric told which requests are the same, nor whether a server crashed or cut one request. After an attempt whose connection the server closed, a VM checks whether the server has closed all others and accepts no new one. The requests in flight at a crash are its suspects; VMs share them by a digest of method, host, path, query and body and count crashes by the run of the server. An answer clears a suspect. Nothing is decided by it yet. Events server_crashed, request_held and suspect_cleared, metrics of crashes and suspects.

--- a/src/lavendermast/attempts.py
+++ b/src/lavendermast/attempts.py
@@ -49,6 +49,7 @@
     AttemptStatus.CUT: AttemptOutcome.FAILED,
     AttemptStatus.CONNECT_FAILED: AttemptOutcome.FAILED,
 }
+_ANSWERED_STATUSES = {AttemptStatus.OK, AttemptStatus.ERROR}
 _NOT_SENT_STATUSES = {AttemptStatus.CONNECT_FAILED, AttemptStatus.EXPIRED}
 _STATUS_CODES = {
     AttemptStatus.TIMEOUT: 504,
@@ -60,6 +61,7 @@
 @attrs.define(eq=False)
 class _RunningAttempt:
     server: object
+    server_started_unix_ms: int
     number: int
     started: float
     cancellation: Cancellation
@@ -103,16 +105,26 @@
     :param selector: chooses servers.
     :param evidence: ``EvidenceRegistry`` that records each attempt.
     :param notices: ``ServerNotices`` that keeps what servers say of themselves.
+    :param crashes: ``CrashSharing`` that tells which requests crash servers.
     :param get_budget: function from a service to its ``WindowedRetryBudget``.
     """
 
     def __init__(
-        self, upstream, selector, evidence, notices, get_budget, clock, record_event
+        self,
+        upstream,
+        selector,
+        evidence,
+        notices,
+        crashes,
+        get_budget,
+        clock,
+        record_event,
     ):
         self._upstream = upstream
         self._selector = selector
         self._evidence = evidence
         self._notices = notices
+        self._crashes = crashes
         self._get_budget = get_budget
         self._clock = clock
         self._record_event = record_event
@@ -260,6 +272,7 @@
         state.excluded.add(server.name)
         running = _RunningAttempt(
             server,
+            candidate.listed.record.started_unix_ms,
             state.attempts,
             self._clock.monotonic(),
             Cancellation(),
@@ -331,6 +344,12 @@
         )
         if result.is_leaving:
             self._notices.mark_leaving(running.server.name)
+        if result.connection_lost:
+            self._crashes.note_lost_connection(
+                state.request, running.server, running.server_started_unix_ms
+            )
+        elif result.status in _ANSWERED_STATUSES:
+            self._crashes.note_answer(state.request)
         key = (state.service, result.status.value)
         self.attempt_counts[key] = self.attempt_counts.get(key, 0) + 1
         self._record_event(
--- /dev/null
+++ b/src/lavendermast/crashsharing.py
@@ -0,0 +1,141 @@
+"""Finds out which lost attempts were crashes, and shares suspects with all VMs."""
+
+import attrs
+import eventlet
+from eventlet.event import Event
+
+from lavendermast.crashes import ServerRun, compute_fingerprint
+from lavendermast.messages_model import CrashReports, CrashSuspect
+
+#: A crash closes all connections of a server within this time.
+CRASH_CHECK_DELAY_S = 0.03
+#: Each report is sent twice, since datagrams may be lost.
+COPY_DELAY_S = 0.25
+#: VMs that have become active hear of held requests within this time.
+HELD_INTERVAL_S = 2.0
+#: Each suspect takes up to 60 of the 1,400 bytes of a datagram.
+MAX_SUSPECTS_PER_DATAGRAM = 20
+
+
+class CrashSharing:
+    """
+    Reports crashes of servers to the active VMs of all regions.
+
+    An attempt whose connection the server closed is a crash if the server has closed
+    all others too and accepts no new one. Resets of single connections, errors and
+    timeouts are none.
+
+    :param tracker: the :class:`~lavendermast.crashes.CrashTracker`.
+    :param sharing: an :class:`~lavendermast.evidencesharing.EvidenceSharing`, which
+        knows the VMs of the regions.
+    :param upstream: an :class:`~lavendermast.upstream.Upstream`.
+    """
+
+    def __init__(self, tracker, sharing, upstream, network, clock, record_event):
+        self._tracker = tracker
+        self._sharing = sharing
+        self._upstream = upstream
+        self._network = network
+        self._clock = clock
+        self._record_event = record_event
+        self._checks = {}
+        self.crashes = 0
+        network.register(CrashReports, self._handle_reports)
+
+    def run(self):
+        """Repeat what is held while this VM represents its region."""
+        while True:
+            self._clock.sleep(HELD_INTERVAL_S)
+            self._tracker.expire()
+            held = self._tracker.find_held()
+            if held and self._sharing.is_representative():
+                suspects = [
+                    _make_suspect(run, fingerprint)
+                    for fingerprint, runs in held
+                    for run in runs
+                ]
+                self._send(self._sharing.get_region_addresses(), suspects, False)
+
+    def get_hold_s(self, request):
+        """Return the seconds for which a request is still held, 0 if it is not."""
+        if not self._tracker:
+            return 0.0
+        return self._tracker.get_hold_s(compute_fingerprint(request))
+
+    def may_retry(self, request):
+        """Return whether this VM may send a request again that has reached a server."""
+        return not self._tracker or self._tracker.may_retry(
+            compute_fingerprint(request)
+        )
+
+    def note_answer(self, request):
+        """Record that a server answered a request whole."""
+        if not self._tracker:
+            return
+        fingerprint = compute_fingerprint(request)
+        if self._tracker.clear(fingerprint):
+            suspect = CrashSuspect(fingerprint=fingerprint, cleared=True)
+            eventlet.spawn_n(self._share, [suspect])
+
+    def note_lost_connection(self, request, server, started_unix_ms):
+        """
+        Record that a server closed the connection of an attempt.
+
+        :param started_unix_ms: start time of the server's run that got the request.
+        """
+        run = ServerRun(server.name, started_unix_ms)
+        eventlet.spawn_n(self._check, request, server, run)
+
+    def _check(self, request, server, run):
+        if not self._has_crashed(server, run):
+            return
+        fingerprint = compute_fingerprint(request)
+        self._tracker.add_crash(run, fingerprint, self._network.vm)
+        self._share([_make_suspect(run, fingerprint)])
+
+    def _has_crashed(self, server, run):
+        """Return whether a server has crashed; one check serves all its attempts."""
+        check = self._checks.get(run)
+        if check is not None:
+            return check.wait()
+        check = self._checks[run] = Event()
+        has_crashed = False
+        try:
+            self._clock.sleep(CRASH_CHECK_DELAY_S)
+            has_crashed = self._upstream.is_gone(server)
+            if has_crashed:
+                self.crashes += 1
+                self._record_event("server_crashed", server=server.name)
+        finally:
+            del self._checks[run]
+            check.send(has_crashed)
+        return has_crashed
+
+    def _share(self, suspects):
+        """Send suspects to all regions, and again shortly after."""
+        for delay_s in (0.0, COPY_DELAY_S):
+            self._clock.sleep(delay_s)
+            self._send(self._sharing.get_region_addresses(), suspects, False)
+            addresses = self._sharing.get_representative_addresses()
+            self._send(addresses, suspects, True)
+
+    def _send(self, addresses, suspects, relay_wanted):
+        for first in range(0, len(suspects), MAX_SUSPECTS_PER_DATAGRAM):
+            part = tuple(suspects[first : first + MAX_SUSPECTS_PER_DATAGRAM])
+            self._network.broadcast(addresses, CrashReports(part, relay_wanted))
+
+    def _handle_reports(self, envelope, address):
+        message = envelope.body
+        for suspect in message.suspects:
+            if suspect.cleared:
+                self._tracker.clear(suspect.fingerprint)
+                continue
+            run = ServerRun(suspect.server, suspect.started_unix_ms)
+            self._tracker.add_crash(run, suspect.fingerprint, envelope.sender)
+        if message.relay_wanted:
+            relayed = attrs.evolve(message, relay_wanted=False)
+            self._network.broadcast(self._sharing.get_region_addresses(), relayed)
+
+
+def _make_suspect(run, fingerprint):
+    return CrashSuspect(run.server, run.started_unix_ms, fingerprint)
--- a/src/lavendermast/entrymetrics.py
+++ b/src/lavendermast/entrymetrics.py
@@ -111,6 +111,22 @@
         "Listed servers that said in a response that they are leaving.",
         lambda: [({}, node.notices.count_leaving())],
     )
+    registry.add_counter(
+        "lavendermast_entry_server_crashes_total",
+        "Crashes of servers under attempts of this VM.",
+        lambda: [({}, node.crashes.crashes)],
+    )
+    registry.add_gauge(
+        "lavendermast_entry_crash_suspects",
+        "Requests that were in flight when servers crashed, and those that are held.",
+        lambda: list(
+            zip(
+                ({"state": "suspect"}, {"state": "held"}),
+                node.crash_tracker.count(),
+                strict=True,
+            )
+        ),
+    )
     registry.add_gauge(
         "lavendermast_entry_vms",
         "Live VMs that this one knows, without itself.",
--- a/src/lavendermast/entrynode.py
+++ b/src/lavendermast/entrynode.py
@@ -11,6 +11,8 @@
 from lavendermast.catalogsync import CatalogSync
 from lavendermast.clock import SystemClock
 from lavendermast.codec import FrameCodec
+from lavendermast.crashes import CrashTracker
+from lavendermast.crashsharing import CrashSharing
 from lavendermast.entry import (
     DirectoryApplication,
     EntryApplication,
@@ -144,11 +146,21 @@
             self.notices,
             self._compute_min_region_vms(),
         )
+        self.crash_tracker = CrashTracker(self.clock, record)
+        self.crashes = CrashSharing(
+            self.crash_tracker,
+            self.sharing,
+            self.upstream,
+            self.network,
+            self.clock,
+            record,
+        )
         self.runner = AttemptRunner(
             self.upstream,
             selector,
             self.evidence,
             self.notices,
+            self.crashes,
             self._get_budget,
             self.clock,
             record,
@@ -180,6 +192,7 @@
             self.fleet.run,
             self.sharing.run_reports,
             self.sharing.run_summaries,
+            self.crashes.run,
             self._maintain,
         ):
             eventlet.spawn(self._run_task, run)
--- a/src/lavendermast/evidencesharing.py
+++ b/src/lavendermast/evidencesharing.py
@@ -69,10 +69,7 @@
         """Send summaries to other regions while this VM represents its region."""
         while True:
             self._clock.sleep(SUMMARY_INTERVAL_S)
-            if (
-                self._find_representative(self._settings.region)
-                is not self._fleet.local_vm
-            ):
+            if not self.is_representative():
                 continue
             servers = self._catalog.get_region_servers(self._settings.region)
             names = itertools.chain.from_iterable(servers.values())
@@ -82,12 +79,7 @@
                 region=self._settings.region,
                 losses=tuple(self._make_losses(servers)),
             )
-            representatives = [
-                self._find_representative(region)
-                for region in set(self._regions.values()) - {self._settings.region}
-            ]
-            addresses = [vm.peer_address for vm in representatives if vm is not None]
-            self._send_summaries(addresses, message)
+            self._send_summaries(self.get_representative_addresses(), message)
 
     def _make_losses(self, servers):
         now = self._clock.monotonic()
@@ -110,7 +102,7 @@
     def _get_zones(self, region):
         return sorted(zone for zone, name in self._regions.items() if name == region)
 
-    def _find_representative(self, region):
+    def find_representative(self, region):
         """Return the VM that sends and relays summaries for a region, or ``None``."""
         for zone in self._get_zones(region):
             active = self._fleet.get_active(zone)
@@ -118,6 +110,22 @@
                 return active[0]
         return None
 
+    def get_representative_addresses(self):
+        """Return the peer addresses of the representatives of all other regions."""
+        representatives = [
+            self.find_representative(region)
+            for region in set(self._regions.values()) - {self._settings.region}
+        ]
+        return [vm.peer_address for vm in representatives if vm is not None]
+
+    def get_region_addresses(self):
+        """Return the peer addresses of the active VMs of this region but this one."""
+        return self._fleet.get_peer_addresses(self._get_zones(self._settings.region))
+
+    def is_representative(self):
+        """Return whether this VM represents its region."""
+        return self.find_representative(self._settings.region) is self._fleet.local_vm
+
     def _handle_reports(self, envelope, address):
         self._evidence.apply_reports(
             envelope.sender, envelope.boot_id, envelope.body.attempts
@@ -132,6 +140,5 @@
                 message.region, losses.service, losses.requests, losses.lost, now
             )
         if message.relay_wanted:
-            zones = self._get_zones(self._settings.region)
-            addresses = self._fleet.get_peer_addresses(zones)
-            self._send_summaries(addresses, attrs.evolve(message, relay_wanted=False))
+            relayed = attrs.evolve(message, relay_wanted=False)
+            self._send_summaries(self.get_region_addresses(), relayed)
--- a/src/lavendermast/messages_model.py
+++ b/src/lavendermast/messages_model.py
@@ -693,6 +693,58 @@
         )
 
 
+@attrs.frozen
+class CrashSuspect:
+    """Message struct CrashSuspect."""
+
+    server: str = ""
+    started_unix_ms: int = 0
+    fingerprint: bytes = b""
+    cleared: bool = False
+
+    def to_dict(self):
+        """Return the fields as pycapnp accepts them."""
+        return {
+            "server": self.server,
+            "startedUnixMs": self.started_unix_ms,
+            "fingerprint": self.fingerprint,
+            "cleared": self.cleared,
+        }
+
+    @classmethod
+    def from_reader(cls, reader):
+        """Return an instance from a pycapnp reader."""
+        return cls(
+            server=str(reader.server),
+            started_unix_ms=reader.startedUnixMs,
+            fingerprint=bytes(reader.fingerprint),
+            cleared=reader.cleared,
+        )
+
+
+@attrs.frozen
+class CrashReports:
+    """Message struct CrashReports."""
+
+    suspects: tuple[CrashSuspect, ...] = ()
+    relay_wanted: bool = False
+
+    def to_dict(self):
+        """Return the fields as pycapnp accepts them."""
+        return {
+            "suspects": [item.to_dict() for item in self.suspects],
+            "relayWanted": self.relay_wanted,
+        }
+
+    @classmethod
+    def from_reader(cls, reader):
+        """Return an instance from a pycapnp reader."""
+        return cls(
+            suspects=tuple(CrashSuspect.from_reader(item) for item in reader.suspects),
+            relay_wanted=reader.relayWanted,
+        )
+
+
 @attrs.frozen
 class StoredChange:
     """Message struct StoredChange."""
@@ -793,4 +845,5 @@
     "storedChanges": StoredChanges,
     "fetchChanges": FetchChanges,
     "serverSummaries": ServerSummaries,
+    "crashReports": CrashReports,
 }
--- a/src/lavendermast/models.py
+++ b/src/lavendermast/models.py
@@ -76,6 +76,8 @@
     :param load: share of busy slots that the server reported, or ``None``.
     :param rate_limit: requests per second that the server accepts from all VMs
         together, infinite if it named no limit; ``None`` without a response of it.
+    :param connection_lost: whether the server closed the connection before the end of
+        its response.
     :param is_leaving: whether the server said that it is leaving.
     :param head_at: monotonic time at which the head of the response arrived.
     """
@@ -91,6 +93,7 @@
     rate_limit: float | None = None
     head_at: float = 0.0
     is_leaving: bool = False
+    connection_lost: bool = False
     detail: str = ""
 
     @property
--- a/src/lavendermast/schema/messages.capnp
+++ b/src/lavendermast/schema/messages.capnp
@@ -218,6 +218,21 @@
   losses @3 :List(ServiceLosses);
 }
 
+# A request that was in flight when a run of a server crashed, or, if cleared is set, that
+# a server answered whole. The fingerprint is a digest of 16 bytes.
+struct CrashSuspect {
+  server @0 :Text;
+  startedUnixMs @1 :UInt64;
+  fingerprint @2 :Data;
+  cleared @3 :Bool;
+}
+
+# The receiver passes it on to its region when relayWanted is set.
+struct CrashReports {
+  suspects @0 :List(CrashSuspect);
+  relayWanted @1 :Bool;
+}
+
 # One document of the store as it was written.
 struct StoredChange {
   key @0 :Text;
@@ -262,5 +277,6 @@
     storedChanges @15 :StoredChanges;
     fetchChanges @16 :FetchChanges;
     serverSummaries @17 :ServerSummaries;
+    crashReports @18 :CrashReports;
   }
 }
--- a/src/lavendermast/upstream.py
+++ b/src/lavendermast/upstream.py
@@ -269,6 +269,25 @@
         now = self._clock.monotonic()
         return self._is_reusable(idle[-1], server.service, retryable, now)
 
+    def is_gone(self, server):
+        """
+        Return whether a server has closed all connections and accepts no new one.
+
+        Connects to the server if no idle connection to it is open.
+        """
+        if any(idle.has_no_input() for idle in self._idle.get(server.name, ())):
+            return False
+        connection = ServerConnection(*parse_address(server.address))
+        self.connections_opened += 1
+        try:
+            with eventlet.Timeout(self._connect_timeout_s, _ConnectTimeoutError()):
+                connection.connect()
+        except (_ConnectTimeoutError, OSError):
+            return True
+        finally:
+            connection.close()
+        return False
+
     def close_server(self, name):
         """Close all idle connections to a server."""
         for connection in self._idle.pop(name, ()):
@@ -390,6 +409,8 @@
             result.status = error.status
         if not sent and result.status is not AttemptStatus.CANCELLED:
             result.status = AttemptStatus.CONNECT_FAILED
+        is_closed = isinstance(error, (OSError, TruncatedResponseError))
+        result.connection_lost = result.status is AttemptStatus.CUT and is_closed
         if sent and attempt.idle_s is not None and isinstance(error, ConnectionError):
             self._reduce_max_idle(attempt)
         return result
--- a/standins/instance.py
+++ b/standins/instance.py
@@ -1,10 +1,15 @@
 """Stand-in for a backend server of the platform on which the entry VMs run."""
 
+import contextlib
+import socket
 import time
 
 import eventlet
 import eventlet.wsgi
 
+#: Part of the paths that crash a server.
+DEADLY = "deadly"
+
 
 class InstanceStandIn:
     """
@@ -15,6 +20,9 @@
     ``rate_limit``, requests per second, unless that is ``None``, and that it is leaving
     if ``leaving`` is set. ``sequence`` counts its entries for the store.
 
+    A request whose path contains ``DEADLY`` crashes it: all its connections are closed
+    and it accepts no new one for ``restart_s``. ``crashes`` counts that.
+
     :param mode: ``ok``, ``hang``, ``shed``, ``error``, ``cut`` or ``unsigned``.
     :param work_s: service time of a request.
     """
@@ -28,12 +36,43 @@
         self.born = 1000
         self.arrivals = []
         self.runs = []
-        self._socket = eventlet.listen(("127.0.0.1", 0))
+        self.restart_s = 1.0
+        self.crashes = 0
+        self._clients = []
+        self._listen(0)
         self.address = "{}:{}".format(*self._socket.getsockname())
 
+    def _listen(self, port):
+        self._socket = eventlet.listen(("127.0.0.1", port))
+        accept = self._socket.accept
+
+        def accept_client():
+            client, address = accept()
+            self._clients.append(client)
+            return client, address
+
+        self._socket.accept = accept_client
+
     def start(self):
         """Serve until the process ends."""
-        eventlet.spawn(eventlet.wsgi.server, self._socket, self, log_output=False)
+        self._task = eventlet.spawn(
+            eventlet.wsgi.server, self._socket, self, log_output=False
+        )
+
+    def crash(self):
+        """Close all connections, and listen again after ``restart_s``."""
+        self.crashes += 1
+        self._task.kill()
+        port = self._socket.getsockname()[1]
+        self._socket.close()
+        for client in self._clients:
+            with contextlib.suppress(OSError):
+                client.shutdown(socket.SHUT_RDWR)
+        self._clients.clear()
+        eventlet.sleep(self.restart_s)
+        self.born += 1
+        self._listen(port)
+        self.start()
 
     def make_entry(self, state="ready"):
         """Return its entry for the store."""
@@ -61,6 +100,9 @@
         if self.mode == "shed":
             headers.append(("Not-Executed", "1"))
             return self._respond(start_response, 503, headers, b"")
+        if DEADLY in environ["PATH_INFO"]:
+            eventlet.spawn_n(self.crash)
+            eventlet.sleep(self.restart_s)
         self.runs.append((request_id, environ["PATH_INFO"], time.monotonic()))
         eventlet.sleep(self.work_s)
         if self.mode == "hang":
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -1,6 +1,7 @@
 """The attempts of one request: retries, hedges, refusals and final replies."""
 
 import random
+import types
 
 import eventlet
 import pytest
@@ -8,6 +9,8 @@
 from lavendermast.attempts import AttemptRunner, classify_attempt
 from lavendermast.catalog import ListedServer
 from lavendermast.clock import SystemClock
+from lavendermast.crashes import CrashTracker
+from lavendermast.crashsharing import CrashSharing
 from lavendermast.entrymodel import EntryRoute, RequestKind, ServerRecord, SplitPart
 from lavendermast.evidenceregistry import EvidenceRegistry
 from lavendermast.losstracker import LossTracker
@@ -107,12 +110,16 @@
         notices,
     )
     upstream = ScriptedUpstream(script)
+    tracker = CrashTracker(clock, lambda event, **fields: None)
+    network = types.SimpleNamespace(vm="vm-1", register=lambda *args: None)
+    crashes = CrashSharing(tracker, None, upstream, network, clock, None)
     budget = WindowedRetryBudget(0.2 if slack else 0.0, slack, 10.0, clock)
     runner = AttemptRunner(
         upstream,
         selector,
         registry,
         notices,
+        crashes,
         lambda service: budget,
         clock,
         lambda event, **fields: events.append((event, fields)),
