--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -128,6 +128,23 @@
     world.wait_for(lambda: world.send().data.startswith(b"s1"))
 
 
+@pytest.mark.xfail(reason="KNOWN-RED 15", strict=True)
+def test_request_that_crashes_servers_is_held_after_the_third_crash(world):
+    """Guards against a repeated request that crashes server after server (BUDGET)."""
+    for number in range(8):
+        world.add(f"s{number}").restart_s = 60.0
+    world.wait_ready(8)
+    replies = []
+    for _ in range(8):
+        replies.append(world.send("/stock/deadly"))
+        eventlet.sleep(0.3)
+    assert sum(server.crashes for server in world.servers.values()) <= 3
+    assert [reply.status for reply in replies][-4:] == [503] * 4
+    assert float(replies[-1].headers["Retry-After"]) > 1.0
+    assert world.send("/stock/7").status == 200
+    assert 'crash_suspects{state="held"} 1' in world.read_metrics()
+
+
 def test_draining_server_and_new_configuration_take_effect(world):
     """
     Guards against requests to a draining server and against an outdated configuration,
