Hold requests that were in flight when three servers crashed

VMs took each crash for a sick server and tried the next one.

A request that was in flight in three crashes, counted by the fleet, and not answered in between is refused at once for 60 s, with the time that is left: 503 if no server got it, 502 otherwise. After two crashes a VM makes no second attempt by itself. A hold doubles with each further time, up to 16 minutes; an answer ends the suspicion.

--- a/src/lavendermast/attempts.py
+++ b/src/lavendermast/attempts.py
@@ -85,6 +85,7 @@
     awaits_evidence: bool = False
     wait_logged: bool = False
     denial_logged: bool = False
+    is_held: bool = False
     failure: AttemptResult | None = None
 
     @property
@@ -176,6 +177,8 @@
 
         :return: whether the request goes on; ``False`` if it has to fail.
         """
+        if state.is_held:
+            return False
         if state.failure is None:
             # No server is available, or none is known to be healthy yet. Look again
             # shortly. Without any server the request is refused early, with
@@ -237,6 +240,8 @@
         self._start_attempt(state, "hedge")
 
     def _start_attempt(self, state, reason):
+        if self._is_held(state, reason):
+            return False
         route = state.route
         size = self._evidence.get_response_bytes(route)
         trial = None
@@ -292,6 +297,17 @@
         eventlet.spawn_n(self._run_attempt, state, running)
         return True
 
+    def _is_held(self, state, reason):
+        """Return whether a request is not sent because it crashes servers."""
+        if state.has_arrived or state.running:
+            state.is_held = not self._crashes.may_retry(state.request)
+        else:
+            state.is_held = self._crashes.get_hold_s(state.request) > 0.0
+        if state.is_held and not state.denial_logged:
+            state.denial_logged = True
+            self._record(state, "attempt_denied", reason=reason, cause="crashes")
+        return state.is_held
+
     def _should_wait(self, state, candidate):
         """Return whether a non-idempotent request waits for a healthy server."""
         if state.route.idempotent or not candidate.awaits_evidence:
@@ -425,6 +441,9 @@
 
     def _plan_return(self, state):
         """Return why a request did not run, and the value of ``Retry-After``."""
+        if state.is_held:
+            hold_s = self._crashes.get_hold_s(state.request)
+            return "crashes-servers", max(math.ceil(hold_s), RETRY_AFTER_S)
         reason = state.failure.status.value if state.failure else "no-server"
         forecast = self._selector.forecast_room(state.service)
         if forecast is None:
--- a/src/lavendermast/crashes.py
+++ b/src/lavendermast/crashes.py
@@ -20,7 +20,7 @@
 #: further time, at most MAX_HOLD_S.
 HOLD_S = 60.0
 MAX_HOLD_S = 960.0
-#: Suspicion ends this long after the last crash.
+#: Suspicion ends this long after the last crash or the end of the last hold.
 SUSPICION_S = 120.0
 MAX_SUSPECTS = 4096
 
@@ -168,7 +168,7 @@
         suspect = self._suspects.get(fingerprint)
         if suspect is None:
             return None
-        if now < max(suspect.last_crash_at + SUSPICION_S, suspect.held_until):
+        if now < max(suspect.last_crash_at, suspect.held_until) + SUSPICION_S:
             return suspect
         del self._suspects[fingerprint]
         return None
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -6,10 +6,10 @@
 import eventlet
 import pytest
 
-from lavendermast.attempts import AttemptRunner, classify_attempt
+from lavendermast.attempts import RETRY_AFTER_S, AttemptRunner, classify_attempt
 from lavendermast.catalog import ListedServer
 from lavendermast.clock import SystemClock
-from lavendermast.crashes import CrashTracker
+from lavendermast.crashes import CrashTracker, ServerRun, compute_fingerprint
 from lavendermast.crashsharing import CrashSharing
 from lavendermast.entrymodel import EntryRoute, RequestKind, ServerRecord, SplitPart
 from lavendermast.evidenceregistry import EvidenceRegistry
@@ -78,6 +78,7 @@
     servers=("s1", "s2", "s3"),
     slack=10,
     prepare=lambda registry: None,
+    crashes_before=0,
 ):
     """
     Run a request; return the reply, the upstream, the logged events and the seconds.
@@ -85,6 +86,7 @@
     :param slack: slack of the retry budget; 0 also sets the budget's share to 0, which
         leaves a single retry.
     :param prepare: called with the ``EvidenceRegistry`` before the request.
+    :param crashes_before: crashes of servers in which the request was in flight before.
     """
     clock = SystemClock()
     events = []
@@ -112,7 +114,11 @@
     upstream = ScriptedUpstream(script)
     tracker = CrashTracker(clock, lambda event, **fields: None)
     network = types.SimpleNamespace(vm="vm-1", register=lambda *args: None)
-    crashes = CrashSharing(tracker, None, upstream, network, clock, None)
+    network.broadcast = lambda addresses, body: None
+    sharing = types.SimpleNamespace(
+        get_region_addresses=list, get_representative_addresses=list
+    )
+    crashes = CrashSharing(tracker, sharing, upstream, network, clock, None)
     budget = WindowedRetryBudget(0.2 if slack else 0.0, slack, 10.0, clock)
     runner = AttemptRunner(
         upstream,
@@ -138,6 +144,9 @@
         now,
         idempotent=route.idempotent,
     )
+    for number in range(crashes_before):
+        run_of_server = ServerRun(f"s{number}", 0)
+        tracker.add_crash(run_of_server, compute_fingerprint(request), "vm-2")
     reply = runner.run(request, route, "stock", Cancellation())
     return reply, upstream, events, clock.monotonic() - now
 
@@ -341,3 +350,30 @@
     assert names == ["decision", "attempt", "decision", "attempt"]
     assert {"sickness", "pending", "evidence_age_ms", "reason"} <= events[0][1].keys()
     assert all(fields["request"] == "id-1" for _, fields in events)
+
+
+@pytest.mark.parametrize(
+    ("crashes_before", "script", "status", "attempts"),
+    [
+        (1, [(0.0, CUT), (0.0, OK)], 200, 2),
+        (2, [(0.0, CUT)], 502, 1),
+        (2, [(0.7, OK)], 200, 1),
+        (2, [(0.0, CONNECT_FAILED), (0.0, OK)], 200, 2),
+        (3, [], 503, 0),
+    ],
+)
+def test_request_that_crashed_servers_is_not_repeated(
+    crashes_before, script, status, attempts
+):
+    """
+    Guards against retries and hedges that crash the next server.
+
+    A refusal is true: 503 only if no server got the request.
+    """
+    reply, upstream, events, _ = run(
+        script, make_route(), crashes_before=crashes_before
+    )
+    assert (reply.status, len(upstream.sent)) == (status, attempts)
+    if attempts == 0:
+        assert (reply.outcome, reply.reason) == (Outcome.NOT_RUN, "crashes-servers")
+        assert reply.retry_after > RETRY_AFTER_S
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -128,7 +128,6 @@
     world.wait_for(lambda: world.send().data.startswith(b"s1"))
 
 
-@pytest.mark.xfail(reason="KNOWN-RED 15", strict=True)
 def test_request_that_crashes_servers_is_held_after_the_third_crash(world):
     """Guards against a repeated request that crashes server after server (BUDGET)."""
     for number in range(8):
