Ignore entries that describe no usable server

Entries of other programs with a capacity of 0, a port of 99999, an odd address or a number out of range were listed as servers: each request of such a service failed in the choice of a server, or was answered 502 although nothing was sent. A key that cannot be encoded, or is no string, stopped the reader of a zone or all VMs that follow it.

Names, addresses and numbers are checked where entries are decoded, and keys before they are passed on. An unexpected error in one document is logged as document_failed and does not hide the changes after it.

--- a/src/lavendermast/catalog.py
+++ b/src/lavendermast/catalog.py
@@ -146,7 +146,7 @@
         if changes.whole:
             self._delete_absent(changes, source)
         for change in sorted(changes.changes, key=lambda item: item.revision):
-            self._apply_change(change, source)
+            self._apply_safely(change, source)
         if changes.whole:
             # A snapshot does not name what was removed before it, so peers that are
             # behind need the snapshot too.
@@ -159,7 +159,7 @@
     def _delete_absent(self, snapshot, source):
         present_keys = {change.key for change in snapshot.changes}
         for key in [key for key in self._documents if key not in present_keys]:
-            self._apply_change(
+            self._apply_safely(
                 StoredChange(key, snapshot.to_revision, True, b""), source
             )
 
@@ -220,7 +220,7 @@
         for change in sorted(changes.changes, key=lambda item: item.revision):
             document = self._decode_or_none(change)
             if not self._is_outdated(document):
-                self._apply_change(change, source)
+                self._apply_safely(change, source)
             elif change.key in previous:
                 kept = attrs.evolve(previous[change.key], revision=change.revision)
                 self._documents[change.key] = kept
@@ -233,7 +233,7 @@
             if isinstance(self._decode_or_none(kept), ConfigDocument):
                 self._documents[key] = kept
             else:
-                self._apply_change(attrs.evolve(kept, deleted=True), source)
+                self._apply_safely(attrs.evolve(kept, deleted=True), source)
         self._rebuild_services()
 
     def _is_outdated(self, document):
@@ -299,6 +299,18 @@
         self._next_expiry = min(times, default=math.inf)
         self._rebuild_services()
 
+    def _apply_safely(self, change, source):
+        """Apply a change; an unexpected error must not hide the changes after it."""
+        try:
+            self._apply_change(change, source)
+        except Exception as error:
+            self._record_event(
+                "document_failed",
+                key=change.key,
+                revision=change.revision,
+                detail=f"{type(error).__name__}: {error}",
+            )
+
     def _apply_change(self, change, source):
         known = self._documents.get(change.key)
         if known is not None and change.revision <= known.revision:
--- a/src/lavendermast/platform/documents.py
+++ b/src/lavendermast/platform/documents.py
@@ -1,6 +1,8 @@
 """Decodes the platform's documents into the types of ``entrymodel``."""
 
 import json
+import math
+import re
 
 from lavendermast.entrymodel import (
     CallerLimits,
@@ -35,9 +37,28 @@
 )
 
 
+#: Bounds of what a usable server's entry may hold; beyond them it is another program's.
+MAX_SLOTS = 1_000_000
+MAX_COUNTER = 2**63 - 1
+MAX_WARM_UP_MS = 24 * 3600 * 1000
+_ADDRESS = re.compile(r"([A-Za-z0-9._-]{1,253}|\[[0-9A-Fa-f:.]{2,45}\]):([0-9]{1,5})")
+#: Names of servers are sent in a header.
+_SERVER_NAME = re.compile(r"[!-~]{1,200}")
+MAX_NAME_CHARACTERS = 200
+
+
 def is_needed(key):
-    """Return whether an entry VM uses the document under a key."""
-    return key == CONFIG_KEY or key.startswith(SERVER_PREFIX)
+    """
+    Return whether an entry VM uses the document under a key.
+
+    Keys of other programs may be anything; one without a usable name is not needed.
+    """
+    if not isinstance(key, str):
+        return False
+    if key == CONFIG_KEY:
+        return True
+    name = key.removeprefix(SERVER_PREFIX)
+    return name != key and _SERVER_NAME.fullmatch(name) is not None
 
 
 def decode_document(key, content, zones):
@@ -60,32 +81,52 @@
     try:
         entry = json.loads(content)
         info, status = entry["info"], entry["status"]
-        host, _, port = entry["addr"].rpartition(":")
-        if not host or not (port.isascii() and port.isdigit()):
-            return None
         server = Server(
             name,
-            _check_type(info["service"], str),
+            _check_name(info["service"]),
             zones.get(info["zone"], ""),
-            _check_type(info["zone"], str),
-            entry["addr"],
+            _check_name(info["zone"]),
+            _check_address(entry["addr"]),
             _STATES[status["state"]],
         )
         return ServerRecord(
             server,
-            _check_type(info["capacity"], int),
-            _check_type(entry.get("born", 0), int),
-            float(status.get("warmup_left_ms", 0)) / 1000,
-            _check_type(status.get("sequence", 0), int),
+            _check_range(info["capacity"], 1, MAX_SLOTS),
+            _check_range(entry.get("born", 0), 0, MAX_COUNTER),
+            _check_warm_up(status.get("warmup_left_ms", 0)) / 1000,
+            _check_range(status.get("sequence", 0), 0, MAX_COUNTER),
         )
     except _DECODE_ERRORS:
         # Other programs write entries here that do not describe a usable server.
         return None
 
 
-def _check_type(value, kind):
-    if not isinstance(value, kind) or isinstance(value, bool):
-        raise TypeError(f"expected {kind.__name__}, got {value!r}")
+def _check_name(value):
+    if not (0 < len(value) <= MAX_NAME_CHARACTERS and value.isprintable()):
+        raise ValueError("not a name")
+    return value
+
+
+def _check_address(value):
+    match = _ADDRESS.fullmatch(value)
+    if match is None:
+        raise ValueError("not an address")
+    _check_range(int(match[2]), 1, 65535)
+    return value
+
+
+def _check_range(value, lowest, highest):
+    if type(value) is not int:
+        raise TypeError("not an integer")
+    if not lowest <= value <= highest:
+        raise ValueError("out of range")
+    return value
+
+
+def _check_warm_up(value):
+    value = float(value)
+    if not math.isfinite(value) or not 0 <= value <= MAX_WARM_UP_MS:
+        raise ValueError("out of range")
     return value
 
 
--- a/tests/test_catalog.py
+++ b/tests/test_catalog.py
@@ -6,9 +6,11 @@
 
 from lavendermast.catalog import Catalog
 from lavendermast.clock import ManualClock
+from lavendermast.codec import Envelope, FrameCodec
 from lavendermast.messages_model import StoredChange, StoredChanges
 from lavendermast.models import ServerState
 from lavendermast.platform.documents import CONFIG_KEY, decode_document
+from lavendermast.platform.store import MetadataStore
 
 ZONES = {"a": "north"}
 
@@ -298,6 +300,38 @@
         b"[" * 200_000,
         make_entry(status={"state": "ready", "warmup_left_ms": 10**400}),
         make_entry(address="10.0.0.1:\u00b2"),
+        *[
+            make_entry(address=address)
+            for address in (
+                "10.0.0.1:0",
+                "10.0.0.1:99999",
+                "10.0.0.1:" + "9" * 5000,
+                "nonsense host:80",
+                "10.0.0.1\r\nX:80",
+                "\ud800:80",
+            )
+        ],
+        *[
+            make_entry(info={"service": service, "zone": "a", "capacity": capacity})
+            for service, capacity in (
+                ("stock", 0),
+                ("stock", -5),
+                ("stock", 10**400),
+                ("\ud800", 6),
+                ("st\0ck", 6),
+                ("", 6),
+            )
+        ],
+        *[make_entry(born=born) for born in (-1, 10**30, 10**400)],
+        *[
+            make_entry(status={"state": "ready", "sequence": 1, **more})
+            for more in (
+                {"sequence": 10**400},
+                {"warmup_left_ms": float("inf")},
+                {"warmup_left_ms": float("nan")},
+                {"warmup_left_ms": 1e300},
+            )
+        ],
     ],
 )
 def test_document_that_no_parser_accepts_does_not_stop_the_others(catalog, content):
@@ -314,3 +348,27 @@
     assert apply(catalog, 5, 6, put(CONFIG_KEY, b"[" * 200_000, 6))
     assert get_names(catalog) == ["s1"]
     assert catalog.config_version == 7
+
+
+def test_error_in_one_document_does_not_hide_the_changes_after_it(catalog, events):
+    """Guards against a VM that reads the same change for ever (CONFIG, DRAIN)."""
+
+    def fail(name):
+        raise ZeroDivisionError("handler")
+
+    catalog.on_server.append(fail)
+    config = put(CONFIG_KEY, make_config(7), 5)
+    assert apply(catalog, 0, 5, put("servers/s1", make_entry(), 4), config, whole=True)
+    assert catalog.config_version == 7
+    assert events[-2][0] == "document_failed"
+
+
+@pytest.mark.parametrize("key", ["servers/\ud800", "servers/", "servers/a b", 7, None])
+def test_odd_key_is_not_passed_on(key):
+    """Guards against a key of another program that no VM can send to its peers."""
+    item = {"rev": 4, "value": "e30="}
+    items = [{"key": key, **item}, {"key": "servers/s1", **item}]
+    changes = MetadataStore("127.0.0.1:1")._read_items(items)
+    assert [change.key for change in changes] == ["servers/s1"]
+    envelope = Envelope("a1", 1, 1, StoredChanges(0, 4, True, tuple(changes)))
+    assert FrameCodec({1: b"k"}, 1).encode(envelope)
