Pass on no request that a stopping VM may not answer

In a planned stop of one VM, requests that had been read but reached no server when the VM began to refuse, 2.7 s after SIGTERM, were still passed on: bodies that arrived slowly, requests that wait for evidence or room, attempts after a refusal by a server.

From then on a request that has certainly not run is refused with 503 and Retry-After. The test of a slow body fails without the change: the booking is passed on 3.4 s after SIGTERM.

--- a/src/lavendermast/attempts.py
+++ b/src/lavendermast/attempts.py
@@ -33,6 +33,8 @@
 #: Value of ``Retry-After`` for requests that did not run, unless rate limits of the
 #: servers tell when to return.
 RETRY_AFTER_S = 0.5
+#: ``Retry-After`` of a stopping VM; the caller should retry on another one.
+STOPPING_RETRY_S = 0.1
 #: Time for which a server that shed a request has a higher cost.
 SHED_PENALTY_S = 0.4
 #: No retry starts with less time than this until the deadline, because it could not be
@@ -85,7 +87,7 @@
     awaits_evidence: bool = False
     wait_logged: bool = False
     denial_logged: bool = False
-    is_held: bool = False
+    denial: str = ""
     failure: AttemptResult | None = None
 
     @property
@@ -107,6 +109,8 @@
     :param evidence: ``EvidenceRegistry`` that records each attempt.
     :param notices: ``ServerNotices`` that keeps what servers say of themselves.
     :param crashes: ``CrashSharing`` that tells which requests crash servers.
+    :param is_refusing: function that returns whether this VM stops so soon that it may
+        not get the response of a server any more.
     :param get_budget: function from a service to its ``WindowedRetryBudget``.
     """
 
@@ -117,6 +121,7 @@
         evidence,
         notices,
         crashes,
+        is_refusing,
         get_budget,
         clock,
         record_event,
@@ -126,6 +131,7 @@
         self._evidence = evidence
         self._notices = notices
         self._crashes = crashes
+        self._is_refusing = is_refusing
         self._get_budget = get_budget
         self._clock = clock
         self._record_event = record_event
@@ -177,7 +183,7 @@
 
         :return: whether the request goes on; ``False`` if it has to fail.
         """
-        if state.is_held:
+        if state.denial:
             return False
         if state.failure is None:
             # No server is available, or none is known to be healthy yet. Look again
@@ -240,7 +246,7 @@
         self._start_attempt(state, "hedge")
 
     def _start_attempt(self, state, reason):
-        if self._is_held(state, reason):
+        if self._is_denied(state, reason):
             return False
         route = state.route
         size = self._evidence.get_response_bytes(route)
@@ -297,16 +303,26 @@
         eventlet.spawn_n(self._run_attempt, state, running)
         return True
 
-    def _is_held(self, state, reason):
-        """Return whether a request is not sent because it crashes servers."""
+    def _is_denied(self, state, reason):
+        """
+        Return whether a request gets no further attempt, whatever server is chosen.
+
+        The cause is stored in ``denial``.
+        """
+        state.denial = self._find_denial(state)
+        if state.denial and not state.denial_logged:
+            state.denial_logged = True
+            self._record(state, "attempt_denied", reason=reason, cause=state.denial)
+        return bool(state.denial)
+
+    def _find_denial(self, state):
+        if self._is_refusing() and not state.possible_runs:
+            return "stopping"
         if state.has_arrived or state.running:
-            state.is_held = not self._crashes.may_retry(state.request)
+            may_send = self._crashes.may_retry(state.request)
         else:
-            state.is_held = self._crashes.get_hold_s(state.request) > 0.0
-        if state.is_held and not state.denial_logged:
-            state.denial_logged = True
-            self._record(state, "attempt_denied", reason=reason, cause="crashes")
-        return state.is_held
+            may_send = not self._crashes.get_hold_s(state.request)
+        return "" if may_send else "crashes-servers"
 
     def _should_wait(self, state, candidate):
         """Return whether a non-idempotent request waits for a healthy server."""
@@ -441,9 +457,11 @@
 
     def _plan_return(self, state):
         """Return why a request did not run, and the value of ``Retry-After``."""
-        if state.is_held:
+        if state.denial == "stopping":
+            return state.denial, STOPPING_RETRY_S
+        if state.denial:
             hold_s = self._crashes.get_hold_s(state.request)
-            return "crashes-servers", max(math.ceil(hold_s), RETRY_AFTER_S)
+            return state.denial, max(math.ceil(hold_s), RETRY_AFTER_S)
         reason = state.failure.status.value if state.failure else "no-server"
         forecast = self._selector.forecast_room(state.service)
         if forecast is None:
--- a/src/lavendermast/entry.py
+++ b/src/lavendermast/entry.py
@@ -9,6 +9,7 @@
     reject_unknown_length,
     send_response,
 )
+from lavendermast.attempts import STOPPING_RETRY_S
 from lavendermast.callers import DisconnectWatcher
 from lavendermast.exceptions import LavendermastError, RequestError
 from lavendermast.gateway import get_status_line
@@ -23,8 +24,6 @@
 
 #: Retry-After of a VM that has no configuration yet.
 STARTING_RETRY_S = 0.3
-#: Retry-After of a stopping VM; the caller should retry on another one.
-STOPPING_RETRY_S = 0.1
 #: Part of a caller's timeout that is reserved for the response to travel back.
 RETURN_MARGIN_S = 0.03
 
--- a/src/lavendermast/entrynode.py
+++ b/src/lavendermast/entrynode.py
@@ -161,6 +161,7 @@
             self.evidence,
             self.notices,
             self.crashes,
+            lambda: self.refusing,
             self._get_budget,
             self.clock,
             record,
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -79,6 +79,7 @@
     slack=10,
     prepare=lambda registry: None,
     crashes_before=0,
+    is_refusing=False,
 ):
     """
     Run a request; return the reply, the upstream, the logged events and the seconds.
@@ -87,6 +88,7 @@
         leaves a single retry.
     :param prepare: called with the ``EvidenceRegistry`` before the request.
     :param crashes_before: crashes of servers in which the request was in flight before.
+    :param is_refusing: whether the VM is about to stop.
     """
     clock = SystemClock()
     events = []
@@ -126,6 +128,7 @@
         registry,
         notices,
         crashes,
+        lambda: is_refusing,
         lambda service: budget,
         clock,
         lambda event, **fields: events.append((event, fields)),
@@ -377,3 +380,11 @@
     if attempts == 0:
         assert (reply.outcome, reply.reason) == (Outcome.NOT_RUN, "crashes-servers")
         assert reply.retry_after > RETRY_AFTER_S
+
+
+@pytest.mark.parametrize("kind", [RequestKind.IDEMPOTENT, RequestKind.NON_IDEMPOTENT])
+def test_waiting_request_is_not_passed_on_by_a_stopping_vm(kind):
+    """Guards against work that is cut off at the end of a planned stop (LOST)."""
+    reply, upstream, *_ = run([], make_route(kind), is_refusing=True)
+    assert (reply.status, reply.outcome) == (503, Outcome.NOT_RUN)
+    assert (reply.reason, upstream.sent) == ("stopping", [])
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -214,6 +214,31 @@
     assert len(server.runs) == runs
 
 
+def test_request_whose_body_ends_late_in_a_shutdown_is_not_passed_on(world):
+    """
+    Guards against work that a stopping process starts when it cannot end it (LOST).
+
+    The refusal is true, so the caller may send the request again elsewhere.
+    """
+    server = world.add("s1")
+    rule = make_rule("book", "/book/", "non_idempotent", timeout_ms=8000)
+    world.store.put("op/config", make_config(4, rule))
+    world.wait_ready(1)
+    world.wait_for(lambda: "config_version 4" in world.read_metrics())
+    head = (
+        f"POST /book/1 HTTP/1.1\r\nHost: {HOST}\r\nRequest-Id: late\r\n"
+        "Deadline-Ms: 8000\r\nContent-Length: 4\r\n\r\nab"
+    )
+    with eventlet.connect(("127.0.0.1", world.ports["caller"])) as connection:
+        connection.sendall(head.encode())
+        eventlet.sleep(0.2)
+        world.process.send_signal(signal.SIGTERM)
+        eventlet.sleep(3.2)
+        connection.sendall(b"cd")
+        assert connection.recv(65536).startswith(b"HTTP/1.1 503 ")
+    assert server.runs == []
+
+
 def test_request_at_a_server_that_stops_reporting_ends_whole(world):
     """
     Guards against work that is given up or started again elsewhere because its server
