Send suspects of a crash to different servers

A suspect's server is now chosen by its fingerprint, and a further attempt waits until it is known whether the server has crashed (30 ms and a connect). Denied attempts log the fingerprint.

--- a/src/lavendermast/attempts.py
+++ b/src/lavendermast/attempts.py
@@ -7,6 +7,7 @@
 import eventlet
 from eventlet.queue import Empty, LightQueue
 
+from lavendermast.crashes import compute_fingerprint
 from lavendermast.models import AttemptResult, AttemptStatus, Outcome, Reply
 from lavendermast.roomqueue import MAX_RETRY_AFTER_S, RoomQueue
 from lavendermast.selection import IDEMPOTENT_TRIAL, NON_IDEMPOTENT_TRIAL
@@ -262,6 +263,7 @@
             trial,
             is_first=reason == "first",
             retryable=state.request.retryable,
+            spread_key=self._crashes.get_spread_key(state.request),
         )
         if candidate is None and state.excluded and not state.running:
             state.excluded.clear()
@@ -312,7 +314,14 @@
         state.denial = self._find_denial(state)
         if state.denial and not state.denial_logged:
             state.denial_logged = True
-            self._record(state, "attempt_denied", reason=reason, cause=state.denial)
+            fingerprint = compute_fingerprint(state.request).hex()
+            self._record(
+                state,
+                "attempt_denied",
+                reason=reason,
+                cause=state.denial,
+                fingerprint=fingerprint,
+            )
         return bool(state.denial)
 
     def _find_denial(self, state):
@@ -366,8 +375,18 @@
             result = AttemptResult(running.server.name, AttemptStatus.CUT)
             result.detail = f"{type(error).__name__}: {error}"
         self._finish_attempt(state, running, result)
+        if result.connection_lost:
+            self._check_crash(state, running)
         state.results.put((running, result))
 
+    def _check_crash(self, state, running):
+        """Find out whether the server crashed, before another attempt is made."""
+        call = (state.request, running.server, running.server_started_unix_ms)
+        if state.may_run_again:
+            self._crashes.check_lost_connection(*call)
+        else:
+            eventlet.spawn_n(self._crashes.check_lost_connection, *call)
+
     def _finish_attempt(self, state, running, result):
         left = state.request.deadline - self._clock.monotonic()
         outcome = classify_attempt(result, left)
@@ -376,11 +395,7 @@
         )
         if result.is_leaving:
             self._notices.mark_leaving(running.server.name)
-        if result.connection_lost:
-            self._crashes.note_lost_connection(
-                state.request, running.server, running.server_started_unix_ms
-            )
-        elif result.status in _ANSWERED_STATUSES:
+        if result.status in _ANSWERED_STATUSES:
             self._crashes.note_answer(state.request)
         key = (state.service, result.status.value)
         self.attempt_counts[key] = self.attempt_counts.get(key, 0) + 1
--- a/src/lavendermast/crashes.py
+++ b/src/lavendermast/crashes.py
@@ -140,6 +140,10 @@
         suspect = self._find(fingerprint, now)
         return max(suspect.held_until - now, 0.0) if suspect else 0.0
 
+    def is_suspect(self, fingerprint):
+        """Return whether a request was in flight when a server crashed."""
+        return self._find(fingerprint, self._clock.monotonic()) is not None
+
     def may_retry(self, fingerprint):
         """Return whether a VM may make a further attempt for a request by itself."""
         suspect = self._find(fingerprint, self._clock.monotonic())
--- a/src/lavendermast/crashsharing.py
+++ b/src/lavendermast/crashsharing.py
@@ -77,21 +77,30 @@
             suspect = CrashSuspect(fingerprint=fingerprint, cleared=True)
             eventlet.spawn_n(self._share, [suspect])
 
-    def note_lost_connection(self, request, server, started_unix_ms):
+    def get_spread_key(self, request):
         """
-        Record that a server closed the connection of an attempt.
+        Return what a suspect's server is chosen by; empty for other requests.
+
+        Suspects of one crash would all be sent to the server of the lowest cost, and
+        would be suspects of the next crash together.
+        """
+        if not self._tracker:
+            return ""
+        fingerprint = compute_fingerprint(request)
+        return fingerprint.hex() if self._tracker.is_suspect(fingerprint) else ""
+
+    def check_lost_connection(self, request, server, started_unix_ms):
+        """
+        Find out whether a server that closed the connection of an attempt has crashed.
 
         :param started_unix_ms: start time of the server's run that got the request.
         """
         run = ServerRun(server.name, started_unix_ms)
-        eventlet.spawn_n(self._check, request, server, run)
-
-    def _check(self, request, server, run):
         if not self._has_crashed(server, run):
             return
         fingerprint = compute_fingerprint(request)
         self._tracker.add_crash(run, fingerprint, self._network.vm)
-        self._share([_make_suspect(run, fingerprint)])
+        eventlet.spawn_n(self._share, [_make_suspect(run, fingerprint)])
 
     def _has_crashed(self, server, run):
         """Return whether a server has crashed; one check serves all its attempts."""
--- a/src/lavendermast/selection.py
+++ b/src/lavendermast/selection.py
@@ -5,6 +5,7 @@
 
 import attrs
 
+from lavendermast.hashing import rank_members
 from lavendermast.losstracker import FLOOR_IDLE_S
 from lavendermast.models import ServerState
 
@@ -96,7 +97,8 @@
     """
     A server with the inputs of its selection.
 
-    :param reason: ``trial`` or ``floor`` when it was not chosen for its cost.
+    :param reason: ``trial``, ``floor`` or ``spread`` when it was not chosen for its
+        cost.
     :param awaits_evidence: whether the best server is not known to be healthy, and
         requests in flight will soon give more evidence.
     """
@@ -133,6 +135,17 @@
     interval_s: float
 
 
+def _choose_by_key(candidates, key):
+    """Return the candidate that a key selects among those that are not doubtful."""
+    by_name = {c.listed.server.name: c for c in candidates if not c.is_doubtful}
+    by_name = by_name or {c.listed.server.name: c for c in candidates}
+    if not by_name:
+        return None
+    chosen = by_name[rank_members(key, by_name)[0]]
+    chosen.reason = "spread"
+    return chosen
+
+
 class ServerSelector:
     """
     Chooses servers by their probability of failure, load and distance.
@@ -184,6 +197,7 @@
         trial=None,
         is_first=False,
         retryable=True,
+        spread_key="",
     ):
         """
         Return the best ``Candidate``, or ``None`` if no live server may get a request.
@@ -194,6 +208,8 @@
         :param is_first: whether the attempt is the request's first; only first attempts
             are sent to idle servers to keep the floor (see ``LossTracker``).
         :param retryable: whether the request may run twice.
+        :param spread_key: if not empty, the server is chosen by it and not by cost, so
+            that requests with different keys go to different servers.
         """
         now = self._clock.monotonic()
         first_choice_at = self._first_choice_at.setdefault(service, now)
@@ -208,6 +224,8 @@
 
         in_region = [assess(listed) for listed in near]
         usable = self._find_usable(in_region, far, response_bytes, assess)
+        if spread_key:
+            return _choose_by_key(usable, spread_key)
         if is_first:
             floor_server = self._find_floor_server(
                 service, in_region, now, first_choice_at
--- a/tests/test_selection.py
+++ b/tests/test_selection.py
@@ -116,6 +116,17 @@
     assert choose(world) == "near"
 
 
+def test_suspects_of_a_crash_are_sent_to_different_servers(world):
+    """Guards against innocent requests that are in the next crash with the guilty."""
+    for name in ("far", "region", "near"):
+        observe(world, name)
+    chosen = {key: choose(world, spread_key=key) for key in map(str, range(12))}
+    assert set(chosen.values()) == {"region", "near"}
+    assert all(choose(world, spread_key=key) == chosen[key] for key in chosen)
+    observe(world, "near", AttemptStatus.CUT)
+    assert "near" not in {choose(world, spread_key=key) for key in chosen}
+
+
 def test_equal_servers_are_chosen_by_distance(world):
     """Guards against sending long responses over paid links."""
     for name in ("far", "region", "near"):
