Leave servers alone that ask for a pause

The header was not read: the server got the next request as soon as it was the best again.

A pause is kept with its deadline until the run of the server ends. Paused servers are treated like those at their rate limit: they stay in the count for the floor, others do not get their share beyond three requests a slot, and without a server that may get a request callers are refused at once with the time at which one will take it.

--- a/src/lavendermast/attempts.py
+++ b/src/lavendermast/attempts.py
@@ -395,6 +395,9 @@
         )
         if result.is_leaving:
             self._notices.mark_leaving(running.server.name)
+        if result.pause_s:
+            until = result.head_at + result.pause_s
+            self._notices.pause(running.server.name, until)
         if result.status in _ANSWERED_STATUSES:
             self._crashes.note_answer(state.request)
         key = (state.service, result.status.value)
--- a/src/lavendermast/entrymetrics.py
+++ b/src/lavendermast/entrymetrics.py
@@ -111,6 +111,11 @@
         "Listed servers that said in a response that they are leaving.",
         lambda: [({}, node.notices.count_leaving())],
     )
+    registry.add_gauge(
+        "lavendermast_entry_paused_servers",
+        "Servers that turned a request away and want none for a while.",
+        lambda: [({}, node.notices.count_paused())],
+    )
     registry.add_counter(
         "lavendermast_entry_server_crashes_total",
         "Crashes of servers under attempts of this VM.",
--- a/src/lavendermast/entrynode.py
+++ b/src/lavendermast/entrynode.py
@@ -132,7 +132,7 @@
         self.upstream = Upstream(
             self.clock, MAX_BUFFERED_BYTES, {}, platform.protocol, CONNECT_TIMEOUT_S
         )
-        self.notices = ServerNotices(self.catalog.get_server, record)
+        self.notices = ServerNotices(self.catalog.get_server, self.clock, record)
         selector = ServerSelector(
             self.catalog,
             self.evidence.get,
@@ -311,6 +311,7 @@
         if listed is None:
             self.evidence.remove_server(name)
             self.rate_limits.remove(name)
+            self.notices.remove(name)
             self.upstream.close_server(name)
 
     def _get_budget(self, service):
--- a/src/lavendermast/models.py
+++ b/src/lavendermast/models.py
@@ -76,6 +76,7 @@
     :param load: share of busy slots that the server reported, or ``None``.
     :param rate_limit: requests per second that the server accepts from all VMs
         together, infinite if it named no limit; ``None`` without a response of it.
+    :param pause_s: seconds for which the server wants no further request of this VM.
     :param connection_lost: whether the server closed the connection before the end of
         its response.
     :param is_leaving: whether the server said that it is leaving.
@@ -94,6 +95,7 @@
     head_at: float = 0.0
     is_leaving: bool = False
     connection_lost: bool = False
+    pause_s: float = 0.0
     detail: str = ""
 
     @property
--- a/src/lavendermast/notices.py
+++ b/src/lavendermast/notices.py
@@ -8,28 +8,35 @@
 
 class ServerNotices:
     """
-    Servers that said in a response that they are leaving.
+    Servers that said in a response that they are leaving, or want a pause.
 
-    The notice holds for one run of a server: it ends when the server has restarted. It
-    does not depend on the store, which may not know of the departure yet.
+    A notice holds for one run of a server: it ends when the server has restarted. It
+    does not depend on the store, which may not know of a departure yet.
 
     :param get_server: function from a name to the ``ListedServer``, or ``None``.
 
     >>> import types
+    >>> from lavendermast.clock import ManualClock
     >>> listed = types.SimpleNamespace(
     ...     server=types.SimpleNamespace(name="s1"),
     ...     record=types.SimpleNamespace(started_unix_ms=1000),
     ... )
-    >>> notices = ServerNotices({"s1": listed}.get, lambda event, **fields: None)
+    >>> clock = ManualClock(10.0)
+    >>> notices = ServerNotices({"s1": listed}.get, clock, lambda event, **fields: None)
     >>> notices.mark_leaving("s1")
     >>> notices.is_leaving(listed)
     True
+    >>> notices.pause("s1", 12.5)
+    >>> notices.compute_pause(listed)
+    2.5
     """
 
-    def __init__(self, get_server, record_event):
+    def __init__(self, get_server, clock, record_event):
         self._get_server = get_server
+        self._clock = clock
         self._record_event = record_event
         self._leaving_runs = collections.OrderedDict()
+        self._pauses = {}
 
     def mark_leaving(self, name):
         """Record that the present run of a server is leaving."""
@@ -47,6 +54,43 @@
         run = self._leaving_runs.get(listed.server.name)
         return run is not None and run == listed.record.started_unix_ms
 
+    def pause(self, name, until):
+        """
+        Record that the present run of a server wants no request for a while.
+
+        :param until: monotonic time of the end; an earlier one ends no longer pause.
+        """
+        listed = self._get_server(name)
+        if listed is None:
+            return
+        until = max(until, self._clock.monotonic() + self.compute_pause(listed))
+        self._pauses[name] = (listed.record.started_unix_ms, until)
+        self._record_event(
+            "server_paused",
+            server=name,
+            pause_ms=round((until - self._clock.monotonic()) * 1000),
+        )
+
+    def compute_pause(self, listed):
+        """Return the seconds until a ``ListedServer`` may get a request again."""
+        run, until = self._pauses.get(listed.server.name, (None, 0.0))
+        if run is None:
+            return 0.0
+        left = until - self._clock.monotonic()
+        if left <= 0 or run != listed.record.started_unix_ms:
+            del self._pauses[listed.server.name]
+            return 0.0
+        return left
+
+    def remove(self, name):
+        """Drop the pause of a server that was removed."""
+        self._pauses.pop(name, None)
+
+    def count_paused(self):
+        """Return the number of listed servers that want a pause."""
+        listed = map(self._get_server, list(self._pauses))
+        return sum(item is not None and self.compute_pause(item) > 0 for item in listed)
+
     def count_leaving(self):
         """Return the number of listed servers that said that they are leaving."""
         listed = map(self._get_server, self._leaving_runs)
--- a/src/lavendermast/platform/calls.py
+++ b/src/lavendermast/platform/calls.py
@@ -62,6 +62,8 @@
             result.status = AttemptStatus.ERROR
         if result.status not in _FOREIGN_STATUSES:
             result.rate_limit = _read_rate_limit(names.get(_RATE_LIMIT_HEADER), result)
+            if response.status == 503:
+                result.pause_s = _read_pause(names.get("retry-after", ""))
             result.is_leaving = names.get(_LEAVING_HEADER, "").strip() == "1"
 
 
@@ -74,6 +76,11 @@
     return float(text)
 
 
+def _read_pause(text):
+    """Return the seconds of a ``Retry-After`` header, 0 if it has none."""
+    return float(text) if _DECIMAL.fullmatch(text.strip()) else 0.0
+
+
 def encode_directory_body(addresses, ttl_s):
     """Return the body with the addresses to use and their time to live."""
     return json.dumps({"addresses": addresses, "ttl_s": ttl_s}).encode()
--- a/src/lavendermast/selection.py
+++ b/src/lavendermast/selection.py
@@ -36,6 +36,10 @@
 MAX_OVERFLOW_FILL = 3.0
 MAX_OVERFLOW_SICK_PROBABILITY = 0.45
 
+#: Callers that return after a pause are spread as if a server took this many requests
+#: per second and slot.
+RETURN_RATE_PER_SLOT = 1.0
+
 #: A server that is sick with at least this probability is suspect. One response is
 #: enough to bring a server below it.
 MIN_SUSPECT_SICK_PROBABILITY = 0.2
@@ -280,8 +284,12 @@
                 continue
             sick_probability = self._get_evidence(name).compute_sick_probability(now)
             if not is_doubtful(sick_probability):
-                delays.append(self._rate_limits.forecast_delay(name))
-                rate += self._rate_limits.get_rate(name)
+                pause = self._notices.compute_pause(listed)
+                delays.append(max(self._rate_limits.forecast_delay(name), pause))
+                rate += min(
+                    self._rate_limits.get_rate(name),
+                    RETURN_RATE_PER_SLOT * listed.slots,
+                )
         if not delays:
             return None
         return RoomForecast(min(delays), self._vms / rate if rate else math.inf)
@@ -292,7 +300,9 @@
         return is_live and not self._notices.is_leaving(listed)
 
     def _has_room(self, listed):
-        """Return whether the rate limit of a server allows another request."""
+        """Return whether a server's rate limit and pause allow another request."""
+        if self._notices.compute_pause(listed):
+            return False
         return self._rate_limits.compute_delay(listed.server.name) == 0.0
 
     def _awaits_evidence(self, chosen, in_region):
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -96,7 +96,7 @@
     registry = EvidenceRegistry(clock, lambda name: route, rate_limits)
     prepare(registry)
     catalog, loss_tracker = FixedCatalog(servers), LossTracker(registry.get, 0.7)
-    notices = ServerNotices(lambda name: None, lambda event, **fields: None)
+    notices = ServerNotices(lambda name: None, clock, lambda event, **fields: None)
 
     def has_connection(server, retryable):
         return True
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -128,6 +128,35 @@
     world.wait_for(lambda: world.send().data.startswith(b"s1"))
 
 
+def test_server_that_asks_for_a_pause_gets_no_request_until_its_end(world):
+    """
+    Guards against requests to a server that wants none for a while (BUDGET).
+
+    With all servers asking for a pause, callers are refused at once, with its end.
+    """
+    paused, other = world.add("s1", "shed"), world.add("s2")
+    paused.pause_s = 3.0
+    world.wait_ready(2)
+    world.wait_for(lambda: world.send().status == 200 and paused.arrivals)
+    first = paused.arrivals[0][1]
+    while time.monotonic() < first + 2.5:
+        assert world.send().status == 200
+        eventlet.sleep(0.02)
+    assert len(paused.arrivals) == 1
+    paused.mode, other.mode, other.pause_s = "ok", "shed", 20.0
+    world.wait_for(lambda: world.send().data.startswith(b"s1"))
+    assert time.monotonic() >= first + 3.0
+    paused.mode, paused.pause_s = "shed", 20.0
+    world.wait_for(lambda: world.send().status == 503)
+    arrivals = len(paused.arrivals) + len(other.arrivals)
+    started = time.monotonic()
+    reply = world.send("/book/1", "POST")
+    assert reply.status == 503
+    assert time.monotonic() - started < 1.0
+    assert float(reply.headers["Retry-After"]) > 1.0
+    assert len(paused.arrivals) + len(other.arrivals) == arrivals
+
+
 def test_request_that_crashes_servers_is_held_after_the_third_crash(world):
     """Guards against a repeated request that crashes server after server (BUDGET)."""
     for number in range(8):
--- a/tests/test_ratelimits.py
+++ b/tests/test_ratelimits.py
@@ -72,7 +72,7 @@
             LossTracker(registry.get, 0.7),
             lambda server, retryable: True,
             rate_limits,
-            ServerNotices(lambda name: None, lambda event, **fields: None),
+            ServerNotices(lambda name: None, self.clock, lambda event, **fields: None),
             VMS_PER_REGION,
         )
         return types.SimpleNamespace(
--- a/tests/test_selection.py
+++ b/tests/test_selection.py
@@ -37,7 +37,7 @@
     return next((item for item in listed if item.server.name == name), None)
 
 
-NO_NOTICES = ServerNotices(lambda name: None, ignore_event)
+NO_NOTICES = ServerNotices(lambda name: None, ManualClock(), ignore_event)
 
 
 @pytest.fixture
@@ -58,7 +58,7 @@
     catalog = types.SimpleNamespace(get_servers=lambda service: listed)
     loss_tracker = LossTracker(registry.get, 0.7)
     unconnected = set()
-    notices = ServerNotices(lambda name: find_listed(listed, name), ignore_event)
+    notices = ServerNotices(lambda name: find_listed(listed, name), clock, ignore_event)
     selector = ServerSelector(
         catalog,
         registry.get,
@@ -116,6 +116,38 @@
     assert choose(world) == "near"
 
 
+def test_paused_server_gets_no_request_and_its_neighbours_no_queue(world):
+    """
+    Guards against requests to a server that asked for a pause, and against its share on
+    the queues of the others.
+    """
+    for name in ("far", "region", "near"):
+        observe(world, name)
+    world.notices.pause("near", world.clock.monotonic() + 4.0)
+    for _ in range(60):
+        candidate = world.server_selector.choose("stock", BYTES)
+        if candidate is None:
+            break
+        assert candidate.listed.server.name != "near"
+        world.registry.start(candidate.listed.server.name, ROUTE)
+    assert candidate is None
+    forecast = world.server_selector.forecast_room("stock")
+    assert forecast.delay_s == pytest.approx(4.0)
+    assert 0 < forecast.interval_s < 1
+    world.clock.advance(4.0)
+    assert choose(world) == "near"
+
+
+def test_pause_ends_when_the_server_has_restarted(world):
+    """Guards against a pause of the run before, or one that a shorter one ends."""
+    listed = world.listed[0]
+    world.notices.pause("near", world.clock.monotonic() + 4.0)
+    world.notices.pause("near", world.clock.monotonic() + 1.0)
+    assert world.notices.compute_pause(listed) == pytest.approx(4.0)
+    listed.record = attrs.evolve(listed.record, started_unix_ms=7)
+    assert world.notices.compute_pause(listed) == 0.0
+
+
 def test_suspects_of_a_crash_are_sent_to_different_servers(world):
     """Guards against innocent requests that are in the next crash with the guilty."""
     for name in ("far", "region", "near"):
