Let servers crash, leave and ask for pauses in the soak

They crash, some under a request that comes again at any VM, say in responses that they are leaving while their entry says ready, and ask for pauses; the account is checked for DRAIN and BUDGET by what callers and servers saw.

--- a/bench/soak.py
+++ b/bench/soak.py
@@ -8,9 +8,10 @@
 and reset connections. Processes are stopped, paused, killed and restarted. The store
 refuses calls, drops its history or is restored from a copy. Servers hang, shed,
 truncate responses, leave, are replaced under another name, and name rate limits that
-change. The entry processes don't use the wall clock for decisions and write no files,
-so clock and disk faults are not injected. The checks use only what callers and servers
-observed. Findings are printed with their seed.
+change. They ask for pauses, say that they leave before the store knows, and crash, some
+under a request that comes again. The entry processes don't use the wall clock for
+decisions and write no files, so clock and disk faults are not injected. The checks use
+only what callers and servers observed. Findings are printed with their seed.
 """
 
 import argparse
@@ -79,6 +80,10 @@
         series.append(eventlet.spawn(self._limit_servers, limits_rng))
         restore_rng = random.Random(f"{self.seed}/restore")
         series.append(eventlet.spawn(self._restore_store, restore_rng))
+        notices_rng = random.Random(f"{self.seed}/notices")
+        series.append(eventlet.spawn(self._give_notices, notices_rng))
+        crashes_rng = random.Random(f"{self.seed}/crashes")
+        series.append(eventlet.spawn(self._crash_servers, crashes_rng))
         for task in series:
             task.wait()
         self.world.heal()
@@ -115,6 +120,32 @@
                 self.world.write_again()
             self._record_fault(start, "restore_store", "")
 
+    def _give_notices(self, rng):
+        """Let servers ask for pauses, and say that they leave without their entry."""
+        for _ in range(rng.randint(1, 3)):
+            sleep_random(rng, 0.1, self.seconds / 4)
+            start = time.monotonic()
+            server = self._choose_server(rng)
+            if rng.random() < 0.5:
+                detail = self.world.leave_unlisted(server, rng.uniform(1.0, 5.0))
+                self._record_fault(start, "leave_unlisted", detail)
+                continue
+            server.mode, server.pause_s = "shed", rng.uniform(1.0, 6.0)
+            sleep_random(rng, 0.2, 3.0)
+            server.mode, server.pause_s = "ok", 0.0
+            self._record_fault(start, "pause", server.name)
+
+    def _crash_servers(self, rng):
+        """Crash servers, some by a request that comes again at any VM."""
+        sleep_random(rng, 0.1, self.seconds / 4)
+        start = time.monotonic()
+        caller = eventlet.spawn(self.world.run_deadly_caller, self.seconds / 2)
+        for _ in range(rng.randint(1, 3)):
+            sleep_random(rng, 0.5, self.seconds / 4)
+            self.world.crash_server(self._choose_server(rng))
+        caller.wait()
+        self._record_fault(start, "crash_servers", "")
+
     def _limit_servers(self, rng):
         """Let most servers of a service name limits that move up and down."""
         eventlet.sleep(rng.random() * self.seconds / 4)
--- a/bench/soakchecks.py
+++ b/bench/soakchecks.py
@@ -6,6 +6,8 @@
 
 import attrs
 
+from standins.instance import DEADLY
+
 #: A VM counts as out of contact until this long after an outage ends, the contact
 #: timeout (contact_ms) that the users require.
 CONTACT_TIMEOUT_S = 3.0
@@ -26,6 +28,14 @@
 RATE_FACTOR = 1.5
 RATE_SLACK = 5
 RATE_NOTICE_S = 0.5
+#: A server gets at most MAX_REQUESTS_IN_PAUSE requests of a VM from PAUSE_NOTICE_S
+#: after it has refused one of them with a pause until the end of the pause.
+PAUSE_NOTICE_S = 0.5
+MAX_REQUESTS_IN_PAUSE = 2
+#: A request that has crashed this many servers reaches servers at most
+#: MAX_RETRIES_WHEN_HELD times more once CONTACT_TIMEOUT_S have passed.
+CRASHES_TO_HOLD = 3
+MAX_RETRIES_WHEN_HELD = 3
 #: Statuses which state that no server ran the request.
 _NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 
@@ -36,7 +46,7 @@
     A caller's request.
 
     Times are monotonic. ``status`` is ``None`` without a complete response;
-    ``detail`` then holds the cause.
+    ``detail`` then holds the cause. ``server`` is the one that answered.
     """
 
     id: str
@@ -47,6 +57,7 @@
     ended: float = 0.0
     status: int | None = None
     detail: str = ""
+    server: str = ""
 
 
 @attrs.define
@@ -61,6 +72,9 @@
     :param outages: intervals by VM in which it was out of contact; ``""`` stands for
         all VMs.
     :param stops: times of SIGTERM by VM.
+    :param restarts: times by VM at which its process was killed, stopped or paused.
+    :param departures: time by server from which its responses said that it is leaving.
+    :param crashes: times at which the deadly request crashed a server.
     :param drains: time by server at which its entry changed to draining.
     :param moves: pairs of time and service for each change of the movable route.
     :param overdue_stops: processes that did not exit within the grace period.
@@ -72,6 +86,9 @@
     faults: list = attrs.Factory(list)
     outages: dict = attrs.Factory(lambda: collections.defaultdict(list))
     stops: dict = attrs.Factory(lambda: collections.defaultdict(list))
+    restarts: dict = attrs.Factory(lambda: collections.defaultdict(list))
+    departures: dict = attrs.Factory(dict)
+    crashes: list = attrs.Factory(list)
     drains: dict = attrs.Factory(dict)
     moves: list = attrs.Factory(list)
     overdue_stops: list = attrs.Factory(list)
@@ -99,6 +116,10 @@
         finally:
             interval[1] = time.monotonic()
 
+    def has_restarted(self, vm, start, end):
+        """Return whether a VM's process was killed, stopped or paused in a time."""
+        return any(start <= moment <= end for moment in self.restarts[vm])
+
     def is_in_contact(self, vm, start, end):
         """Return whether a VM was in contact during an interval."""
         # Outages count from 0.1 s before their recorded start, as a tolerance.
@@ -123,6 +144,10 @@
             findings += _check_run(call, server, moment, account)
     for server, limit, interval in account.rate_limits:
         findings += _check_rate_limit(server, limit, interval, account)
+    for server in [*world.servers.values(), *world.removed_servers]:
+        findings += _check_departure(server, account)
+        findings += _check_pauses(server, account)
+    findings += _check_deadly_request(account, world)
     for request_id in runs.keys() - account.calls.keys():
         findings.append(f"UNASKED: {request_id} ran but no caller sent it")
     return findings
@@ -209,3 +234,64 @@
                 f"allowed {allowed:g}"
             )
             return
+
+
+def _get_arrivals(server, account):
+    """Return time and call of each request of a caller that reached a server."""
+    return [
+        (moment, account.calls[request_id])
+        for request_id, moment in server.arrivals
+        if request_id in account.calls
+    ]
+
+
+def _check_departure(server, account):
+    leaving_at = account.departures.get(server.name)
+    if leaving_at is None:
+        return
+    arrivals = _get_arrivals(server, account)
+    told_at = {}
+    for moment, call in arrivals:
+        if moment >= leaving_at and call.status == 200 and call.server == server.name:
+            told_at[call.vm] = min(call.ended, told_at.get(call.vm, call.ended))
+    for moment, call in arrivals:
+        told = told_at.get(call.vm, float("inf"))
+        late = call.started > told + DRAIN_PROPAGATION_S
+        if late and not account.has_restarted(call.vm, told, moment):
+            yield (
+                f"DRAIN: {call.id} reached {server.name} {call.started - told:.2f} s "
+                f"after {call.vm} had heard that it is leaving"
+            )
+
+
+def _check_pauses(server, account):
+    arrivals = _get_arrivals(server, account)
+    for request_id, refused_at, pause_s in server.pauses:
+        if request_id not in account.calls:
+            continue
+        vm = account.calls[request_id].vm
+        if account.has_restarted(vm, refused_at, refused_at + pause_s):
+            continue
+        start, end = refused_at + PAUSE_NOTICE_S, refused_at + pause_s
+        late = [m for m, call in arrivals if call.vm == vm and start < m < end]
+        if len(late) > MAX_REQUESTS_IN_PAUSE:
+            yield (
+                f"BUDGET: {len(late)} requests of {vm} reached {server.name} in a "
+                f"pause of {pause_s:.1f} s from {refused_at:.2f} s"
+            )
+
+
+def _check_deadly_request(account, world):
+    if len(account.crashes) < CRASHES_TO_HOLD:
+        return
+    known_at = sorted(account.crashes)[CRASHES_TO_HOLD - 1] + CONTACT_TIMEOUT_S
+    late = [
+        call.id
+        for server in [*world.servers.values(), *world.removed_servers]
+        for moment, call in _get_arrivals(server, account)
+        if DEADLY in call.path
+        and moment > known_at
+        and account.is_in_contact(call.vm, known_at - CONTACT_TIMEOUT_S, moment)
+    ]
+    if len(late) > MAX_RETRIES_WHEN_HELD:
+        yield f"BUDGET: the deadly request reached servers {len(late)} times when known"
--- a/bench/soakworld.py
+++ b/bench/soakworld.py
@@ -1,6 +1,7 @@
 """Entry processes, stand-ins and callers of a soak run."""
 
 import contextlib
+import functools
 import json
 import signal
 import time
@@ -20,7 +21,7 @@
     start_process,
     take_ports,
 )
-from standins.instance import InstanceStandIn
+from standins.instance import DEADLY, InstanceStandIn
 from standins.loopbackproxy import LoopbackProxy
 from standins.metadata import MetadataStandIn
 
@@ -35,6 +36,8 @@
 #: lookup. The nominal time is 1 s; callers may exceed it up to threefold.
 ADDRESS_HOLD_S = (1.0, 3.0)
 THINK_TIME_S = 0.4
+#: Bounds of the time that a crashed server takes to start again, in seconds.
+RESTART_S = (1.0, 4.0)
 #: Time for which a draining server still serves before it is removed.
 DRAIN_TIME_S = 3.0
 
@@ -99,6 +102,7 @@
     def kill(self):
         """Kill the process and wait for its exit."""
         self._begin_outage()
+        self._account.restarts[self.name].append(time.monotonic())
         self._signal(signal.SIGKILL)
         if self._process is not None:
             self._process.wait()
@@ -106,6 +110,7 @@
     def pause(self):
         """Suspend the process."""
         self._begin_outage()
+        self._account.restarts[self.name].append(time.monotonic())
         self._signal(signal.SIGSTOP)
 
     def resume(self):
@@ -121,6 +126,7 @@
     def stop(self):
         """Send SIGTERM; kill the process if it still runs after its grace period."""
         self._account.stops[self.name].append(time.monotonic())
+        self._account.restarts[self.name].append(time.monotonic())
         # Faults overlap, so another one may start the next process meanwhile.
         process = self._process
         self._signal(signal.SIGTERM)
@@ -189,10 +195,12 @@
         zone = list(ZONES)[self._last_id % len(ZONES)]
         server = InstanceStandIn(f"s{self._last_id}", service, zone, work_s=WORK_S)
         server.start()
+        server.is_down = False
         server.proxy = proxy or LoopbackProxy(server.address)
         if proxy is None:
             server.proxy.start()
         server.proxy.target = server.address
+        server.crash = functools.partial(self.crash_server, server, is_deadly=True)
         self.servers[server.name] = server
         self._register_server(server, "ready")
         return server
@@ -228,6 +236,40 @@
         new = self._add_server(server.service, server.proxy)
         return f"{server.name} by {new.name}"
 
+    def crash_server(self, server, is_deadly=False):
+        """
+        End a server with all its connections; it starts again some seconds later.
+
+        :param is_deadly: whether the deadly request crashed it.
+        """
+        if server.is_down:
+            return "already down"
+        server.is_down = True
+        if is_deadly:
+            self._account.crashes.append(time.monotonic())
+        server.proxy.go_down(self._random.uniform(*RESTART_S))
+        server.is_down = False
+        server.born += 1
+        if server.name in self.servers:
+            self._register_server(server, server.state)
+        return server.name
+
+    def leave_unlisted(self, server, seconds):
+        """Let a server say that it is leaving while its entry says that it is ready."""
+        if server.name not in self.servers or server.name in self._account.drains:
+            return "already leaving"
+        self._account.departures.setdefault(server.name, time.monotonic())
+        server.leaving = True
+        eventlet.sleep(seconds)
+        return self.replace_server(server)
+
+    def run_deadly_caller(self, seconds):
+        """Send the deadly request again and again for a time."""
+        until = time.monotonic() + seconds
+        while time.monotonic() < until:
+            self.send_once(f"/stock/{DEADLY}")
+            eventlet.sleep(self._random.expovariate(1 / THINK_TIME_S))
+
     def move_route(self):
         """Point the movable route at the other service and return that service."""
         service = "spare" if self._account.moves[-1][1] == "stock" else "stock"
@@ -319,7 +361,8 @@
 
     def _check_response(self, call, response, body):
         signature = response.headers.get("Server-Signature", "")
-        expected = f"{signature.partition('.')[0]} {call.path}".encode()
+        call.server = signature.partition(".")[0]
+        expected = f"{call.server} {call.path}".encode()
         id_matches = response.headers.get("Request-Id") == call.id
         if not signature or body != expected or not id_matches:
             self._account.invalid_responses.append(
--- a/standins/instance.py
+++ b/standins/instance.py
@@ -20,7 +20,8 @@
     ``rate_limit``, requests per second, unless that is ``None``, and that it is leaving
     if ``leaving`` is set. ``sequence`` counts its entries for the store.
 
-    With ``pause_s`` set, its refusals ask for a pause of that many seconds.
+    With ``pause_s`` set, its refusals ask for a pause of that many seconds; ``pauses``
+    holds request id, time and pause of these.
 
     A request whose path contains ``DEADLY`` crashes it: all its connections are closed
     and it accepts no new one for ``restart_s``. ``crashes`` counts that.
@@ -35,6 +36,7 @@
         self.rate_limit = None
         self.leaving = False
         self.pause_s = 0.0
+        self.pauses = []
         self.sequence = 0
         self.born = 1000
         self.arrivals = []
@@ -104,6 +106,7 @@
             headers.append(("Not-Executed", "1"))
             if self.pause_s:
                 headers.append(("Retry-After", f"{self.pause_s:g}"))
+                self.pauses.append((request_id, time.monotonic(), self.pause_s))
             return self._respond(start_response, 503, headers, b"")
         if DEADLY in environ["PATH_INFO"]:
             eventlet.spawn_n(self.crash)
--- a/standins/loopbackproxy.py
+++ b/standins/loopbackproxy.py
@@ -29,12 +29,26 @@
         self.cut = frozenset()
         self.refusing = False
         self._open = set()
-        self._socket = eventlet.listen(("127.0.0.1", 0), backlog=256)
+        self._task = None
+        self._listen(0)
         self.address = "{}:{}".format(*self._socket.getsockname())
 
+    def _listen(self, port):
+        self._socket = eventlet.listen(("127.0.0.1", port), backlog=256)
+
     def start(self):
         """Forward until the process ends."""
-        eventlet.spawn(self._accept)
+        self._task = eventlet.spawn(self._accept)
+
+    def go_down(self, seconds):
+        """Close all connections and accept none for a time, as if the target ended."""
+        port = self._socket.getsockname()[1]
+        self._task.kill()
+        self._socket.close()
+        self.reset_all()
+        eventlet.sleep(seconds)
+        self._listen(port)
+        self.start()
 
     def heal(self):
         """End all faults."""
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -52,8 +52,14 @@
         world.kill_processes()
 
 
-def make_server(name, *runs, service="stock"):
-    return types.SimpleNamespace(name=name, service=service, runs=list(runs))
+def make_server(name, *runs, service="stock", arrivals=(), pauses=()):
+    return types.SimpleNamespace(
+        name=name,
+        service=service,
+        runs=list(runs),
+        arrivals=list(arrivals),
+        pauses=list(pauses),
+    )
 
 
 def check(call, *servers, **seen):
@@ -169,6 +175,61 @@
         assert found == findings
 
 
+def check_calls(calls, server, **seen):
+    account = Account(calls={call.id: call for call in calls}, **seen)
+    account.moves.append((0.0, "stock"))
+    world = types.SimpleNamespace(servers={server.name: server}, removed_servers=[])
+    return [finding.partition(":")[0] for finding in check_account(account, world)]
+
+
+def make_calls(*starts, path="/stock/1"):
+    return [
+        Call(f"q{n}", "a1", path, "GET", start, start + 0.1, 200, server="s1")
+        for n, start in enumerate(starts)
+    ]
+
+
+@pytest.mark.parametrize(
+    ("starts", "restarts", "findings"),
+    [
+        ((11.0, 13.0), (), []),
+        ((11.0, 14.0), (), ["DRAIN"]),
+        ((11.0, 14.0), (12.0,), []),
+        ((9.0, 14.0), (), []),
+    ],
+)
+def test_work_for_a_server_that_said_it_leaves_is_found(starts, restarts, findings):
+    """Guards against an undetected request after a notice in a response (DRAIN)."""
+    calls = make_calls(*starts)
+    server = make_server("s1", arrivals=[(call.id, call.started) for call in calls])
+    seen = {"departures": {"s1": 10.0}, "restarts": {"a1": list(restarts)}}
+    assert check_calls(calls, server, **seen) == findings
+
+
+@pytest.mark.parametrize(
+    ("count", "pause_s", "findings"), [(2, 4.0, []), (3, 4.0, ["BUDGET"]), (3, 0.4, [])]
+)
+def test_requests_in_a_pause_are_found(count, pause_s, findings):
+    """Guards against undetected requests to a server that asked for a pause."""
+    calls = make_calls(10.0, *(11.0 + n for n in range(count)))
+    arrivals = [(call.id, call.started) for call in calls]
+    pauses = [("q0", 10.0, pause_s)]
+    server = make_server("s1", arrivals=arrivals, pauses=pauses)
+    seen = {"restarts": {"a1": []}}
+    assert check_calls(calls, server, **seen) == findings
+
+
+@pytest.mark.parametrize(
+    ("starts", "findings"),
+    [((12.0, 12.1, 12.2, 12.3), []), ((14.0, 14.1, 14.2, 14.3), ["BUDGET"])],
+)
+def test_deadly_request_that_is_sent_again_is_found(starts, findings):
+    """Guards against an undetected request that goes on to crash servers."""
+    calls = make_calls(*starts, path="/stock/deadly")
+    server = make_server("s1", arrivals=[(call.id, call.started) for call in calls])
+    assert check_calls(calls, server, crashes=[10.0, 10.2, 10.4]) == findings
+
+
 class FakeProcess:
     """A process that runs until ``ended`` is set."""
 
