--- a/src/lavendermast/attempts.py
+++ b/src/lavendermast/attempts.py
@@ -3,15 +3,16 @@
 import collections
 import math
 
-import attrs
 import eventlet
-from eventlet.queue import Empty, LightQueue
+from eventlet.queue import Empty
 
+from lavendermast.attemptstate import RequestState, RunningAttempt, classify_attempt
 from lavendermast.crashes import compute_fingerprint
+from lavendermast.denials import RETRY_AFTER_S
 from lavendermast.models import AttemptResult, AttemptStatus, Outcome, Reply
 from lavendermast.roomqueue import MAX_RETRY_AFTER_S, RoomQueue
 from lavendermast.selection import IDEMPOTENT_TRIAL, NON_IDEMPOTENT_TRIAL
-from lavendermast.suspicion import AttemptOutcome, compute_lost_probability
+from lavendermast.suspicion import compute_lost_probability
 from lavendermast.upstream import Cancellation
 
 #: A hedge starts when every running attempt is lost with at least this probability.
@@ -31,27 +32,11 @@
 #: A non-idempotent request waits at most this share of the route's latency goal for a
 #: server that is known to be healthy.
 EVIDENCE_WAIT_SHARE = 0.25
-#: Value of ``Retry-After`` for requests that did not run, unless rate limits of the
-#: servers tell when to return.
-RETRY_AFTER_S = 0.5
-#: ``Retry-After`` of a stopping VM; the caller should retry on another one.
-STOPPING_RETRY_S = 0.1
 #: Time for which a server that shed a request has a higher cost.
 SHED_PENALTY_S = 0.4
 #: No retry starts with less time than this until the deadline, because it could not be
 #: answered in time.
 MIN_ATTEMPT_S = 0.02
-#: A 504 with less than this time left until this VM's deadline means that the server's
-#: own deadline passed, which is up to one network delay between regions earlier.
-EXPIRY_MARGIN_S = 0.1
-#: Outcomes of statuses that are evidence by themselves. All others count as abandoned:
-#: only the attempt's age is evidence.
-_ATTEMPT_OUTCOMES = {
-    AttemptStatus.OK: AttemptOutcome.SUCCEEDED,
-    AttemptStatus.ERROR: AttemptOutcome.ERROR,
-    AttemptStatus.CUT: AttemptOutcome.FAILED,
-    AttemptStatus.CONNECT_FAILED: AttemptOutcome.FAILED,
-}
 _ANSWERED_STATUSES = {AttemptStatus.OK, AttemptStatus.ERROR}
 _NOT_SENT_STATUSES = {AttemptStatus.CONNECT_FAILED, AttemptStatus.EXPIRED}
 _STATUS_CODES = {
@@ -61,47 +46,6 @@
 }
 
 
-@attrs.define(eq=False)
-class _RunningAttempt:
-    server: object
-    server_started_unix_ms: int
-    number: int
-    started: float
-    cancellation: Cancellation
-    evidence_attempt: object
-
-
-@attrs.define(eq=False)
-class _RequestState:
-    """State of a request while its attempts run."""
-
-    request: object
-    route: object
-    service: str
-    results: LightQueue = attrs.Factory(LightQueue)
-    running: dict = attrs.Factory(dict)
-    excluded: set = attrs.Factory(set)
-    attempts: int = 0
-    not_run_attempts: int = 0
-    may_have_run: bool = False
-    has_arrived: bool = False
-    awaits_evidence: bool = False
-    wait_logged: bool = False
-    denial_logged: bool = False
-    denial: str = ""
-    failure: AttemptResult | None = None
-
-    @property
-    def possible_runs(self):
-        """Number of attempts that ran, may have run or are in flight."""
-        return self.attempts - self.not_run_attempts
-
-    @property
-    def may_run_again(self):
-        """Whether the request may run at another server."""
-        return self.route.idempotent and self.possible_runs < self.route.max_attempts
-
-
 class AttemptRunner:
     """
     Sends a request to servers, with retries and hedges, until it has a final reply.
@@ -110,8 +54,7 @@
     :param evidence: ``EvidenceRegistry`` that records each attempt.
     :param notices: ``ServerNotices`` that keeps what servers say of themselves.
     :param crashes: ``CrashSharing`` that tells which requests crash servers.
-    :param is_refusing: function that returns whether this VM stops so soon that it may
-        not get the response of a server any more.
+    :param denials: ``DenialRules`` for attempts.
     :param get_budget: function from a service to its ``WindowedRetryBudget``.
     """
 
@@ -122,7 +65,7 @@
         evidence,
         notices,
         crashes,
-        is_refusing,
+        denials,
         get_budget,
         clock,
         record_event,
@@ -132,7 +75,7 @@
         self._evidence = evidence
         self._notices = notices
         self._crashes = crashes
-        self._is_refusing = is_refusing
+        self._denials = denials
         self._get_budget = get_budget
         self._clock = clock
         self._record_event = record_event
@@ -146,7 +89,7 @@
         :param caller_cancellation: ``Cancellation`` that is requested when the caller
             disconnects.
         """
-        state = _RequestState(request, route, service)
+        state = RequestState(request, route, service)
         self._get_budget(service).add_request()
         try:
             return self._run_until_reply(state, caller_cancellation)
@@ -184,7 +127,7 @@
 
         :return: whether the request goes on; ``False`` if it has to fail.
         """
-        if state.denial:
+        if state.denial is not None:
             return False
         if state.failure is None:
             # No server is available, or none is known to be healthy yet. Look again
@@ -283,7 +226,7 @@
         server = candidate.listed.server
         state.attempts += 1
         state.excluded.add(server.name)
-        running = _RunningAttempt(
+        running = RunningAttempt(
             server,
             candidate.listed.record.started_unix_ms,
             state.attempts,
@@ -311,27 +254,21 @@
 
         The cause is stored in ``denial``.
         """
-        state.denial = self._find_denial(state)
-        if state.denial and not state.denial_logged:
+        state.denial = self._denials.find(
+            state.request,
+            may_have_run=state.possible_runs > 0,
+            has_arrived=state.has_arrived or bool(state.running),
+        )
+        if state.denial is not None and not state.denial_logged:
             state.denial_logged = True
-            fingerprint = compute_fingerprint(state.request).hex()
             self._record(
                 state,
                 "attempt_denied",
                 reason=reason,
-                cause=state.denial,
-                fingerprint=fingerprint,
+                cause=state.denial.value,
+                fingerprint=compute_fingerprint(state.request).hex(),
             )
-        return bool(state.denial)
-
-    def _find_denial(self, state):
-        if self._is_refusing() and not state.possible_runs:
-            return "stopping"
-        if state.has_arrived or state.running:
-            may_send = self._crashes.may_retry(state.request)
-        else:
-            may_send = not self._crashes.get_hold_s(state.request)
-        return "" if may_send else "crashes-servers"
+        return state.denial is not None
 
     def _should_wait(self, state, candidate):
         """Return whether a non-idempotent request waits for a healthy server."""
@@ -475,11 +412,9 @@
 
     def _plan_return(self, state):
         """Return why a request did not run, and the value of ``Retry-After``."""
-        if state.denial == "stopping":
-            return state.denial, STOPPING_RETRY_S
-        if state.denial:
-            hold_s = self._crashes.get_hold_s(state.request)
-            return state.denial, max(math.ceil(hold_s), RETRY_AFTER_S)
+        if state.denial is not None:
+            retry_after = self._denials.plan_return(state.request, state.denial)
+            return state.denial.value, retry_after
         reason = state.failure.status.value if state.failure else "no-server"
         forecast = self._selector.forecast_room(state.service)
         if forecast is None:
@@ -503,20 +438,6 @@
     return {"rate_limit": result.rate_limit}
 
 
-def classify_attempt(result, left):
-    """
-    Return the :class:`~lavendermast.suspicion.AttemptOutcome` of an attempt.
-
-    A route's timeout may be too short for healthy servers too. An attempt that reached
-    its deadline therefore counts as abandoned, and only its age is evidence.
-
-    :param left: seconds until the request's deadline.
-    """
-    if result.http_status == 504 and left < EXPIRY_MARGIN_S:
-        return AttemptOutcome.ABANDONED
-    return _ATTEMPT_OUTCOMES.get(result.status, AttemptOutcome.ABANDONED)
-
-
 def make_response_reply(state, result):
     """Return the reply that passes a server's response to the caller."""
     return Reply(
--- a/src/lavendermast/entry.py
+++ b/src/lavendermast/entry.py
@@ -9,8 +9,8 @@
     reject_unknown_length,
     send_response,
 )
-from lavendermast.attempts import STOPPING_RETRY_S
 from lavendermast.callers import DisconnectWatcher
+from lavendermast.denials import STOPPING_RETRY_S
 from lavendermast.exceptions import LavendermastError, RequestError
 from lavendermast.gateway import get_status_line
 from lavendermast.models import CallerRequest, Outcome, Reply
--- a/src/lavendermast/entrynode.py
+++ b/src/lavendermast/entrynode.py
@@ -13,6 +13,7 @@
 from lavendermast.codec import FrameCodec
 from lavendermast.crashes import CrashTracker
 from lavendermast.crashsharing import CrashSharing
+from lavendermast.denials import DenialRules
 from lavendermast.entry import (
     DirectoryApplication,
     EntryApplication,
@@ -161,7 +162,7 @@
             self.evidence,
             self.notices,
             self.crashes,
-            lambda: self.refusing,
+            DenialRules(self.crashes, lambda: self.refusing),
             self._get_budget,
             self.clock,
             record,
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -6,11 +6,13 @@
 import eventlet
 import pytest
 
-from lavendermast.attempts import RETRY_AFTER_S, AttemptRunner, classify_attempt
+from lavendermast.attempts import AttemptRunner
+from lavendermast.attemptstate import classify_attempt
 from lavendermast.catalog import ListedServer
 from lavendermast.clock import SystemClock
 from lavendermast.crashes import CrashTracker, ServerRun, compute_fingerprint
 from lavendermast.crashsharing import CrashSharing
+from lavendermast.denials import RETRY_AFTER_S, DenialRules
 from lavendermast.entrymodel import EntryRoute, RequestKind, ServerRecord, SplitPart
 from lavendermast.evidenceregistry import EvidenceRegistry
 from lavendermast.losstracker import LossTracker
@@ -128,7 +130,7 @@
         registry,
         notices,
         crashes,
-        lambda: is_refusing,
+        DenialRules(crashes, lambda: is_refusing),
         lambda service: budget,
         clock,
         lambda event, **fields: events.append((event, fields)),
--- a/tests/test_selection.py
+++ b/tests/test_selection.py
@@ -7,7 +7,7 @@
 import attrs
 import pytest
 
-from lavendermast.attempts import classify_attempt
+from lavendermast.attemptstate import classify_attempt
 from lavendermast.catalog import ListedServer
 from lavendermast.clock import ManualClock
 from lavendermast.entrymodel import EntryRoute, RequestKind, ServerRecord, SplitPart
