Give no port of the soak to two listeners

The settings of b1 had port 24355 as caller and as metrics address; ports were drawn at random and only compared with those in use.

--- a/standins/entryworld.py
+++ b/standins/entryworld.py
@@ -23,18 +23,22 @@
 #: Below the ephemeral port range: while a process restarts, no outgoing connection may
 #: take its port.
 PORT_RANGE = (10_000, 32_000)
+_taken_ports = set()
 
 
 def take_port():
-    """Return a port that is free for TCP and UDP."""
+    """Return a port that is free for TCP and UDP and was not returned before."""
     while True:
         port = random.SystemRandom().randint(*PORT_RANGE)
+        if port in _taken_ports:
+            continue
         with socket.socket() as sock, socket.socket(type=socket.SOCK_DGRAM) as udp:
             try:
                 sock.bind(("127.0.0.1", port))
                 udp.bind(("127.0.0.1", port))
             except OSError:
                 continue
+            _taken_ports.add(port)
             return port
 
 
