Take the start of a process for its restart in the soak's account

A restart excuses the request; the check took the time of SIGTERM for it. It now takes the start of the next process, which is later and so excuses no more than the rule does.

--- a/bench/soakchecks.py
+++ b/bench/soakchecks.py
@@ -72,7 +72,7 @@
     :param outages: intervals by VM in which it was out of contact; ``""`` stands for
         all VMs.
     :param stops: times of SIGTERM by VM.
-    :param restarts: times by VM at which its process was killed, stopped or paused.
+    :param restarts: times by VM at which its process was started or paused.
     :param departures: time by server from which its responses said that it is leaving.
     :param crashes: times at which the deadly request crashed a server.
     :param drains: time by server at which its entry changed to draining.
@@ -117,7 +117,7 @@
             interval[1] = time.monotonic()
 
     def has_restarted(self, vm, start, end):
-        """Return whether a VM's process was killed, stopped or paused in a time."""
+        """Return whether a VM's process was started or paused in a time."""
         return any(start <= moment <= end for moment in self.restarts[vm])
 
     def is_in_contact(self, vm, start, end):
--- a/bench/soakworld.py
+++ b/bench/soakworld.py
@@ -71,6 +71,7 @@
         """Start the process unless it runs, and wait until it is ready or times out."""
         if self._process is not None and self._process.poll() is None:
             return
+        self._account.restarts[self.name].append(time.monotonic())
         self._process = start_process(self._path, stdout=self._log, stderr=self._log)
         with (
             contextlib.suppress(TimeoutError),
@@ -102,7 +103,6 @@
     def kill(self):
         """Kill the process and wait for its exit."""
         self._begin_outage()
-        self._account.restarts[self.name].append(time.monotonic())
         self._signal(signal.SIGKILL)
         if self._process is not None:
             self._process.wait()
@@ -126,7 +126,6 @@
     def stop(self):
         """Send SIGTERM; kill the process if it still runs after its grace period."""
         self._account.stops[self.name].append(time.monotonic())
-        self._account.restarts[self.name].append(time.monotonic())
         # Faults overlap, so another one may start the next process meanwhile.
         process = self._process
         self._signal(signal.SIGTERM)
