--- a/bench/soak.py
+++ b/bench/soak.py
@@ -27,7 +27,7 @@
 eventlet.monkey_patch()
 
 from bench.soakchecks import Account, check_account  # noqa: E402
-from bench.soakworld import SERVERS, SoakWorld  # noqa: E402
+from bench.soakworld import SERVERS, VMS_PER_ZONE, SoakWorld  # noqa: E402
 
 CALLERS = 24
 #: Time that the fleet may take to recover after the last fault ends, the recovery time
@@ -49,11 +49,13 @@
     :param seconds: approximate duration of the faults; series start in its first half.
     """
 
-    def __init__(self, seed, folder, seconds):
+    def __init__(self, seed, folder, seconds, vms_per_zone=VMS_PER_ZONE):
         self.seed = seed
         self.seconds = seconds
         self.account = Account()
-        self.world = SoakWorld(pathlib.Path(folder), self.account, random.Random(seed))
+        self.world = SoakWorld(
+            pathlib.Path(folder), self.account, random.Random(seed), vms_per_zone
+        )
         self.actions = [
             getattr(self, name) for name in sorted(dir(self)) if name.startswith("do_")
         ]
@@ -287,7 +289,7 @@
     eventlet.sleep(rng.uniform(low, high))
 
 
-def run_seed(seed, seconds, folder=None):
+def run_seed(seed, seconds, folder=None, vms_per_zone=VMS_PER_ZONE):
     """
     Run one seed and return its findings.
 
@@ -295,8 +297,8 @@
     """
     if folder is None:
         with tempfile.TemporaryDirectory() as temporary:
-            return run_seed(seed, seconds, temporary)
-    soak = Soak(seed, folder, seconds)
+            return run_seed(seed, seconds, temporary, vms_per_zone)
+    soak = Soak(seed, folder, seconds, vms_per_zone)
     findings = soak.run()
     if findings:
         findings += [
@@ -311,6 +313,7 @@
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--seeds", type=int, nargs=2, default=(1, 5))
     parser.add_argument("--seconds", type=float, default=20.0)
+    parser.add_argument("--vms-per-zone", type=int, default=VMS_PER_ZONE)
     parser.add_argument(
         "--keep", help="directory for settings and logs; kept after the run"
     )
@@ -321,7 +324,7 @@
         if options.keep:
             folder = pathlib.Path(options.keep) / f"seed-{seed}"
             folder.mkdir(parents=True, exist_ok=True)
-        findings = run_seed(seed, options.seconds, folder)
+        findings = run_seed(seed, options.seconds, folder, options.vms_per_zone)
         failed += bool(findings)
         print(f"seed {seed}: {len(findings)} findings", flush=True)
         for finding in findings:
--- a/bench/soakworld.py
+++ b/bench/soakworld.py
@@ -143,7 +143,7 @@
 class SoakWorld:
     """The store, servers, VMs and callers of a run."""
 
-    def __init__(self, folder, account, random):
+    def __init__(self, folder, account, random, vms_per_zone=VMS_PER_ZONE):
         self._account, self._random = account, random
         self.store = MetadataStandIn()
         self.servers, self.removed_servers = {}, []
@@ -153,7 +153,7 @@
         self._last_id = 0
         self.vms = []
         for zone in ZONES:
-            for number in range(1, VMS_PER_ZONE + 1):
+            for number in range(1, vms_per_zone + 1):
                 name, ports = f"{zone}{number}", take_ports()
                 vm = SoakVm(name, zone, folder, self.store, account, ports)
                 self.vms.append(vm)
