--- a/src/lavendermast/platform/calls.py
+++ b/src/lavendermast/platform/calls.py
@@ -63,7 +63,7 @@
         if result.status not in _FOREIGN_STATUSES:
             result.rate_limit = _read_rate_limit(names.get(_RATE_LIMIT_HEADER), result)
             if response.status == 503:
-                result.pause_s = _read_pause(names.get("retry-after", ""))
+                result.pause_s = _read_pause(names.get("retry-after"), result)
             result.is_leaving = names.get(_LEAVING_HEADER, "").strip() == "1"
 
 
@@ -76,9 +76,14 @@
     return float(text)
 
 
-def _read_pause(text):
-    """Return the seconds of a ``Retry-After`` header, 0 if it has none."""
-    return float(text) if _DECIMAL.fullmatch(text.strip()) else 0.0
+def _read_pause(text, result):
+    """Return the seconds of a ``Retry-After`` header, 0 if it names none."""
+    if text is None:
+        return 0.0
+    if not _DECIMAL.fullmatch(text.strip()):
+        result.detail = f"malformed pause {text!r}"
+        return 0.0
+    return float(text)
 
 
 def encode_directory_body(addresses, ttl_s):
