Take no confirmation of the store from VMs without its state

Only a VM of an older build that has the same revision confirms by that; a VM whose state was never confirmed sends the largest age. Two of the new test's five cases fail without the change.

--- a/src/lavendermast/catalogsync.py
+++ b/src/lavendermast/catalogsync.py
@@ -165,12 +165,10 @@
         """
         Return the time since the store confirmed this VM's state, in ms plus one.
 
-        :return: 0 if it never did.
+        It is ``MAX_REPORTED_AGE_MS`` plus one if the store never did.
         """
-        if self.confirmed_at == -math.inf:
-            return 0
-        age_ms = round((self._clock.monotonic() - self.confirmed_at) * 1000)
-        return min(max(age_ms, 0), MAX_REPORTED_AGE_MS) + 1
+        age_ms = (self._clock.monotonic() - self.confirmed_at) * 1000
+        return round(min(max(age_ms, 0), MAX_REPORTED_AGE_MS)) + 1
 
     @property
     def calls(self):
@@ -300,11 +298,7 @@
         return FetchChanges(self._catalog.revision, self._catalog.era)
 
     def _fetch_if_behind(self, presence):
-        age_s = presence.confirmed_age_ms / 1000
-        if age_s or presence.store_reachable:
-            # Older builds send no age, but say whether they reach the store.
-            moment = self._clock.monotonic() - age_s
-            self._confirm(presence.store_era, presence.revision, moment)
+        self._take_confirmation(presence)
         vm = self._fleet.vms.get(presence.own.vm)
         if presence.config_version > self._catalog.config_version:
             # The VM may have the version from an era that was lost in a restore.
@@ -312,6 +306,15 @@
         elif self._is_ahead(presence.store_era, presence.revision):
             self._start_fetch(vm)
 
+    def _take_confirmation(self, presence):
+        now = self._clock.monotonic()
+        era, revision = presence.store_era, presence.revision
+        if presence.confirmed_age_ms:
+            self._confirm(era, revision, now - presence.confirmed_age_ms / 1000)
+        elif presence.store_reachable and revision == self._catalog.revision:
+            # A VM of an older build sends no age, but says that it reaches the store.
+            self._confirm(era, revision, now)
+
     def _is_ahead(self, era, revision):
         """Return whether a peer's state is newer; era 0 is that of an older build."""
         catalog = self._catalog
--- a/src/lavendermast/schema/messages.capnp
+++ b/src/lavendermast/schema/messages.capnp
@@ -153,7 +153,7 @@
 
 # A heartbeat with the sender's view of other VMs, its configuration version and store
 # revision. confirmedAgeMs is the time since the store last confirmed that revision, plus
-# one; 0 is unknown.
+# one; older builds send 0.
 struct Presence {
   own @0 :VmPresence;
   others @1 :List(VmPresence);
--- a/tests/test_zonefleet.py
+++ b/tests/test_zonefleet.py
@@ -326,6 +326,31 @@
         assert fleet.vms[name].catalog.get_server("s1") is None
 
 
+@pytest.mark.parametrize(
+    ("revision", "age_ms", "confirmed"),
+    [(0, 0, False), (1, 0, False), (2, 0, True), (1, 51, True), (3, 51, False)],
+)
+def test_heartbeat_confirms_only_a_state_that_its_sender_knows(
+    fleet, revision, age_ms, confirmed
+):
+    """
+    Guards against heartbeats of starting VMs, or of older builds that are behind, that
+    keep others from asking the store.
+    """
+    read_store(fleet)
+    run_rounds(fleet, 8)
+    sync = fleet.vms["a5"].sync
+    assert sync._catalog.revision == 2
+    fleet.clock.advance(10.0)
+    before = sync.confirmed_at
+    sender = fleet.vms["a1"].fleet._make_presence()
+    presence = attrs.evolve(
+        sender, revision=revision, confirmed_age_ms=age_ms, store_reachable=True
+    )
+    sync._fetch_if_behind(presence)
+    assert (sync.confirmed_at > before) is confirmed
+
+
 def test_lost_history_is_followed_by_a_read(fleet):
     """Guards against a VM that watches from a revision that the store has forgotten."""
     vm = fleet.vms["a1"]
