--- a/src/lavendermast/selection.py
+++ b/src/lavendermast/selection.py
@@ -286,10 +286,9 @@
             if not is_doubtful(sick_probability):
                 pause = self._notices.compute_pause(listed)
                 delays.append(max(self._rate_limits.forecast_delay(name), pause))
-                rate += min(
-                    self._rate_limits.get_rate(name),
-                    RETURN_RATE_PER_SLOT * listed.slots,
-                )
+                limit = self._rate_limits.get_rate(name)
+                unlimited = RETURN_RATE_PER_SLOT * listed.slots
+                rate += unlimited if math.isinf(limit) else limit
         if not delays:
             return None
         return RoomForecast(min(delays), self._vms / rate if rate else math.inf)
