Keep a pause that the next run of a server asked for

The pause was taken for one of the run before and ended.

A pause now ends with a restart only if it was asked for 3 s or more before the VM heard of the restart. The new test fails without the change.

--- a/src/lavendermast/notices.py
+++ b/src/lavendermast/notices.py
@@ -4,6 +4,8 @@
 
 #: Runs of servers that are remembered as leaving.
 MAX_LEAVING_RUNS = 2048
+#: News of a server's restart arrive up to this much later than its first responses.
+RESTART_NEWS_DELAY_S = 3.0
 
 
 class ServerNotices:
@@ -64,20 +66,25 @@
         if listed is None:
             return
         until = max(until, self._clock.monotonic() + self.compute_pause(listed))
-        self._pauses[name] = (listed.record.started_unix_ms, until)
+        now = self._clock.monotonic()
+        self._pauses[name] = (listed.record.started_unix_ms, now, until)
         self._record_event(
-            "server_paused",
-            server=name,
-            pause_ms=round((until - self._clock.monotonic()) * 1000),
+            "server_paused", server=name, pause_ms=round((until - now) * 1000)
         )
 
     def compute_pause(self, listed):
         """Return the seconds until a ``ListedServer`` may get a request again."""
-        run, until = self._pauses.get(listed.server.name, (None, 0.0))
-        if run is None:
+        pause = self._pauses.get(listed.server.name)
+        if pause is None:
             return 0.0
+        run, asked_at, until = pause
         left = until - self._clock.monotonic()
-        if left <= 0 or run != listed.record.started_unix_ms:
+        # The run that asked may already be the one that is listed since then.
+        is_same_run = (
+            run == listed.record.started_unix_ms
+            or asked_at > listed.listed_at - RESTART_NEWS_DELAY_S
+        )
+        if left <= 0 or not is_same_run:
             del self._pauses[listed.server.name]
             return 0.0
         return left
--- a/tests/test_selection.py
+++ b/tests/test_selection.py
@@ -144,10 +144,22 @@
     world.notices.pause("near", world.clock.monotonic() + 4.0)
     world.notices.pause("near", world.clock.monotonic() + 1.0)
     assert world.notices.compute_pause(listed) == pytest.approx(4.0)
+    world.clock.advance(0.5)
     listed.record = attrs.evolve(listed.record, started_unix_ms=7)
+    listed.listed_at = world.clock.monotonic() + 3.0
     assert world.notices.compute_pause(listed) == 0.0
 
 
+def test_pause_stays_when_the_restart_before_it_is_heard_of_late(world):
+    """Guards against a pause that ends with the news of an earlier restart."""
+    listed = world.listed[0]
+    world.notices.pause("near", world.clock.monotonic() + 4.0)
+    world.clock.advance(0.1)
+    listed.record = attrs.evolve(listed.record, started_unix_ms=7)
+    listed.listed_at = world.clock.monotonic()
+    assert world.notices.compute_pause(listed) == pytest.approx(3.9)
+
+
 def test_suspects_of_a_crash_are_sent_to_different_servers(world):
     """Guards against innocent requests that are in the next crash with the guilty."""
     for name in ("far", "region", "near"):
