Name the run of a server by one type

A server and the start of its run were passed on as two values and put together to a ServerRun in the last step, notices compared the start time by itself, and ServerRun.from_listed had no caller. The extension of a hold took the maximum of two times of which the second is always later. No change of behaviour.

--- a/src/lavendermast/attempts.py
+++ b/src/lavendermast/attempts.py
@@ -7,7 +7,7 @@
 from eventlet.queue import Empty
 
 from lavendermast.attemptstate import RequestState, RunningAttempt, classify_attempt
-from lavendermast.crashes import compute_fingerprint
+from lavendermast.crashes import ServerRun, compute_fingerprint
 from lavendermast.denials import RETRY_AFTER_S
 from lavendermast.models import AttemptResult, AttemptStatus, Outcome, Reply
 from lavendermast.roomqueue import MAX_RETRY_AFTER_S, RoomQueue
@@ -228,7 +228,7 @@
         state.excluded.add(server.name)
         running = RunningAttempt(
             server,
-            candidate.listed.record.started_unix_ms,
+            ServerRun.from_listed(candidate.listed),
             state.attempts,
             self._clock.monotonic(),
             Cancellation(),
@@ -318,7 +318,7 @@
 
     def _check_crash(self, state, running):
         """Find out whether the server crashed, before another attempt is made."""
-        call = (state.request, running.server, running.server_started_unix_ms)
+        call = (state.request, running.server, running.run)
         if state.may_run_again:
             self._crashes.check_lost_connection(*call)
         else:
--- a/src/lavendermast/attemptstate.py
+++ b/src/lavendermast/attemptstate.py
@@ -3,6 +3,7 @@
 import attrs
 from eventlet.queue import LightQueue
 
+from lavendermast.crashes import ServerRun
 from lavendermast.denials import Denial
 from lavendermast.models import AttemptResult, AttemptStatus
 from lavendermast.suspicion import AttemptOutcome
@@ -23,10 +24,10 @@
 
 @attrs.define(eq=False)
 class RunningAttempt:
-    """An attempt in flight; ``server_started_unix_ms`` tells the server's run."""
+    """An attempt in flight at a run of a server."""
 
     server: object
-    server_started_unix_ms: int
+    run: ServerRun
     number: int
     started: float
     cancellation: Cancellation
--- a/src/lavendermast/crashes.py
+++ b/src/lavendermast/crashes.py
@@ -180,7 +180,7 @@
     def _hold(self, suspect, fingerprint, now, source):
         if suspect.held_until > now:
             # A server that crashed under an attempt from before the hold.
-            suspect.held_until = max(suspect.held_until, now + suspect.hold_s)
+            suspect.held_until = now + suspect.hold_s
             return
         suspect.hold_s = min(max(2 * suspect.hold_s, HOLD_S), MAX_HOLD_S)
         suspect.held_until = now + suspect.hold_s
--- a/src/lavendermast/crashsharing.py
+++ b/src/lavendermast/crashsharing.py
@@ -89,13 +89,12 @@
         fingerprint = compute_fingerprint(request)
         return fingerprint.hex() if self._tracker.is_suspect(fingerprint) else ""
 
-    def check_lost_connection(self, request, server, started_unix_ms):
+    def check_lost_connection(self, request, server, run):
         """
         Find out whether a server that closed the connection of an attempt has crashed.
 
-        :param started_unix_ms: start time of the server's run that got the request.
+        :param run: the ``ServerRun`` that got the request.
         """
-        run = ServerRun(server.name, started_unix_ms)
         if not self._has_crashed(server, run):
             return
         fingerprint = compute_fingerprint(request)
--- a/src/lavendermast/notices.py
+++ b/src/lavendermast/notices.py
@@ -2,6 +2,8 @@
 
 import collections
 
+from lavendermast.crashes import ServerRun
+
 #: Runs of servers that are remembered as leaving.
 MAX_LEAVING_RUNS = 2048
 #: News of a server's restart arrive up to this much later than its first responses.
@@ -45,7 +47,7 @@
         listed = self._get_server(name)
         if listed is None or self.is_leaving(listed):
             return
-        self._leaving_runs[name] = listed.record.started_unix_ms
+        self._leaving_runs[name] = ServerRun.from_listed(listed)
         self._leaving_runs.move_to_end(name)
         if len(self._leaving_runs) > MAX_LEAVING_RUNS:
             self._leaving_runs.popitem(last=False)
@@ -54,7 +56,7 @@
     def is_leaving(self, listed):
         """Return whether a ``ListedServer`` said that it is leaving."""
         run = self._leaving_runs.get(listed.server.name)
-        return run is not None and run == listed.record.started_unix_ms
+        return run is not None and run == ServerRun.from_listed(listed)
 
     def pause(self, name, until):
         """
@@ -65,9 +67,9 @@
         listed = self._get_server(name)
         if listed is None:
             return
-        until = max(until, self._clock.monotonic() + self.compute_pause(listed))
         now = self._clock.monotonic()
-        self._pauses[name] = (listed.record.started_unix_ms, now, until)
+        until = max(until, now + self.compute_pause(listed))
+        self._pauses[name] = (ServerRun.from_listed(listed), now, until)
         self._record_event(
             "server_paused", server=name, pause_ms=round((until - now) * 1000)
         )
@@ -81,7 +83,7 @@
         left = until - self._clock.monotonic()
         # The run that asked may already be the one that is listed since then.
         is_same_run = (
-            run == listed.record.started_unix_ms
+            run == ServerRun.from_listed(listed)
             or asked_at > listed.listed_at - RESTART_NEWS_DELAY_S
         )
         if left <= 0 or not is_same_run:
