--- a/src/lavendermast/platform/calls.py
+++ b/src/lavendermast/platform/calls.py
@@ -17,6 +17,8 @@
 _SIGNATURE_HEADER = "server-signature"
 #: Requests per second that a server accepts from all VMs together.
 _RATE_LIMIT_HEADER = "server-limit"
+#: Seconds for which a server that turns a request away wants none of this VM.
+_PAUSE_HEADER = "retry-after"
 #: Has the value 1 in all responses of a server that is leaving.
 _LEAVING_HEADER = "server-leaving"
 _DECIMAL = re.compile(r"[0-9]{1,9}(\.[0-9]{1,9})?")
@@ -61,29 +63,27 @@
         elif response.status >= 500:
             result.status = AttemptStatus.ERROR
         if result.status not in _FOREIGN_STATUSES:
-            result.rate_limit = _read_rate_limit(names.get(_RATE_LIMIT_HEADER), result)
-            if response.status == 503:
-                result.pause_s = _read_pause(names.get("retry-after"), result)
-            result.is_leaving = names.get(_LEAVING_HEADER, "").strip() == "1"
-
-
-def _read_rate_limit(text, result):
-    if text is None:
-        return math.inf
-    if not _DECIMAL.fullmatch(text):
-        result.detail = f"malformed rate limit {text!r}"
-        return None
-    return float(text)
-
-
-def _read_pause(text, result):
-    """Return the seconds of a ``Retry-After`` header, 0 if it names none."""
-    if text is None:
-        return 0.0
-    if not _DECIMAL.fullmatch(text.strip()):
-        result.detail = f"malformed pause {text!r}"
-        return 0.0
-    return float(text)
+            _read_notices(result, names)
+
+
+def _read_notices(result, names):
+    """Set what a server says of itself in the headers of its response."""
+    rate_limit = names.get(_RATE_LIMIT_HEADER)
+    result.rate_limit = math.inf
+    if rate_limit is not None:
+        result.rate_limit = _read_decimal(rate_limit, "rate limit", result)
+    pause = names.get(_PAUSE_HEADER)
+    if result.http_status == 503 and pause is not None:
+        result.pause_s = _read_decimal(pause, "pause", result) or 0.0
+    result.is_leaving = names.get(_LEAVING_HEADER, "").strip() == "1"
+
+
+def _read_decimal(text, meaning, result):
+    """Return the number in a header, or ``None`` and the reason in the result."""
+    if _DECIMAL.fullmatch(text):
+        return float(text)
+    result.detail = f"malformed {meaning} {text!r}"
+    return None
 
 
 def encode_directory_body(addresses, ttl_s):
