--- a/src/lavendermast/attempts.py
+++ b/src/lavendermast/attempts.py
@@ -166,12 +166,10 @@
         return queue.wait(forecast, state.route.goal_s, waited, left)
 
     def _spend_budget(self, state, reason):
-        """Spend budget for an attempt; a denial is logged once for each request."""
+        """Spend budget for an attempt; return whether there was any."""
         if self._get_budget(state.service).spend():
             return True
-        if not state.denial_logged:
-            state.denial_logged = True
-            self._record(state, "attempt_denied", reason=reason, cause="budget")
+        self._record_denial(state, reason, cause="budget")
         return False
 
     def _consider_hedge(self, state):
@@ -259,16 +257,19 @@
             may_have_run=state.possible_runs > 0,
             has_arrived=state.has_arrived or bool(state.running),
         )
-        if state.denial is not None and not state.denial_logged:
+        if state.denial is None:
+            return False
+        fingerprint = state.request.fingerprint.hex()
+        self._record_denial(
+            state, reason, cause=state.denial.value, fingerprint=fingerprint
+        )
+        return True
+
+    def _record_denial(self, state, reason, **fields):
+        """Log that an attempt is not made, once for each request."""
+        if not state.denial_logged:
             state.denial_logged = True
-            self._record(
-                state,
-                "attempt_denied",
-                reason=reason,
-                cause=state.denial.value,
-                fingerprint=state.request.fingerprint.hex(),
-            )
-        return state.denial is not None
+            self._record(state, "attempt_denied", reason=reason, **fields)
 
     def _should_wait(self, state, candidate):
         """Return whether a non-idempotent request waits for a healthy server."""
