--- a/src/lavendermast/upstream.py
+++ b/src/lavendermast/upstream.py
@@ -278,10 +278,8 @@
         if any(idle.has_no_input() for idle in self._idle.get(server.name, ())):
             return False
         connection = ServerConnection(*parse_address(server.address))
-        self.connections_opened += 1
         try:
-            with eventlet.Timeout(self._connect_timeout_s, _ConnectTimeoutError()):
-                connection.connect()
+            self._connect(connection)
         except (_ConnectTimeoutError, OSError):
             return True
         finally:
@@ -366,10 +364,13 @@
             connection.close()
         attempt.idle_s = None
         attempt.connection = ServerConnection(*parse_address(attempt.server.address))
+        self._connect(attempt.connection)
+        return False
+
+    def _connect(self, connection):
         self.connections_opened += 1
         with eventlet.Timeout(self._connect_timeout_s, _ConnectTimeoutError()):
-            attempt.connection.connect()
-        return False
+            connection.connect()
 
     def _read_response(self, attempt, response):
         pieces = collections.deque()
