Let CatalogSync tell the state that heartbeats carry

The five values, all of the catalog and its synchronisation, were put together in three places; the age of the state was computed in three, and the rule for states of older builds stood in two. No change of behaviour.

--- a/bench/propagation.py
+++ b/bench/propagation.py
@@ -234,13 +234,7 @@
             self.network,
             self.clock,
             ignore,
-            lambda: (
-                self.catalog.config_version,
-                self.catalog.revision,
-                self.sync.store_reachable,
-                self.catalog.era,
-                self.sync.get_confirmed_age_ms(),
-            ),
+            lambda: self.sync.get_store_state(),
             lambda: 0.0,
         )
         self.catalog.on_config.append(lambda _: self.zone_fleet.set_state("alive"))
--- a/src/lavendermast/catalogsync.py
+++ b/src/lavendermast/catalogsync.py
@@ -143,7 +143,11 @@
     def _is_stale(self):
         """Return whether the store has not confirmed this VM's state for too long."""
         max_age_s = MAX_HUB_AGE_S if self._fleet.is_hub() else MAX_AGE_S
-        return self._clock.monotonic() - self.confirmed_at > max_age_s
+        return self._get_age_s() > max_age_s
+
+    def _get_age_s(self):
+        """Return the seconds since the store confirmed this VM's state."""
+        return self._clock.monotonic() - self.confirmed_at
 
     def is_reader(self):
         """Return whether this VM is currently the reader of its zone."""
@@ -167,8 +171,22 @@
 
         It is ``MAX_REPORTED_AGE_MS`` plus one if the store never did.
         """
-        age_ms = (self._clock.monotonic() - self.confirmed_at) * 1000
-        return round(min(max(age_ms, 0), MAX_REPORTED_AGE_MS)) + 1
+        return round(min(max(self._get_age_s() * 1000, 0), MAX_REPORTED_AGE_MS)) + 1
+
+    def get_store_state(self):
+        """
+        Return what heartbeats tell of this VM's copy of the store.
+
+        :return: configuration version, revision, whether the store is reachable, era,
+            and the age of the state as in :meth:`get_confirmed_age_ms`.
+        """
+        return (
+            self._catalog.config_version,
+            self._catalog.revision,
+            self.store_reachable,
+            self._catalog.era,
+            self.get_confirmed_age_ms(),
+        )
 
     @property
     def calls(self):
@@ -182,13 +200,12 @@
         :param era: era of the state, 0 if it is not known.
         :param moment: monotonic time at which the store confirmed the state.
         """
-        is_comparable = bool(era) or not self._catalog.has_changed_era
-        if is_comparable and not self._is_ahead(era, revision):
+        if self._is_comparable(era) and not self._is_ahead(era, revision):
             self.confirmed_at = max(self.confirmed_at, moment)
 
     def _record_late_state(self):
         """Log once that the store has not confirmed this VM's state for long."""
-        age_s = self._clock.monotonic() - self.confirmed_at
+        age_s = self._get_age_s()
         is_late = bool(self._catalog.revision) and age_s > LATE_AGE_S
         if is_late and not self._late_logged:
             self._record_event(
@@ -315,10 +332,14 @@
             # A VM of an older build sends no age, but says that it reaches the store.
             self._confirm(era, revision, now)
 
+    def _is_comparable(self, era):
+        """Return whether a state's era compares with this VM's; older builds send 0."""
+        return era != 0 or not self._catalog.has_changed_era
+
     def _is_ahead(self, era, revision):
-        """Return whether a peer's state is newer; era 0 is that of an older build."""
+        """Return whether a peer's state is newer."""
         catalog = self._catalog
-        if era == 0 and catalog.has_changed_era:
+        if not self._is_comparable(era):
             return False
         return (era or catalog.era, revision) > (catalog.era, catalog.revision)
 
--- a/src/lavendermast/entrynode.py
+++ b/src/lavendermast/entrynode.py
@@ -104,7 +104,7 @@
             self.network,
             self.clock,
             record,
-            self._get_store_state,
+            lambda: self.sync.get_store_state(),
             lambda: self._rate,
         )
         self.sync = CatalogSync(
@@ -263,15 +263,6 @@
         """Return whether this VM accepts callers."""
         return self.config is not None and not self.leaving
 
-    def _get_store_state(self):
-        return (
-            self.catalog.config_version,
-            self.catalog.revision,
-            self.sync.store_reachable,
-            self.catalog.era,
-            self.sync.get_confirmed_age_ms(),
-        )
-
     def _compute_min_region_vms(self):
         """Return the minimum number of active VMs in all zones of this region."""
         return self._count_region_zones() * MIN_ACTIVE_VMS
--- a/src/lavendermast/zonefleet.py
+++ b/src/lavendermast/zonefleet.py
@@ -85,9 +85,8 @@
 
     :param settings: settings of this entry VM.
     :param network: a :class:`~lavendermast.peers.PeerTransport`.
-    :param get_store_state: callable that returns this VM's configuration version,
-        store revision, whether it reaches the store, the store's era, and the time
-        since the store confirmed the revision in ms plus one.
+    :param get_store_state: callable that returns what
+        :meth:`CatalogSync.get_store_state` does.
     :param get_rate: callable that returns this VM's requests per second.
     """
 
--- a/tests/test_zonefleet.py
+++ b/tests/test_zonefleet.py
@@ -132,13 +132,7 @@
         transport,
         clock,
         record,
-        lambda: (
-            vm.catalog.config_version,
-            vm.catalog.revision,
-            vm.sync.store_reachable,
-            vm.catalog.era,
-            vm.sync.get_confirmed_age_ms(),
-        ),
+        lambda: vm.sync.get_store_state(),
         lambda: vm.rate,
     )
     vm.sync = CatalogSync(vm.catalog, source, vm.fleet, transport, clock, record)
