Split the simulated fleet from its faults and check

The fleet on virtual time is a module of its own, takes its timeouts from the client of the store and its bounds from the soak's checks, and loses a seed and a parameter that nothing read.

--- a/bench/propagation.py
+++ b/bench/propagation.py
@@ -13,364 +13,20 @@
 import argparse
 import random
 import sys
-import types
 
-import attrs
 import eventlet
 from eventlet import hubs, patcher
-from eventlet.event import Event
-from eventlet.hubs.hub import BaseHub
-
-from lavendermast.catalog import Catalog
-from lavendermast.catalogsync import CatalogSync, DocumentSource
-from lavendermast.clock import Clock
-from lavendermast.entrymodel import CallerLimits, ConfigDocument, EntryConfig
-from lavendermast.exceptions import PeerError, StoreError
-from lavendermast.messages_model import StoredChange, StoredChanges
-from lavendermast.peers import PeerTransport
-from lavendermast.zonefleet import ZoneFleet
-
-#: The zones and regions of a deployment and its VMs per zone.
-ZONES = {
-    "a": "north",
-    "b": "north",
-    "c": "south",
-    "d": "south",
-    "e": "west",
-    "f": "west",
-}
-VMS_PER_ZONE = 7
-#: A VM counts while nothing has happened to it for this long.
-CONTACT_S = 3.0
-#: Time in which a VM has to apply a change after the store acknowledged it.
-CONFIG_S = 2.5
+
+from bench.simulatedfleet import Cut, SimulatedFleet, VirtualClock, VirtualHub
+from bench.soakchecks import CONFIG_PROPAGATION_S
+
 CHANGE_INTERVAL_S = 1.3
-CONNECT_TIMEOUT_S = 0.5
-READ_TIMEOUT_S = 1.5
 START_S = 1.2
 #: All VMs start within this time of each other.
 START_SPREAD_S = 0.3
 #: Time before the first fault, in two parts, and after the last one.
 CALM_S = 5.0
 QUIET_END_S = 8.0
-STORE_DELAY_S = 0.006
-#: One-way delays within a region and between regions.
-NEAR_DELAY_S, FAR_DELAY_S = 0.001, 0.02
-KEY = "op/config"
-
-
-class VirtualHub(BaseHub):
-    """A hub without sockets, whose clock advances to the next timer at once."""
-
-    def __init__(self):
-        self.now = 0.0
-        super().__init__(clock=lambda: self.now)
-
-    def wait(self, seconds=None):
-        """Advance the clock."""
-        self.now += max(seconds or 0.0, 0.0)
-
-
-class VirtualClock(Clock):
-    """The time of a ``VirtualHub``; the tasks of a frozen VM do not wake up."""
-
-    def __init__(self, vm=None):
-        self._vm = vm
-
-    def monotonic(self):
-        """Return the time of the hub."""
-        return hubs.get_hub().now
-
-    def time(self):
-        """Return the time of the hub as Unix time."""
-        return 1_700_000_000.0 + self.monotonic()
-
-    def sleep(self, seconds):
-        """Suspend the calling task, longer while its VM is frozen."""
-        eventlet.sleep(seconds)
-        if self._vm is not None:
-            self._vm.wait_thawed()
-
-
-class Store:
-    """Versions of one document, and the VMs that do not reach it."""
-
-    def __init__(self):
-        self.acked_at = []
-        self.changed = Event()
-
-    @property
-    def revision(self):
-        """Number of versions so far."""
-        return len(self.acked_at)
-
-    def put(self):
-        """Write the next version."""
-        self.acked_at.append(hubs.get_hub().now)
-        changed, self.changed = self.changed, Event()
-        changed.send()
-
-    def make_changes(self, after, whole):
-        """Return the newest version as changes after a revision."""
-        changes = ()
-        if self.revision > after:
-            content = str(self.revision).encode()
-            changes = (StoredChange(KEY, self.revision, False, content),)
-        return StoredChanges(after, self.revision, whole, changes, 1)
-
-
-class SimulatedSource(DocumentSource):
-    """The store as one VM sees it; responses are lost silently while it is cut off."""
-
-    def __init__(self, store, vm):
-        self._store, self._vm = store, vm
-        self.calls = 0
-        self.era = 1
-
-    def read_all(self):
-        """Return the newest version."""
-        self._call(0.0)
-        return self._receive(0, True)
-
-    def watch(self, revision, wait_s):
-        """Return the newest version once there is one after a revision."""
-        self._call(wait_s)
-        deadline = self._vm.clock.monotonic() + wait_s
-        changed = self._store.changed
-        if self._store.revision <= revision:
-            with eventlet.Timeout(deadline - self._vm.clock.monotonic(), False):
-                changed.wait()
-        if self._vm.store_cut:
-            eventlet.sleep(deadline + READ_TIMEOUT_S - self._vm.clock.monotonic())
-            self._vm.wait_thawed()
-            raise StoreError("no response")
-        return self._receive(revision, False)
-
-    def _call(self, wait_s):
-        self.calls += 1
-        eventlet.sleep(STORE_DELAY_S)
-        self._vm.wait_thawed()
-        if self._vm.store_cut:
-            eventlet.sleep(CONNECT_TIMEOUT_S)
-            self._vm.wait_thawed()
-            raise StoreError("no connection")
-
-    def _receive(self, after, whole):
-        changes = self._store.make_changes(after, whole)
-        eventlet.sleep(STORE_DELAY_S)
-        self._vm.wait_thawed()
-        return changes
-
-
-class SimulatedTransport(PeerTransport):
-    """Delivers messages unless the direction is cut or the receiver is down."""
-
-    def __init__(self, vm, fleet):
-        super().__init__(vm.name)
-        self._vm, self._fleet = vm, fleet
-
-    def send(self, address, body):
-        """Deliver a datagram after the delay of the path."""
-        if self._fleet.is_open(self.vm, address):
-            envelope = self.make_envelope(body, self._vm.clock)
-            eventlet.spawn_after(
-                self._fleet.get_delay(self.vm, address),
-                self._fleet.deliver,
-                address,
-                envelope,
-            )
-
-    def request(self, address, body, deadline):
-        """Return the reply after a round trip, which needs both directions."""
-        clock, fleet = self._vm.clock, self._fleet
-        open_ways = fleet.is_open(self.vm, address) and fleet.is_open(address, self.vm)
-        if not open_ways or fleet.vms[address].frozen:
-            clock.sleep(max(deadline - clock.monotonic(), 0.0))
-            raise PeerError("no reply")
-        clock.sleep(3 * fleet.get_delay(self.vm, address))
-        reply = fleet.deliver(address, self.make_envelope(body, clock))
-        clock.sleep(fleet.get_delay(self.vm, address))
-        if reply is None:
-            raise PeerError("no reply")
-        return reply
-
-    def spawn(self, function, *args):
-        """Run a function in another task."""
-        self._vm.spawn(self.run_safely, function, *args)
-
-
-class SimulatedVm:
-    """The parts of an entry VM that follow the store, and what happens to them."""
-
-    def __init__(self, name, fleet):
-        self.name, self.fleet_links = name, fleet
-        self.clock = VirtualClock(self)
-        self.frozen = None
-        self.store_cut = False
-        self.running = False
-        self.disturbed_at = 0.0
-        self.tasks = []
-        self.boots = 0
-
-    def start(self):
-        """Start the process."""
-        fleet = self.fleet_links
-        self.boots += 1
-        self.running = True
-        self.touch()
-        self.network = SimulatedTransport(self, fleet)
-        self.catalog = Catalog(decode, self.clock, ignore, lapse_s=2.0)
-        settings = types.SimpleNamespace(
-            vm=self.name,
-            zone=self.name[0],
-            peer_address=self.name,
-            seeds=("a1", "c1", "e1"),
-            cpu_share=0.86,
-            cpu_speed=1,
-        )
-        self.zone_fleet = ZoneFleet(
-            settings,
-            self.boots * 1000,
-            self.network,
-            self.clock,
-            ignore,
-            lambda: self.sync.get_store_state(),
-            lambda: 0.0,
-        )
-        self.catalog.on_config.append(lambda _: self.zone_fleet.set_state("alive"))
-        self.source = SimulatedSource(fleet.store, self)
-        self.sync = CatalogSync(
-            self.catalog,
-            self.source,
-            self.zone_fleet,
-            self.network,
-            self.clock,
-            self.record,
-        )
-        self.spawn(self.sync.run)
-        self.spawn(self.zone_fleet.run)
-
-    def record(self, event, **fields):
-        """Keep an event for the account of a finding."""
-        self.fleet_links.events.append(
-            (self.clock.monotonic(), self.name, event, fields)
-        )
-
-    def spawn(self, function, *args):
-        """Run a task of this process."""
-        self.tasks = [task for task in self.tasks if not task.dead]
-        self.tasks.append(eventlet.spawn(function, *args))
-
-    def touch(self):
-        """Record that something happened to this VM."""
-        self.disturbed_at = self.clock.monotonic()
-
-    def kill(self):
-        """End the process."""
-        self.running = False
-        self.thaw()
-        for task in self.tasks:
-            task.kill()
-        self.tasks = []
-
-    def freeze(self):
-        """Stop all tasks until :meth:`thaw`."""
-        if self.frozen is None:
-            self.frozen = Event()
-
-    def thaw(self):
-        """Let the tasks go on."""
-        if self.frozen is not None:
-            frozen, self.frozen = self.frozen, None
-            frozen.send()
-        self.touch()
-
-    def wait_thawed(self):
-        """Block the calling task while the VM is frozen."""
-        while self.frozen is not None:
-            self.frozen.wait()
-
-    def is_in_touch(self):
-        """Return whether the VM ran and reached the store for ``CONTACT_S``."""
-        calm = self.clock.monotonic() - self.disturbed_at >= CONTACT_S
-        return calm and self.running and not self.store_cut and self.frozen is None
-
-
-@attrs.define
-class Cut:
-    """Links from one set of VMs to another that lose everything."""
-
-    sources: frozenset
-    targets: frozenset
-
-
-class SimulatedFleet:
-    """
-    VMs in all zones, and the faults between them.
-
-    :param seed: determines all faults and changes.
-    """
-
-    def __init__(self, seed, zones=ZONES, vms_per_zone=VMS_PER_ZONE):
-        self.seed = seed
-        self.store = Store()
-        self.cuts = []
-        self.events = []
-        names = [f"{zone}{n}" for zone in zones for n in range(1, vms_per_zone + 1)]
-        self.vms = {name: SimulatedVm(name, self) for name in names}
-        self.calm_calls = 0
-
-    def is_open(self, source, target):
-        """Return whether a message from one VM reaches another."""
-        vm = self.vms.get(target)
-        if vm is None or not vm.running or not self.vms[source].running:
-            return False
-        return not any(
-            c.sources >= {source} and c.targets >= {target} for c in self.cuts
-        )
-
-    def get_delay(self, source, target):
-        """Return the one-way delay between two VMs in seconds."""
-        same = ZONES.get(source[0]) == ZONES.get(target[0])
-        return NEAR_DELAY_S if same else FAR_DELAY_S
-
-    def deliver(self, address, envelope):
-        """Pass a message to its receiver; one that is frozen handles it later."""
-        vm = self.vms[address]
-        if not vm.running:
-            return None
-        if vm.frozen is not None:
-            vm.spawn(self._deliver_thawed, vm, envelope)
-            return None
-        return vm.network.dispatch(envelope, envelope.sender)
-
-    def _deliver_thawed(self, vm, envelope):
-        vm.wait_thawed()
-        vm.network.dispatch(envelope, envelope.sender)
-
-    def choose(self, rng):
-        """Return some VMs: single ones, first ones of zones, or a share of all."""
-        names = list(self.vms)
-        kind = rng.choice(["one", "first", "firsts", "share"])
-        if kind == "one":
-            chosen = [rng.choice(names)]
-        elif kind == "first":
-            chosen = [f"{rng.choice(names)[0]}1"]
-        elif kind == "firsts":
-            count = rng.randint(1, 2)
-            chosen = [name for name in names if int(name[1:]) <= count]
-        else:
-            chosen = rng.sample(names, rng.randint(2, len(names) * 2 // 3))
-        return [self.vms[name] for name in chosen]
-
-
-def ignore(event, **fields):
-    """Discard an event."""
-
-
-def decode(key, content):
-    """Return the document of a version."""
-    return ConfigDocument(EntryConfig(int(content), (), (), CallerLimits()))
 
 
 class Faults:
@@ -454,14 +110,16 @@
 
 
 def check(fleet, clock, until):
-    """Return the findings of a run: VMs in touch that are behind for too long."""
+    """Return the findings of a run: VMs in contact that are behind for too long."""
     findings = []
     while clock.monotonic() < until:
         clock.sleep(0.05)
         now = clock.monotonic()
-        due = sum(acked_at < now - CONFIG_S for acked_at in fleet.store.acked_at)
+        due = sum(
+            acked_at < now - CONFIG_PROPAGATION_S for acked_at in fleet.store.acked_at
+        )
         for vm in fleet.vms.values():
-            if vm.is_in_touch() and vm.catalog.config_version < due:
+            if vm.is_in_contact() and vm.catalog.config_version < due:
                 findings.append(
                     f"CONFIG: {vm.name} has version {vm.catalog.config_version} at "
                     f"{now:.2f} s, {due} was acknowledged at "
@@ -489,7 +147,7 @@
 
 
 def _run(seed, seconds, series, kinds):
-    fleet = SimulatedFleet(seed)
+    fleet = SimulatedFleet()
     clock = VirtualClock()
     fleet.store.put()
     rng = random.Random(f"{seed}/starts")
