Share the search for what VMs were told in the soak's checks

The check of leaving servers repeated how the check of rate limits finds arrivals and first answers, and the list of all servers was built three times. No check is changed.

--- a/bench/soakchecks.py
+++ b/bench/soakchecks.py
@@ -133,7 +133,8 @@
 def check_account(account, world):
     """Return the findings of a finished run."""
     runs = collections.defaultdict(list)
-    for server in [*world.servers.values(), *world.removed_servers]:
+    servers = [*world.servers.values(), *world.removed_servers]
+    for server in servers:
         for request_id, _, moment in server.runs:
             runs[request_id].append((server, moment))
     findings = [f"MIXED: {detail}" for detail in account.invalid_responses]
@@ -144,10 +145,10 @@
             findings += _check_run(call, server, moment, account)
     for server, limit, interval in account.rate_limits:
         findings += _check_rate_limit(server, limit, interval, account)
-    for server in [*world.servers.values(), *world.removed_servers]:
+    for server in servers:
         findings += _check_departure(server, account)
         findings += _check_pauses(server, account)
-    findings += _check_deadly_request(account, world)
+    findings += _check_deadly_request(servers, account)
     for request_id in runs.keys() - account.calls.keys():
         findings.append(f"UNASKED: {request_id} ran but no caller sent it")
     return findings
@@ -208,15 +209,9 @@
 
 def _check_rate_limit(server, limit, interval, account):
     start, end = interval
-    calls = [
-        (moment, account.calls[request_id])
-        for request_id, moment in server.arrivals
-        if start <= moment <= end and request_id in account.calls
-    ]
-    told_at = {}
-    for _, call in calls:
-        if call.status == 200:
-            told_at[call.vm] = min(call.ended, told_at.get(call.vm, call.ended))
+    arrivals = _get_arrivals(server, account)
+    calls = [(moment, call) for moment, call in arrivals if start <= moment <= end]
+    told_at = _find_told_at(call for _, call in calls)
     counted = [
         moment
         for moment, call in calls
@@ -245,15 +240,25 @@
     ]
 
 
+def _find_told_at(calls):
+    """Return by VM when it first passed on an answer to one of the calls."""
+    told_at = {}
+    for call in calls:
+        if call.status == 200:
+            told_at[call.vm] = min(call.ended, told_at.get(call.vm, call.ended))
+    return told_at
+
+
 def _check_departure(server, account):
     leaving_at = account.departures.get(server.name)
     if leaving_at is None:
         return
     arrivals = _get_arrivals(server, account)
-    told_at = {}
-    for moment, call in arrivals:
-        if moment >= leaving_at and call.status == 200 and call.server == server.name:
-            told_at[call.vm] = min(call.ended, told_at.get(call.vm, call.ended))
+    told_at = _find_told_at(
+        call
+        for moment, call in arrivals
+        if moment >= leaving_at and call.server == server.name
+    )
     for moment, call in arrivals:
         told = told_at.get(call.vm, float("inf"))
         late = call.started > told + DRAIN_PROPAGATION_S
@@ -281,13 +286,13 @@
             )
 
 
-def _check_deadly_request(account, world):
+def _check_deadly_request(servers, account):
     if len(account.crashes) < CRASHES_TO_HOLD:
         return
     known_at = sorted(account.crashes)[CRASHES_TO_HOLD - 1] + CONTACT_TIMEOUT_S
     late = [
         call.id
-        for server in [*world.servers.values(), *world.removed_servers]
+        for server in servers
         for moment, call in _get_arrivals(server, account)
         if DEADLY in call.path
         and moment > known_at
