Crash servers of tests by the proxy before them

The stand-in for a server closed its listener and connections by its own code, as the proxy that the soak uses does. Both crash by the proxy now. A deadly request counts as run when the server begins it, not a second later.

--- a/standins/entryworld.py
+++ b/standins/entryworld.py
@@ -1,5 +1,6 @@
 """A store, backend servers and one entry process on loopback."""
 
+import functools
 import json
 import os
 import pathlib
@@ -13,6 +14,7 @@
 import urllib3
 
 from standins.instance import InstanceStandIn
+from standins.loopbackproxy import LoopbackProxy
 from standins.metadata import MetadataStandIn
 
 ENTRY_SCRIPT = pathlib.Path(__file__).resolve().parent.parent / "deploy" / "entry.py"
@@ -141,6 +143,16 @@
         self.store.put(f"servers/{name}", server.make_entry())
         return server
 
+    def add_mortal(self, name, down_s):
+        """Start a server that the deadly request takes down, and register it."""
+        server = self.servers[name] = InstanceStandIn(name, "stock", "a")
+        server.start()
+        proxy = LoopbackProxy(server.address)
+        proxy.start()
+        server.crash = functools.partial(proxy.go_down, down_s)
+        entry = {**server.make_entry(), "addr": proxy.address}
+        self.store.put(f"servers/{name}", entry)
+
     def send(self, path="/stock/7", method="GET", timeout_ms=3000, headers=None):
         """Send a caller's request, with further headers, and return the response."""
         self.count += 1
--- a/standins/instance.py
+++ b/standins/instance.py
@@ -1,7 +1,5 @@
 """Stand-in for a backend server of the platform on which the entry VMs run."""
 
-import contextlib
-import socket
 import time
 
 import eventlet
@@ -9,6 +7,8 @@
 
 #: Part of the paths that crash a server.
 DEADLY = "deadly"
+#: All connections are closed this long after a crash.
+CRASH_TIME_S = 1.0
 
 
 class InstanceStandIn:
@@ -23,8 +23,8 @@
     With ``pause_s`` set, its refusals ask for a pause of that many seconds; ``pauses``
     holds request id, time and pause of these.
 
-    A request whose path contains ``DEADLY`` crashes it: all its connections are closed
-    and it accepts no new one for ``restart_s``. ``crashes`` counts that.
+    A request whose path contains ``DEADLY`` calls ``crash``, which has to take down the
+    ``LoopbackProxy`` before the server. ``crashes`` counts that.
 
     :param mode: ``ok``, ``hang``, ``shed``, ``error``, ``cut`` or ``unsigned``.
     :param work_s: service time of a request.
@@ -41,43 +41,14 @@
         self.born = 1000
         self.arrivals = []
         self.runs = []
-        self.restart_s = 1.0
+        self.crash = None
         self.crashes = 0
-        self._clients = []
-        self._listen(0)
+        self._socket = eventlet.listen(("127.0.0.1", 0))
         self.address = "{}:{}".format(*self._socket.getsockname())
 
-    def _listen(self, port):
-        self._socket = eventlet.listen(("127.0.0.1", port))
-        accept = self._socket.accept
-
-        def accept_client():
-            client, address = accept()
-            self._clients.append(client)
-            return client, address
-
-        self._socket.accept = accept_client
-
     def start(self):
         """Serve until the process ends."""
-        self._task = eventlet.spawn(
-            eventlet.wsgi.server, self._socket, self, log_output=False
-        )
-
-    def crash(self):
-        """Close all connections, and listen again after ``restart_s``."""
-        self.crashes += 1
-        self._task.kill()
-        port = self._socket.getsockname()[1]
-        self._socket.close()
-        for client in self._clients:
-            with contextlib.suppress(OSError):
-                client.shutdown(socket.SHUT_RDWR)
-        self._clients.clear()
-        eventlet.sleep(self.restart_s)
-        self.born += 1
-        self._listen(port)
-        self.start()
+        eventlet.spawn(eventlet.wsgi.server, self._socket, self, log_output=False)
 
     def make_entry(self, state="ready"):
         """Return its entry for the store."""
@@ -108,10 +79,12 @@
                 headers.append(("Retry-After", f"{self.pause_s:g}"))
                 self.pauses.append((request_id, time.monotonic(), self.pause_s))
             return self._respond(start_response, 503, headers, b"")
+        self.runs.append((request_id, environ["PATH_INFO"], time.monotonic()))
         if DEADLY in environ["PATH_INFO"]:
+            self.crashes += 1
             eventlet.spawn_n(self.crash)
-            eventlet.sleep(self.restart_s)
-        self.runs.append((request_id, environ["PATH_INFO"], time.monotonic()))
+            eventlet.sleep(CRASH_TIME_S)
+            return self._respond(start_response, 500, headers, b"")
         eventlet.sleep(self.work_s)
         if self.mode == "hang":
             eventlet.sleep(int(environ["HTTP_DEADLINE_MS"]) / 1000)
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -160,7 +160,7 @@
 def test_request_that_crashes_servers_is_held_after_the_third_crash(world):
     """Guards against a repeated request that crashes server after server (BUDGET)."""
     for number in range(8):
-        world.add(f"s{number}").restart_s = 60.0
+        world.add_mortal(f"s{number}", down_s=60.0)
     world.wait_ready(8)
     replies = []
     for _ in range(8):
