--- a/src/lavendermast/entrymetrics.py
+++ b/src/lavendermast/entrymetrics.py
@@ -124,13 +124,7 @@
     registry.add_gauge(
         "lavendermast_entry_crash_suspects",
         "Requests that were in flight when servers crashed, and those that are held.",
-        lambda: list(
-            zip(
-                ({"state": "suspect"}, {"state": "held"}),
-                node.crash_tracker.count(),
-                strict=True,
-            )
-        ),
+        lambda: _count_suspects(node.crash_tracker),
     )
     registry.add_gauge(
         "lavendermast_entry_vms",
@@ -153,6 +147,11 @@
     return registry
 
 
+def _count_suspects(tracker):
+    suspects, held = tracker.count()
+    return [({"state": "suspect"}, suspects), ({"state": "held"}, held)]
+
+
 class MetricsApplication:
     """Serves the metrics in text format."""
 
