--- a/review/1/case.py
+++ b/review/1/case.py
@@ -55,10 +55,7 @@
             await asyncio.sleep(1.0)
 
     def _choose(self):
-        by_address = {
-            f"127.0.0.1:{machine.ports['caller']}": machine
-            for machine in self.world.machines
-        }
+        by_address = {machine.address: machine for machine in self.world.machines}
         now = time.monotonic()
         named = self.addresses.get(random.choice(list(ZONES)), ())
         known = [a for a in named if a in by_address]
@@ -76,8 +73,7 @@
         try:
             await client.connect()
         except (TimeoutError, OSError) as error:
-            address = f"127.0.0.1:{machine.ports['caller']}"
-            self.failed[address] = time.monotonic()
+            self.failed[machine.address] = time.monotonic()
             self.refused.append((time.monotonic(), machine))
             self.world.record(
                 "not-connected", machine=machine.name, detail=type(error).__name__
--- a/review/common/world.py
+++ b/review/common/world.py
@@ -43,22 +43,29 @@
         self._file.flush()
 
 
-_taken_ports = set()
+PORT_KINDS = ("caller", "ready", "directory", "peer", "metrics")
 
 
-def take_port():
-    """Return a loopback port that is free for TCP and UDP."""
-    while True:
+def take_ports(addresses):
+    """Return a port for each kind, free for TCP and UDP on all loopback addresses."""
+    ports = {}
+    while len(ports) < len(PORT_KINDS):
         port = random.SystemRandom().randint(10_000, 32_000)
-        with socket.socket() as tcp, socket.socket(type=socket.SOCK_DGRAM) as udp:
-            try:
-                tcp.bind(("127.0.0.1", port))
-                udp.bind(("127.0.0.1", port))
-            except OSError:
-                continue
-        if port not in _taken_ports:
-            _taken_ports.add(port)
-            return port
+        if port in ports.values() or not all(is_free(a, port) for a in addresses):
+            continue
+        ports[PORT_KINDS[len(ports)]] = port
+    return ports
+
+
+def is_free(address, port):
+    """Return whether a port is free for TCP and UDP."""
+    with socket.socket() as tcp, socket.socket(type=socket.SOCK_DGRAM) as udp:
+        try:
+            tcp.bind((address, port))
+            udp.bind((address, port))
+        except OSError:
+            return False
+    return True
 
 
 def get_address(server):
@@ -279,13 +286,9 @@
 class Machine:
     """A machine of the platform: one entry process, restarted after it has ended."""
 
-    def __init__(self, name, zone, zones, folder, record, max_fds=None):
-        self.name, self.zone, self.zones = name, zone, zones
-        self.record = record
-        self.ports = {
-            kind: take_port()
-            for kind in ("caller", "ready", "directory", "peer", "metrics")
-        }
+    def __init__(self, name, ip, ports, zone, zones, folder, record, max_fds=None):
+        self.name, self.ip, self.ports = name, ip, ports
+        self.zone, self.zones, self.record = zone, zones, record
         self.max_fds = max_fds
         self.path = folder / f"{name}.json"
         self.log = open(folder / f"{name}.log", "ab")
@@ -295,7 +298,7 @@
 
     def write_settings(self, store, seeds):
         addresses = {
-            f"{kind}_address": f"127.0.0.1:{port}" for kind, port in self.ports.items()
+            f"{kind}_address": f"{self.ip}:{port}" for kind, port in self.ports.items()
         }
         zones = [
             {"zone": name, "region": region} for name, region in self.zones.items()
@@ -372,8 +375,13 @@
         except (TimeoutError, OSError, asyncio.IncompleteReadError):
             return None
 
+    @property
+    def address(self):
+        """The address that the directory names for this machine."""
+        return f"{self.ip}:{self.ports['caller']}"
+
     async def _get(self, kind, path):
-        reader, writer = await asyncio.open_connection("127.0.0.1", self.ports[kind])
+        reader, writer = await asyncio.open_connection(self.ip, self.ports[kind])
         try:
             writer.write(f"GET {path} HTTP/1.1\r\nHost: x\r\n\r\n".encode())
             line, headers = await read_head(reader)
@@ -446,7 +454,7 @@
     async def connect(self):
         """Open a connection; clients allow one second for it."""
         self.reader, self.writer = await asyncio.wait_for(
-            asyncio.open_connection("127.0.0.1", self.machine.ports["caller"]), 1.0
+            asyncio.open_connection(self.machine.ip, self.machine.ports["caller"]), 1.0
         )
 
     def close(self):
@@ -506,9 +514,14 @@
             self.store.put(f"servers/{instance.name}", instance.make_entry())
         zones = zones or ZONES
         names = list(zones)
+        # As on the platform, machines differ by address and have the same ports.
+        addresses = [f"127.0.0.{11 + number}" for number in range(machines)]
+        ports = take_ports(addresses)
         self.machines = [
             Machine(
                 f"edge-{number + 1}",
+                addresses[number],
+                ports,
                 names[number % len(names)],
                 zones,
                 self.temporary,
@@ -517,7 +530,7 @@
             )
             for number in range(machines)
         ]
-        seeds = [f"127.0.0.1:{machine.ports['peer']}" for machine in self.machines[:3]]
+        seeds = [f"{address}:{ports['peer']}" for address in addresses[:3]]
         for machine in self.machines:
             machine.write_settings(self.store, seeds)
         for machine in self.machines:
