Log failed accepts and the end of a listener; count open descriptors

Change: the events accept_failed and listener_ended, the metrics lavendermast_entry_descriptors (open, limit) and lavendermast_entry_accept_errors_total by listener. No decision changes.

--- a/src/lavendermast/entrymetrics.py
+++ b/src/lavendermast/entrymetrics.py
@@ -1,6 +1,9 @@
 """Metrics of an entry VM."""
 
+import contextlib
+
 from lavendermast.answers import send_response
+from lavendermast.descriptors import count_open_descriptors, get_descriptor_limit
 from lavendermast.metrics import MetricsRegistry
 
 #: Histogram bounds in seconds, from a fast refusal to the longest route timeout.
@@ -144,9 +147,30 @@
         "Factor by which an error response changes the odds of a sick server.",
         lambda: [({}, node.evidence.error_rates.likelihood_ratio)],
     )
+    registry.add_gauge(
+        "lavendermast_entry_descriptors",
+        "File descriptors that are open, and how many may be.",
+        _count_descriptors,
+    )
+    registry.add_counter(
+        "lavendermast_entry_accept_errors_total",
+        "Connections that could not be accepted, by listener.",
+        lambda: [
+            ({"listener": name}, listener.accept_errors)
+            for name, listener in node.listeners.items()
+        ],
+    )
     return registry
 
 
+def _count_descriptors():
+    values = [({"state": "limit"}, get_descriptor_limit())]
+    # The platform may not list them, and without a free one the list cannot be read.
+    with contextlib.suppress(OSError):
+        values.append(({"state": "open"}, count_open_descriptors()))
+    return values
+
+
 def _count_suspects(tracker):
     suspects, held = tracker.count()
     return [({"state": "suspect"}, suspects), ({"state": "held"}, held)]
--- a/src/lavendermast/entrynode.py
+++ b/src/lavendermast/entrynode.py
@@ -170,18 +170,25 @@
         self.application = EntryApplication(
             platform.header_names, self, self.runner, self.clock, record
         )
-        self._metrics_listener = HttpListener(
-            settings.metrics_address, MetricsApplication(build_metrics(self))
-        )
-        self._caller_listener = HttpListener(settings.caller_address, self.application)
-        self._ready_listener = HttpListener(
-            settings.ready_address,
-            ReadyApplication(platform.ready_path, self.is_ready),
-        )
-        self._directory_listener = HttpListener(
-            settings.directory_address,
-            DirectoryApplication(platform.directory_path, self._make_directory_body),
-        )
+        self.listeners = {
+            "metrics": self._make_listener(
+                settings.metrics_address, MetricsApplication(build_metrics(self))
+            ),
+            "ready": self._make_listener(
+                settings.ready_address,
+                ReadyApplication(platform.ready_path, self.is_ready),
+            ),
+            "directory": self._make_listener(
+                settings.directory_address,
+                DirectoryApplication(
+                    platform.directory_path, self._make_directory_body
+                ),
+            ),
+            "caller": self._make_listener(settings.caller_address, self.application),
+        }
+
+    def _make_listener(self, address, application):
+        return HttpListener(address, application, self.log.record)
 
     def start(self):
         """Start the background tasks and listeners."""
@@ -198,10 +205,8 @@
             self._maintain,
         ):
             eventlet.spawn(self._run_task, run)
-        self._metrics_listener.start()
-        self._ready_listener.start()
-        self._directory_listener.start()
-        self._caller_listener.start()
+        for listener in self.listeners.values():
+            listener.start()
 
     def _run_task(self, run):
         """Run a background task; after an error, log it and run the task again."""
@@ -227,7 +232,7 @@
         self.clock.sleep(min(SERVE_AFTER_STOP_S, self.settings.grace_s / 2))
         self.refusing = True
         self.clock.sleep(REFUSE_AFTER_STOP_S)
-        self._caller_listener.stop_accepting()
+        self.listeners["caller"].stop_accepting()
         while self.application.in_flight and self.clock.monotonic() < end:
             self.clock.sleep(0.05)
         self.log.record("stopped", reason=reason, aborted=self.application.in_flight)
--- a/src/lavendermast/node.py
+++ b/src/lavendermast/node.py
@@ -91,8 +91,12 @@
             record_event=record_event,
         )
         self.gateway = self._make_gateway(record_event)
-        self.caller_listener = HttpListener(settings.caller_address, self.gateway)
-        self.admin_listener = HttpListener(settings.admin_address, self._make_admin())
+        self.caller_listener = HttpListener(
+            settings.caller_address, self.gateway, record_event
+        )
+        self.admin_listener = HttpListener(
+            settings.admin_address, self._make_admin(), record_event
+        )
         self.fleet.network.register(Handover, self._handle_handover)
         self.fleet.documents.on_accept.append(self._apply_document)
         self.fleet.on_ready.append(self._mark_ready)
