Keep accepting callers when descriptors run out

Cause: the WSGI server's loop ends at an accept() that fails with anything but its own connection's errors, so EMFILE closed the listener for good. And nothing bounded the connections: 10,000 were allowed, above any VM's limit, and idle ones were never closed for new ones.

Change: the listening socket that the WSGI server gets goes on after an error of accept(). DescriptorBudget divides the process's limit (the lower of RLIMIT_NOFILE and the setting max_descriptors) between the callers and the other listeners. At its share a listener closes the connection that has been idle for longest, never one on which a byte of a request has arrived; while all are busy, 64 more are accepted, and requests beyond a fifth of the limit are refused at once with 503 and Retry-After. Without a free descriptor, the longest idle connections of all listeners are closed. A listener that ends by an error is logged and started again.

--- /dev/null
+++ b/src/lavendermast/callerconnections.py
@@ -0,0 +1,75 @@
+"""Connections that callers have open, and which of them may be closed."""
+
+import math
+import socket
+
+from eventlet import greenio
+
+from lavendermast.descriptors import IdleConnections
+
+
+class CallerConnections(IdleConnections):
+    """
+    Connections of one listener.
+
+    Idle is a connection without a request: no byte of one has been read or waits to be
+    read, and none is answered.
+    """
+
+    def __init__(self, clock):
+        self._clock = clock
+        self._open = set()
+        self._idle_since = {}  # ordered by time
+
+    def __len__(self):
+        return len(self._open)
+
+    def add(self, sock):
+        """Add a new connection, which is idle until its first byte is read."""
+        self._open.add(sock)
+        self.mark_idle(sock)
+
+    def mark_idle(self, sock):
+        """Record that a connection waits for a request."""
+        if sock in self._open:
+            self._idle_since[sock] = self._clock.monotonic()
+
+    def mark_busy(self, sock):
+        """Record that bytes of a request were read."""
+        self._idle_since.pop(sock, None)
+
+    def remove(self, sock):
+        """Remove a connection that was closed."""
+        self._open.discard(sock)
+        self._idle_since.pop(sock, None)
+
+    def get_oldest_idle_at(self):
+        """Return since when the longest idle one is idle, infinite if none is."""
+        return next(iter(self._idle_since.values()), math.inf)
+
+    def close_oldest(self):
+        """
+        Close the longest idle connection that no request has arrived on.
+
+        :return: whether there was one.
+        """
+        while self._idle_since:
+            sock = next(iter(self._idle_since))
+            del self._idle_since[sock]
+            if not has_input(sock):
+                # The task that waits for a request then closes the socket.
+                self.remove(sock)
+                greenio.shutdown_safe(sock)
+                return True
+        return False
+
+
+def has_input(sock):
+    """Return whether bytes, or the peer's close, wait to be read from a socket."""
+    try:
+        sock.fd.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+    except BlockingIOError:
+        return False
+    except (OSError, ValueError):
+        pass
+    return True
--- a/src/lavendermast/entry.py
+++ b/src/lavendermast/entry.py
@@ -1,5 +1,6 @@
 """WSGI applications of an entry VM: proxy, readiness check and address directory."""
 
+import math
 import urllib.parse
 
 import attrs
@@ -10,7 +11,7 @@
     send_response,
 )
 from lavendermast.callers import DisconnectWatcher
-from lavendermast.denials import STOPPING_RETRY_S
+from lavendermast.denials import RETRY_AFTER_S, STOPPING_RETRY_S
 from lavendermast.exceptions import LavendermastError, RequestError
 from lavendermast.gateway import get_status_line
 from lavendermast.models import CallerRequest, Outcome, Reply
@@ -71,7 +72,8 @@
     :param node: object with ``router``, ``config``, ``leaving`` and ``refusing``.
     :param runner: an :class:`~lavendermast.attempts.AttemptRunner`.
 
-    ``in_flight`` counts the requests whose response is not written yet.
+    ``in_flight`` counts the requests whose response is not written yet; beyond
+    ``max_in_flight`` requests are refused.
     """
 
     def __init__(self, header_names, node, runner, clock, record_event):
@@ -81,6 +83,7 @@
         self._clock = clock
         self._record_event = record_event
         self.in_flight = 0
+        self.max_in_flight = math.inf
         self.started_requests = 0
         self.outcomes = {}
         self.latencies = None
@@ -125,6 +128,10 @@
             raise RequestError(
                 503, "not-ready", "no configuration yet", retry_after=STARTING_RETRY_S
             )
+        if self.in_flight > self.max_in_flight:
+            raise RequestError(
+                503, "overloaded", "too many requests", retry_after=RETRY_AFTER_S
+            )
         host = environ.get("HTTP_HOST", "").partition(":")[0]
         route = self._node.router.find_route(host, get_raw_path(environ))
         if route is None:
--- a/src/lavendermast/entrynode.py
+++ b/src/lavendermast/entrynode.py
@@ -14,6 +14,7 @@
 from lavendermast.crashes import CrashTracker
 from lavendermast.crashsharing import CrashSharing
 from lavendermast.denials import DenialRules
+from lavendermast.descriptors import DescriptorBudget
 from lavendermast.entry import (
     DirectoryApplication,
     EntryApplication,
@@ -80,6 +81,7 @@
         self.platform = platform
         self.log = EventLog.from_settings(settings, self.clock)
         record = self.log.record
+        self.descriptors = DescriptorBudget.from_settings(settings, record)
         self.config = None
         self.router = None
         self.leaving = False
@@ -131,7 +133,11 @@
             self.clock,
         )
         self.upstream = Upstream(
-            self.clock, MAX_BUFFERED_BYTES, {}, platform.protocol, CONNECT_TIMEOUT_S
+            self.clock,
+            MAX_BUFFERED_BYTES,
+            {},
+            platform.protocol,
+            CONNECT_TIMEOUT_S,
         )
         self.notices = ServerNotices(self.catalog.get_server, self.clock, record)
         selector = ServerSelector(
@@ -170,6 +176,7 @@
         self.application = EntryApplication(
             platform.header_names, self, self.runner, self.clock, record
         )
+        self.application.max_in_flight = self.descriptors.requests_in_flight
         self.listeners = {
             "metrics": self._make_listener(
                 settings.metrics_address, MetricsApplication(build_metrics(self))
@@ -184,11 +191,21 @@
                     platform.directory_path, self._make_directory_body
                 ),
             ),
-            "caller": self._make_listener(settings.caller_address, self.application),
+            "caller": self._make_listener(
+                settings.caller_address,
+                self.application,
+                self.descriptors.caller_connections,
+            ),
         }
 
-    def _make_listener(self, address, application):
-        return HttpListener(address, application, self.log.record)
+    def _make_listener(self, address, application, max_connections=None):
+        return HttpListener(
+            address,
+            application,
+            self.log.record,
+            max_connections or self.descriptors.control_connections,
+            self.descriptors,
+        )
 
     def start(self):
         """Start the background tasks and listeners."""
--- a/src/lavendermast/node.py
+++ b/src/lavendermast/node.py
@@ -10,6 +10,7 @@
 from lavendermast.admin import AdminApplication
 from lavendermast.callers import DisconnectWatcher
 from lavendermast.clock import SystemClock
+from lavendermast.descriptors import DescriptorBudget
 from lavendermast.dispatch import Dispatcher
 from lavendermast.drain import Drainer
 from lavendermast.exceptions import RequestError, SettingsError
@@ -66,6 +67,7 @@
         self.policy = Policy(self._get_serving_members)
         self.pools = ServicePools(settings, self.clock, record_event)
         self.retry_controller = RetryController(self.clock)
+        descriptors = DescriptorBudget.from_settings(settings, record_event)
         self.upstream = Upstream(self.clock, 0, {})
         self.dispatcher = Dispatcher(
             self.policy, self.pools, self.upstream, self.retry_controller, record_event
@@ -92,10 +94,18 @@
         )
         self.gateway = self._make_gateway(record_event)
         self.caller_listener = HttpListener(
-            settings.caller_address, self.gateway, record_event
+            settings.caller_address,
+            self.gateway,
+            record_event,
+            descriptors.caller_connections,
+            descriptors,
         )
         self.admin_listener = HttpListener(
-            settings.admin_address, self._make_admin(), record_event
+            settings.admin_address,
+            self._make_admin(),
+            record_event,
+            descriptors.control_connections,
+            descriptors,
         )
         self.fleet.network.register(Handover, self._handle_handover)
         self.fleet.documents.on_accept.append(self._apply_document)
--- a/src/lavendermast/settings_model.py
+++ b/src/lavendermast/settings_model.py
@@ -156,6 +156,7 @@
     :param store_address: Address of the store that operators and servers write to.
     :param cpu_share: Share of a core that this process may use.
     :param cpu_speed: Speed of that core, relative to a core of usual speed.
+    :param max_descriptors: File descriptors that this process may have open; 0 for the limit that the system sets.
     :param grace_s: Seconds between SIGTERM and SIGKILL.
     :param caller_hold_s: Seconds for which callers cache an address response.
     :param lapse_s: Seconds after the store recovers for which servers whose entries were deleted during the outage are still used.
@@ -178,6 +179,7 @@
     store_address: str
     cpu_share: float
     cpu_speed: float
+    max_descriptors: int
     grace_s: float
     caller_hold_s: float
     lapse_s: float
@@ -203,6 +205,7 @@
             store_address=data["store_address"],
             cpu_share=data.get("cpu_share", 1),
             cpu_speed=data.get("cpu_speed", 1),
+            max_descriptors=data.get("max_descriptors", 0),
             grace_s=data.get("grace_s", 6),
             caller_hold_s=data.get("caller_hold_s", 1),
             lapse_s=data.get("lapse_s", 2),
--- a/standins/entryworld.py
+++ b/standins/entryworld.py
@@ -5,6 +5,7 @@
 import os
 import pathlib
 import random
+import resource
 import socket
 import subprocess
 import sys
@@ -66,13 +67,17 @@
     }
 
 
-def start_process(path, **streams):
+def start_process(path, max_descriptors=None, **streams):
     """Start an entry process with the settings in a file."""
-    return subprocess.Popen(
+    process = subprocess.Popen(
         [sys.executable, "-W", "ignore", str(ENTRY_SCRIPT)],
         env={**os.environ, "LAVENDERMAST_BOOT": str(path)},
         **streams,
     )
+    if max_descriptors is not None:
+        limits = (max_descriptors, max_descriptors)
+        resource.prlimit(process.pid, resource.RLIMIT_NOFILE, limits)
+    return process
 
 
 def make_rule(name, prefix, kind, **action):
@@ -111,9 +116,11 @@
     A store, servers and one entry process.
 
     :param path: file for the settings of the process; its log has the suffix ``.log``.
+    :param max_descriptors: limit on its file descriptors, ``None`` for that of this
+        process.
     """
 
-    def __init__(self, path):
+    def __init__(self, path, max_descriptors=None):
         self.store = MetadataStandIn()
         self.store.start()
         self.store.put("op/config", make_config(3, READ_RULE, BOOK_RULE))
@@ -131,7 +138,7 @@
         )
         path.write_text(json.dumps(settings))
         log = path.with_suffix(".log").open("wb")
-        self.process = start_process(path, stdout=log)
+        self.process = start_process(path, max_descriptors, stdout=log)
         self.log = path.with_suffix(".log")
         self.http = urllib3.PoolManager(retries=False)
         self.count = 0
--- /dev/null
+++ b/tests/test_descriptors.py
@@ -0,0 +1,207 @@
+"""What a process does that runs out of file descriptors."""
+
+import errno
+import resource
+import types
+
+import eventlet
+import pytest
+from eventlet.green import socket
+
+from lavendermast.callerconnections import CallerConnections
+from lavendermast.clock import ManualClock
+from lavendermast.descriptors import DescriptorBudget, IdleConnections
+from lavendermast.listeners import EXTRA_CONNECTIONS, HttpListener, ListeningSocket
+from standins.entryworld import HOST, EntryWorld
+
+MAX_DESCRIPTORS = 120
+TOO_MANY = OSError(errno.EMFILE, "Too many open files")
+REQUEST = b"GET /stock/7 HTTP/1.1\r\nHost: a.example\r\nRequest-Id: i\r\n\r\n"
+
+
+@pytest.fixture
+def world(tmp_path):
+    world = EntryWorld(tmp_path / "entry.json", max_descriptors=MAX_DESCRIPTORS)
+    yield world
+    world.stop()
+
+
+def connect(world, kind="caller"):
+    return socket.create_connection(("127.0.0.1", world.ports[kind]), timeout=5.0)
+
+
+def ask(sock, request=REQUEST):
+    sock.sendall(request)
+    return sock.recv(65536)
+
+
+def test_process_without_free_descriptors_goes_on_accepting(world):
+    """
+    Guards against a VM that says it is ready and takes no connection again (RECOVER).
+
+    Each caller keeps its connection open, three times as many as the process may.
+    """
+    world.add("s1")
+    world.wait_ready(1)
+    kept = []
+    for _ in range(3 * MAX_DESCRIPTORS):
+        kept.append(connect(world))
+        assert ask(kept[-1]).startswith(b"HTTP/1.1 200 ")
+    # The first connections were closed to make room, the latest are open.
+    assert kept[0].recv(1) == b""
+    assert ask(kept[-1]).startswith(b"HTTP/1.1 200 ")
+    for sock in kept:
+        sock.close()
+    assert world.send().status == 200
+    assert "listener_" not in world.stop()
+
+
+@pytest.mark.parametrize("kind", ["ready", "directory", "metrics"])
+def test_other_listeners_outlast_a_lack_of_descriptors(world, kind):
+    """Guards against a VM whose readiness check or directory ends for good."""
+    world.add("s1")
+    world.wait_ready(1)
+    request = f"GET /resolve?name={HOST}&zone=a HTTP/1.1\r\nHost: x\r\n\r\n".encode()
+    kept = []
+    for _ in range(2 * MAX_DESCRIPTORS):
+        kept.append(connect(world, kind))
+        assert ask(kept[-1], request).startswith(b"HTTP/1.1 ")
+    for sock in kept:
+        sock.close()
+    world.wait_ready(1)
+
+
+def test_process_at_a_lowered_limit_goes_on(world):
+    """
+    Guards against a listener that ends at an error of ``accept``.
+
+    The limit falls below what is open, so no accept and no connect succeeds until
+    connections are closed.
+    """
+    world.add("s1")
+    world.wait_ready(1)
+    kept = [connect(world) for _ in range(30)]
+    assert all(ask(sock).startswith(b"HTTP/1.1 200 ") for sock in kept)
+    resource.prlimit(world.process.pid, resource.RLIMIT_NOFILE, (40, MAX_DESCRIPTORS))
+    for _ in range(12):
+        kept.append(connect(world))
+        assert ask(kept[-1]).startswith(b"HTTP/1.1 200 ")
+    assert world.send("/book/1", "POST").status == 200
+    log = world.stop()
+    assert "event=accept_failed" in log
+    assert "event=descriptors_short" in log
+
+
+class FailingSocket:
+    """A listening socket whose ``accept`` raises the given errors first."""
+
+    family = socket.AF_INET
+
+    def __init__(self, errors):
+        self.errors = list(errors)
+
+    def accept(self):
+        if self.errors:
+            raise self.errors.pop(0)
+        return "connection", ("127.0.0.1", 1)
+
+    def fileno(self):
+        return 3
+
+    def getsockname(self):
+        return "127.0.0.1", 7000
+
+
+def test_accept_goes_on_after_errors_and_logs_them_once():
+    """Guards against errors of single connections, or a lack of room, that end it."""
+    errors = [TOO_MANY, TOO_MANY, OSError(errno.ECONNABORTED, "aborted")]
+    events, room = [], []
+    listening = ListeningSocket(
+        FailingSocket(errors),
+        CallerConnections(ManualClock()),
+        10,
+        lambda: room.append(1) or 1,
+        lambda event, **fields: events.append(event),
+    )
+    with eventlet.Timeout(5):
+        assert listening.accept()[0] == "connection"
+    assert events == ["accept_failed"]
+    assert (len(room), listening.accept_errors) == (2, 3)
+
+
+@pytest.fixture
+def listener():
+    release = eventlet.event.Event()
+
+    def application(environ, start_response):
+        if environ["PATH_INFO"] == "/slow":
+            release.wait()
+        start_response("200 OK", [("Content-Length", "2")])
+        return [b"ok"]
+
+    listener = HttpListener("127.0.0.1:0", application, max_connections=3)
+    listener.start()
+    yield types.SimpleNamespace(
+        address=("127.0.0.1", listener.port), release=release, listener=listener
+    )
+    release.send()
+    listener.stop_accepting()
+
+
+def test_only_idle_connections_are_closed_the_oldest_first(listener):
+    """
+    Guards against room made by cutting a request (LOST).
+
+    One connection has a request in flight, one has sent a part of a head.
+    """
+    socks = [socket.create_connection(listener.address) for _ in range(3)]
+    slow, partial, idle = socks
+    slow.sendall(b"GET /slow HTTP/1.1\r\nHost: h\r\n\r\n")
+    partial.sendall(b"GET /")
+    eventlet.sleep(0.1)
+    later = socket.create_connection(listener.address)
+    with eventlet.Timeout(5):
+        assert idle.recv(1) == b""
+        assert ask(later, b"GET / HTTP/1.1\r\nHost: h\r\n\r\n").startswith(b"HTTP/1.1")
+        assert ask(partial, b" HTTP/1.1\r\nHost: h\r\n\r\n").startswith(b"HTTP/1.1 200")
+        listener.release.send()
+        listener.release.reset()
+        assert slow.recv(999).startswith(b"HTTP/1.1 200")
+
+
+def test_connections_beyond_the_maximum_are_served_while_all_are_busy(listener):
+    """Guards against callers that wait in the queue and are not told to go away."""
+    busy = [socket.create_connection(listener.address) for _ in range(3)]
+    for sock in busy:
+        sock.sendall(b"GET /slow HTTP/1.1\r\nHost: h\r\n\r\n")
+    eventlet.sleep(0.1)
+    with eventlet.Timeout(5):
+        for _ in range(EXTRA_CONNECTIONS):
+            sock = socket.create_connection(listener.address)
+            assert ask(sock, b"GET / HTTP/1.1\r\nHost: h\r\n\r\n").startswith(b"HTTP")
+
+
+class FakeHolder(IdleConnections):
+    """Idle connections, each given by the time since which it is idle."""
+
+    def __init__(self, *idle_since):
+        self.idle_since = list(idle_since)
+
+    def get_oldest_idle_at(self):
+        return min(self.idle_since, default=float("inf"))
+
+    def close_oldest(self):
+        if not self.idle_since:
+            return False
+        self.idle_since.remove(min(self.idle_since))
+        return True
+
+
+def test_room_is_made_from_what_is_idle_for_longest():
+    """Guards against fresh connections that are closed before older ones."""
+    callers, servers = FakeHolder(1.0, 2.0, 9.0), FakeHolder(*range(3, 9))
+    budget = DescriptorBudget(100, lambda event, **fields: None)
+    budget.add_holder(servers)
+    budget.add_holder(callers)
+    assert budget.make_room() == 8
+    assert (callers.idle_since, servers.idle_since) == ([9.0], [])
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -331,7 +331,9 @@
     schema = definitions["EntrySettings"]
     value = {}
     for key, node in schema["properties"].items():
-        good = {"string": "10.0.0.1:80", "number": 0.5, "array": []}[node["type"]]
+        good = {"string": "10.0.0.1:80", "number": 0.5, "integer": 1, "array": []}[
+            node["type"]
+        ]
         value[key] = data.draw(st.just(good) | ENTRY_VALUES)
     for key in data.draw(st.lists(st.sampled_from(sorted(value)), max_size=2)):
         value.pop(key, None)
