Do not take a lack of own descriptors for a fault of servers

What callers would see: a VM without free descriptors reports sound servers as crashed to the whole fleet and makes innocent requests suspects, and its failed connects count as evidence against servers for all VMs of the region.

Cause: any OSError of a connect became CONNECT_FAILED, and is_gone answered True for any OSError. A local error is no observation of a peer. (The third place that was suspected, the reduced idle time after resets, only reads ConnectionError after a send, so EMFILE does not reach it.)

Change: a connect that fails for lack of descriptors, buffers or ports closes idle connections of callers and servers and is tried once more. If that fails too, the attempt ends as "shortage", which is no evidence, and the request as not run, with 503 at once: any other server would need a descriptor too. is_gone then answers that nothing is known.

Evidence: test_lack_of_descriptors_is_no_evidence_about_a_server fails on (is_gone is True with none left) and passes now.

--- a/src/lavendermast/attempts.py
+++ b/src/lavendermast/attempts.py
@@ -8,7 +8,7 @@
 
 from lavendermast.attemptstate import RequestState, RunningAttempt, classify_attempt
 from lavendermast.crashes import ServerRun
-from lavendermast.denials import RETRY_AFTER_S
+from lavendermast.denials import RETRY_AFTER_S, Denial
 from lavendermast.models import AttemptResult, AttemptStatus, Outcome, Reply
 from lavendermast.roomqueue import MAX_RETRY_AFTER_S, RoomQueue
 from lavendermast.selection import IDEMPOTENT_TRIAL, NON_IDEMPOTENT_TRIAL
@@ -38,7 +38,11 @@
 #: answered in time.
 MIN_ATTEMPT_S = 0.02
 _ANSWERED_STATUSES = {AttemptStatus.OK, AttemptStatus.ERROR}
-_NOT_SENT_STATUSES = {AttemptStatus.CONNECT_FAILED, AttemptStatus.EXPIRED}
+_NOT_SENT_STATUSES = {
+    AttemptStatus.CONNECT_FAILED,
+    AttemptStatus.EXPIRED,
+    AttemptStatus.SHORTAGE,
+}
 _STATUS_CODES = {
     AttemptStatus.TIMEOUT: 504,
     AttemptStatus.EXPIRED: 504,
@@ -364,6 +368,8 @@
             state.may_have_run = True
         else:
             state.not_run_attempts += 1
+        if status is AttemptStatus.SHORTAGE:
+            state.denial = Denial.SHORTAGE
         if status is AttemptStatus.SHED:
             penalty_until = self._clock.monotonic() + SHED_PENALTY_S
             self._evidence.get(running.server.name).busy_until = penalty_until
--- a/src/lavendermast/denials.py
+++ b/src/lavendermast/denials.py
@@ -15,12 +15,16 @@
 
     STOPPING = "stopping"
     CRASHES = "crashes-servers"
+    SHORTAGE = "shortage"
 
 
 class DenialRules:
     """
     Denies attempts that a stopping VM could not end, or that crash servers.
 
+    An attempt for which the VM lacks descriptors ends a request as well, since it lacks
+    them for any server.
+
     :param crashes: ``CrashSharing`` that tells which requests crash servers.
     :param is_refusing: function that returns whether this VM stops so soon that it may
         not get the response of a server any more.
@@ -49,4 +53,6 @@
         """Return the seconds after which a denied request may be sent again."""
         if denial is Denial.STOPPING:
             return STOPPING_RETRY_S
+        if denial is Denial.SHORTAGE:
+            return RETRY_AFTER_S
         return max(math.ceil(self._crashes.get_hold_s(request)), RETRY_AFTER_S)
--- a/src/lavendermast/entrynode.py
+++ b/src/lavendermast/entrynode.py
@@ -138,6 +138,7 @@
             {},
             platform.protocol,
             CONNECT_TIMEOUT_S,
+            self.descriptors,
         )
         self.notices = ServerNotices(self.catalog.get_server, self.clock, record)
         selector = ServerSelector(
--- a/src/lavendermast/exceptions.py
+++ b/src/lavendermast/exceptions.py
@@ -99,5 +99,9 @@
     """A response is malformed or does not match its declared length."""
 
 
+class ShortageError(LavendermastError):
+    """This process lacks descriptors, buffers or ports; no peer is at fault."""
+
+
 class LogError(LavendermastError):
     """A log file given for analysis cannot be used."""
--- a/src/lavendermast/models.py
+++ b/src/lavendermast/models.py
@@ -32,6 +32,7 @@
     # The caller disconnected or the attempt is no longer needed.
     CANCELLED = "cancelled"
     MISDIRECTED = "misdirected"  # another server now has the address
+    SHORTAGE = "shortage"  # nothing was sent, as this process lacks descriptors
 
 
 #: Statuses of attempts whose request certainly did not run on the server.
@@ -42,6 +43,7 @@
         AttemptStatus.CONNECT_FAILED,
         AttemptStatus.EXPIRED,
         AttemptStatus.MISDIRECTED,
+        AttemptStatus.SHORTAGE,
     }
 )
 
--- a/src/lavendermast/node.py
+++ b/src/lavendermast/node.py
@@ -68,7 +68,7 @@
         self.pools = ServicePools(settings, self.clock, record_event)
         self.retry_controller = RetryController(self.clock)
         descriptors = DescriptorBudget.from_settings(settings, record_event)
-        self.upstream = Upstream(self.clock, 0, {})
+        self.upstream = Upstream(self.clock, 0, {}, budget=descriptors)
         self.dispatcher = Dispatcher(
             self.policy, self.pools, self.upstream, self.retry_controller, record_event
         )
--- a/src/lavendermast/retries.py
+++ b/src/lavendermast/retries.py
@@ -29,6 +29,7 @@
     AttemptStatus.EXPIRED: 503,
     AttemptStatus.CANCELLED: 499,
     AttemptStatus.MISDIRECTED: 503,
+    AttemptStatus.SHORTAGE: 503,
 }
 
 
--- a/src/lavendermast/upstream.py
+++ b/src/lavendermast/upstream.py
@@ -10,10 +10,12 @@
 from eventlet import hubs
 
 from lavendermast.connections import NotSentError, ServerConnection
+from lavendermast.descriptors import IdleConnections, is_shortage
 from lavendermast.exceptions import (
     FramingError,
     LavendermastError,
     RequestError,
+    ShortageError,
     TruncatedResponseError,
 )
 from lavendermast.models import AttemptResult, AttemptStatus
@@ -35,6 +37,9 @@
 #: How long the reduced idle time stays in force after the last such reset.
 REDUCED_MAX_IDLE_TTL_S = 10.0
 _KEEP_ALIVE_TIMEOUT = re.compile(r"timeout=([0-9]{1,6})")
+#: Time in which connections of callers that were closed for one to a server release
+#: their descriptors.
+RELEASE_PAUSE_S = 0.005
 #: A connection is no longer reused this long before the end of the server's keep-alive
 #: timeout: the close takes one network delay to arrive, and servers round the timeout.
 KEEP_ALIVE_MARGIN_S = 1.5
@@ -174,7 +179,7 @@
             raise _InterruptedError(AttemptStatus.CANCELLED) from error
 
 
-class Upstream:
+class Upstream(IdleConnections):
     """
     Sends requests to backend servers over pooled connections.
 
@@ -184,6 +189,7 @@
     :param protocol: the :class:`~lavendermast.serverprotocol.ServerProtocol` to use.
     :param connect_timeout_s: connect timeout; ``None`` leaves only the deadline of the
         attempt.
+    :param budget: a :class:`~lavendermast.descriptors.DescriptorBudget`, or ``None``.
 
     >>> from lavendermast.clock import SystemClock
     >>> Upstream(SystemClock(), 262144, {"stock": 7}).close_server("stock-1")
@@ -196,8 +202,12 @@
         max_idle_connections,
         protocol=None,
         connect_timeout_s=None,
+        budget=None,
     ):
         self._clock = clock
+        self._budget = budget
+        if budget is not None:
+            budget.add_holder(self)
         self._buffer_bytes = buffer_bytes
         self._max_idle_connections = dict(max_idle_connections)
         self._protocol = protocol or DefaultServerProtocol()
@@ -273,19 +283,39 @@
         """
         Return whether a server has closed all connections and accepts no new one.
 
-        Connects to the server if no idle connection to it is open.
+        Connects to the server if no idle connection to it is open. Without a descriptor
+        for that nothing is known.
         """
         if any(idle.has_no_input() for idle in self._idle.get(server.name, ())):
             return False
         connection = ServerConnection(*parse_address(server.address))
         try:
             self._connect(connection)
+        except ShortageError:
+            return False
         except (_ConnectTimeoutError, OSError):
             return True
         finally:
             connection.close()
         return False
 
+    def get_oldest_idle_at(self):
+        """Return since when the longest idle one is idle, infinite if none is."""
+        oldest = [idle[0].idle_since for idle in self._idle.values() if idle]
+        return min(oldest, default=math.inf)
+
+    def close_oldest(self):
+        """Close the longest idle connection; return whether there was one."""
+        idle = min(
+            filter(None, self._idle.values()),
+            key=lambda idle: idle[0].idle_since,
+            default=None,
+        )
+        if idle is None:
+            return False
+        idle.popleft().close()
+        return True
+
     def close_server(self, name):
         """Close all idle connections to a server."""
         for connection in self._idle.pop(name, ()):
@@ -370,7 +400,28 @@
     def _connect(self, connection):
         self.connections_opened += 1
         with eventlet.Timeout(self._connect_timeout_s, _ConnectTimeoutError()):
+            try:
+                connection.connect()
+            except OSError as error:
+                if not is_shortage(error):
+                    raise
+                self._connect_after_shortage(connection, error)
+
+    def _connect_after_shortage(self, connection, error):
+        """
+        Close idle connections and connect again.
+
+        :raises ShortageError: when there is still no descriptor.
+        """
+        if self._budget is None or not self._budget.make_room():
+            raise ShortageError(str(error)) from error
+        eventlet.sleep(RELEASE_PAUSE_S)
+        try:
             connection.connect()
+        except OSError as second_error:
+            if not is_shortage(second_error):
+                raise
+            raise ShortageError(str(second_error)) from second_error
 
     def _read_response(self, attempt, response):
         pieces = collections.deque()
@@ -410,6 +461,8 @@
             result.status = error.status
         if not sent and result.status is not AttemptStatus.CANCELLED:
             result.status = AttemptStatus.CONNECT_FAILED
+        if isinstance(error, ShortageError):
+            result.status = AttemptStatus.SHORTAGE
         is_closed = isinstance(error, (OSError, TruncatedResponseError))
         result.connection_lost = result.status is AttemptStatus.CUT and is_closed
         if sent and attempt.idle_s is not None and isinstance(error, ConnectionError):
--- a/tests/test_descriptors.py
+++ b/tests/test_descriptors.py
@@ -9,9 +9,11 @@
 from eventlet.green import socket
 
 from lavendermast.callerconnections import CallerConnections
-from lavendermast.clock import ManualClock
+from lavendermast.clock import ManualClock, SystemClock
 from lavendermast.descriptors import DescriptorBudget, IdleConnections
 from lavendermast.listeners import EXTRA_CONNECTIONS, HttpListener, ListeningSocket
+from lavendermast.models import AttemptStatus, CallerRequest, Server
+from lavendermast.upstream import Upstream
 from standins.entryworld import HOST, EntryWorld
 
 MAX_DESCRIPTORS = 120
@@ -205,3 +207,32 @@
     budget.add_holder(callers)
     assert budget.make_room() == 8
     assert (callers.idle_since, servers.idle_since) == ([9.0], [])
+
+
+@pytest.fixture
+def server_address():
+    listening = eventlet.listen(("127.0.0.1", 0))
+    yield "{}:{}".format(*listening.getsockname())
+    listening.close()
+
+
+def test_lack_of_descriptors_is_no_evidence_about_a_server(monkeypatch, server_address):
+    """
+    Guards against a VM without descriptors that reports sound servers as crashed.
+
+    Its attempts would count as failures of the servers, and innocent requests as
+    suspects of crashes.
+    """
+
+    def fail(*args, **options):
+        raise TOO_MANY
+
+    server = Server("s1", "stock", "north", "a", server_address)
+    upstream = Upstream(SystemClock(), 1000, {})
+    assert upstream.is_gone(server) is False
+    monkeypatch.setattr("lavendermast.connections.socket.create_connection", fail)
+    assert upstream.is_gone(server) is False
+    deadline = SystemClock().monotonic() + 9
+    request = CallerRequest("i", "GET", "/", "", [], b"", "", deadline, 0, 0.0)
+    result = upstream.send(request, server, deadline)
+    assert (result.status, result.ran) == (AttemptStatus.SHORTAGE, False)
