Tell a lack of own descriptors apart from faults of the store and of peers

What callers would see: after a VM ran out of descriptors for a call of the store, it takes the store for lost, and once it is back, servers whose entries were removed meanwhile get requests for lapse_s longer (DRAIN).

An EMFILE in a call of the store was a StoreError like any other; one in a request to a peer, or at the peer listener, made no room and left no log line.

Change: StoreShortageError, which does not count as an outage. The store, the requests to peers and the peer listener make room, and the listener logs.

Evidence: the tests of CatalogSync and MetadataStore in tests/test_descriptors.py; neither the error nor the distinction exists before.

--- a/src/lavendermast/catalogsync.py
+++ b/src/lavendermast/catalogsync.py
@@ -10,6 +10,7 @@
     PeerError,
     StoreError,
     StoreLagError,
+    StoreShortageError,
 )
 from lavendermast.messages_model import FetchChanges, StoredChanges
 
@@ -84,6 +85,8 @@
     cut off or hear nothing, or this VM may be unable to fetch what it missed.
 
     :param source: a :class:`DocumentSource`.
+
+    ``make_room`` is called when this process lacks descriptors for a call.
     """
 
     def __init__(self, catalog, source, fleet, network, clock, record_event):
@@ -100,6 +103,7 @@
         self._watch_deadline = math.inf
         self._was_lost = False
         self._late_logged = False
+        self.make_room = lambda: 0
         self.store_reachable = True
         #: Time at which the store last confirmed that this VM's state is the newest.
         self.confirmed_at = -math.inf
@@ -260,8 +264,10 @@
         if self.store_reachable:
             self._record_event("store_lost", detail=str(error))
         self.store_reachable = False
+        if isinstance(error, StoreShortageError):
+            self.make_room()
         # Entries expire only while the store serves nobody.
-        self._was_lost |= not isinstance(error, StoreLagError)
+        self._was_lost |= not isinstance(error, (StoreLagError, StoreShortageError))
         self._retry_delay_s = min(self._retry_delay_s * 1.5, MAX_RETRY_DELAY_S)
 
     def _handle_store_success(self):
--- a/src/lavendermast/entrynode.py
+++ b/src/lavendermast/entrynode.py
@@ -97,6 +97,7 @@
             settings, FrameCodec(_FRAME_KEY, 1), self.clock
         )
         self.network.record_error = self._record_error
+        self.network.make_room = self.descriptors.make_room
         self.catalog = Catalog(platform.decode, self.clock, record, settings.lapse_s)
         self.catalog.on_config.append(self._apply_config)
         self.catalog.on_server.append(self._apply_server)
@@ -112,6 +113,7 @@
         self.sync = CatalogSync(
             self.catalog, platform.source, self.fleet, self.network, self.clock, record
         )
+        self.sync.make_room = self.descriptors.make_room
         self.rate_limits = RateLimits(
             self.clock,
             record,
--- a/src/lavendermast/exceptions.py
+++ b/src/lavendermast/exceptions.py
@@ -45,6 +45,10 @@
     """The store delivers no changes to this VM, but does to others."""
 
 
+class StoreShortageError(StoreError):
+    """This process lacks descriptors for a call; the store is not at fault."""
+
+
 class DocumentError(LavendermastError):
     """A document of the store is invalid; the last valid one stays in effect."""
 
--- a/src/lavendermast/node.py
+++ b/src/lavendermast/node.py
@@ -68,6 +68,7 @@
         self.pools = ServicePools(settings, self.clock, record_event)
         self.retry_controller = RetryController(self.clock)
         descriptors = DescriptorBudget.from_settings(settings, record_event)
+        self.fleet.network.make_room = descriptors.make_room
         self.upstream = Upstream(self.clock, 0, {}, budget=descriptors)
         self.dispatcher = Dispatcher(
             self.policy, self.pools, self.upstream, self.retry_controller, record_event
--- a/src/lavendermast/peers.py
+++ b/src/lavendermast/peers.py
@@ -9,6 +9,7 @@
 from eventlet.green import socket
 
 from lavendermast.codec import MAX_MESSAGE_BYTES, Envelope
+from lavendermast.descriptors import is_shortage
 from lavendermast.exceptions import MessageError, PeerError
 from lavendermast.messages_model import BODY_CLASSES
 from lavendermast.utils import parse_address
@@ -133,6 +134,8 @@
 
     :param udp: bound datagram socket.
     :param tcp: listening socket on the same port number.
+
+    ``make_room`` is called when this process lacks descriptors.
     """
 
     def __init__(self, vm, codec, clock, udp, tcp):
@@ -141,6 +144,7 @@
         self._clock = clock
         self._udp = udp
         self._tcp = tcp
+        self.make_room = lambda: 0
         self._pool = eventlet.GreenPool(MAX_CONNECTIONS)
         self._tasks = []
         self._closed = False
@@ -212,6 +216,8 @@
                 raise
             raise PeerError(f"{address}: no reply within {seconds:.1f} s") from error
         except (OSError, ValueError, MessageError) as error:
+            if is_shortage(error):
+                self.make_room()
             raise PeerError(f"{address}: {error}") from error
         self.counts.add("received", envelope.body, len(reply))
         return envelope.body
@@ -228,13 +234,20 @@
             self.run_safely(self._handle_frame, frame, address)
 
     def _accept_connections(self):
+        failing = False
         while not self._closed:
             try:
                 connection, source = self._tcp.accept()
-            except OSError:
+            except OSError as error:
                 self.counts.drops["accept_error"] += 1
+                if self.record_error and not failing:
+                    self.record_error(error)
+                failing = True
+                if is_shortage(error):
+                    self.make_room()
                 eventlet.sleep(0.05)
                 continue
+            failing = False
             self._pool.spawn_n(self._serve, connection, f"{source[0]}:{source[1]}")
 
     def _serve(self, connection, address):
--- a/src/lavendermast/platform/store.py
+++ b/src/lavendermast/platform/store.py
@@ -9,7 +9,8 @@
 from urllib3.util import Timeout
 
 from lavendermast.catalogsync import DocumentSource
-from lavendermast.exceptions import HistoryLostError, StoreError
+from lavendermast.descriptors import is_shortage
+from lavendermast.exceptions import HistoryLostError, StoreError, StoreShortageError
 from lavendermast.messages_model import StoredChange, StoredChanges
 from lavendermast.sockets import STORE_SOCKET_OPTIONS
 from lavendermast.utils import parse_address
@@ -93,6 +94,8 @@
                 raise
             raise StoreError(f"{path}: the response does not end") from error
         except (urllib3.exceptions.HTTPError, OSError) as error:
+            if is_shortage(error):
+                raise StoreShortageError(f"{path}: {error}") from error
             raise StoreError(f"{path}: {error}") from error
         era = _read_era(response.headers)
         self.era = max(self.era, era)
--- a/tests/test_descriptors.py
+++ b/tests/test_descriptors.py
@@ -3,16 +3,21 @@
 import errno
 import resource
 import types
+import unittest.mock
 
 import eventlet
 import pytest
 from eventlet.green import socket
 
 from lavendermast.callerconnections import CallerConnections
+from lavendermast.catalogsync import CatalogSync
 from lavendermast.clock import ManualClock, SystemClock
 from lavendermast.descriptors import DescriptorBudget, IdleConnections
+from lavendermast.exceptions import StoreError, StoreShortageError
 from lavendermast.listeners import EXTRA_CONNECTIONS, HttpListener, ListeningSocket
+from lavendermast.messages_model import StoredChanges
 from lavendermast.models import AttemptStatus, CallerRequest, Server
+from lavendermast.platform.store import MetadataStore
 from lavendermast.upstream import Upstream
 from standins.entryworld import HOST, EntryWorld
 
@@ -236,3 +241,55 @@
     request = CallerRequest("i", "GET", "/", "", [], b"", "", deadline, 0, 0.0)
     result = upstream.send(request, server, deadline)
     assert (result.status, result.ran) == (AttemptStatus.SHORTAGE, False)
+
+
+def test_lack_of_descriptors_is_told_apart_from_a_lost_store(monkeypatch):
+    """Guards against an own error that is read as one of the store."""
+
+    def fail(*args, **options):
+        raise TOO_MANY
+
+    monkeypatch.setattr("urllib3.util.connection.create_connection", fail)
+    with pytest.raises(StoreShortageError):
+        MetadataStore("127.0.0.1:9").read_all()
+
+
+class _EndError(Exception):
+    """Ends a task that otherwise runs for ever."""
+
+
+@pytest.mark.parametrize(
+    ("error", "is_outage"),
+    [(StoreShortageError("none left"), False), (StoreError("refused"), True)],
+)
+def test_lack_of_descriptors_retains_no_lapsed_servers(error, is_outage):
+    """
+    Guards against removed servers that get requests, as if the store had been away.
+
+    Entries lapse while the store serves nobody, not while this VM cannot call it.
+    """
+
+    def follow(*args):
+        if errors:
+            raise errors.pop(0)
+        return StoredChanges(1, 1, False, (), 1)
+
+    errors, events, room = [error], [], []
+    clock, catalog = ManualClock(), unittest.mock.Mock(revision=1, era=1)
+    fleet = unittest.mock.Mock(on_presence=[])
+    fleet.get_vm_names.return_value = ["vm-1"]
+    fleet.local_vm.vm = "vm-1"
+    source = types.SimpleNamespace(watch=follow, era=1)
+
+    def record(event, **fields):
+        events.append(event)
+        if event == "store_regained":
+            raise _EndError
+
+    sync = CatalogSync(catalog, source, fleet, unittest.mock.Mock(), clock, record)
+    sync.make_room = lambda: room.append(1)
+    with pytest.raises(_EndError):
+        sync.run()
+    assert events == ["state_unconfirmed", "store_lost", "store_regained"]
+    assert catalog.handle_store_recovery.called is is_outage
+    assert bool(room) is not is_outage
