Watch the daemon's background tasks

Change: the entry VM's rule, log task_failed and run it again, moves to tasks.run_until_done and serves both daemons.

--- a/src/lavendermast/entrynode.py
+++ b/src/lavendermast/entrynode.py
@@ -2,7 +2,6 @@
 
 import os
 import random
-import traceback
 
 import eventlet
 
@@ -34,6 +33,7 @@
 from lavendermast.retries import WindowedRetryBudget
 from lavendermast.selection import ServerSelector
 from lavendermast.settings import load_entry_settings
+from lavendermast.tasks import run_until_done
 from lavendermast.upstream import Upstream
 from lavendermast.utils import parse_address
 from lavendermast.zonefleet import MIN_ACTIVE_VMS, ZoneFleet
@@ -59,8 +59,6 @@
 EXIT_MARGIN_S = 0.5
 #: Time constant of the moving average of the request rate.
 RATE_TIME_CONSTANT_S = 2.0
-#: Delay before a background task that failed runs again.
-TASK_RESTART_DELAY_S = 0.2
 #: Not a secret, since the platform provides none: it only serves to detect damaged
 #: frames.
 _FRAME_KEY = {1: b"lavendermast-entry-frames"}
@@ -224,24 +222,10 @@
             self.crashes.run,
             self._maintain,
         ):
-            eventlet.spawn(self._run_task, run)
+            eventlet.spawn(run_until_done, run, self.clock, self.log.record)
         for listener in self.listeners.values():
             listener.start()
 
-    def _run_task(self, run):
-        """Run a background task; after an error, log it and run the task again."""
-        while True:
-            try:
-                run()
-                return
-            except Exception as error:
-                self.log.record(
-                    "task_failed",
-                    task=run.__qualname__,
-                    detail="".join(traceback.format_exception(error)[-3:]),
-                )
-                self.clock.sleep(TASK_RESTART_DELAY_S)
-
     def stop(self, reason):
         """Drain callers, let requests in flight finish and exit the process."""
         now = self.clock.monotonic()
--- a/src/lavendermast/fleet.py
+++ b/src/lavendermast/fleet.py
@@ -12,6 +12,7 @@
 from lavendermast.policy import SERVING_STATES
 from lavendermast.settings import parse_bundle
 from lavendermast.store import StoreClient, StoreReader, is_store_reader
+from lavendermast.tasks import run_until_done
 from lavendermast.utils import get_fleet_secrets
 from lavendermast.vmlist import check_vm_list
 
@@ -69,11 +70,7 @@
 
     def start(self):
         """Start the tasks that receive, ping peers and read the store."""
-        self._tasks = [
-            eventlet.spawn(self.network.run),
-            eventlet.spawn(self.detector.run),
-            eventlet.spawn(self._wait_until_ready),
-        ]
+        runs = [self.network.run, self.detector.run, self._wait_until_ready]
         for name in VERSION_KEYS:
             reader = StoreReader(
                 name,
@@ -82,7 +79,11 @@
                 lambda content, name=name: self._offer(name, content),
                 self._record_event,
             )
-            self._tasks.append(eventlet.spawn(reader.run))
+            runs.append(reader.run)
+        self._tasks = [
+            eventlet.spawn(run_until_done, run, self._clock, self._record_event)
+            for run in runs
+        ]
 
     def stop(self):
         """Stop all tasks and close the sockets."""
--- a/src/lavendermast/node.py
+++ b/src/lavendermast/node.py
@@ -29,6 +29,7 @@
 from lavendermast.services import ServicePools
 from lavendermast.settings import build_config, load_process_settings
 from lavendermast.status import StatusReporter
+from lavendermast.tasks import run_until_done
 from lavendermast.upstream import Cancellation, Upstream
 
 CLOSE_IDLE_INTERVAL_S = 5.0
@@ -120,8 +121,10 @@
         self.fleet.start()
         self.admin_listener.start()
         self.caller_listener.start()
-        self._tasks.append(eventlet.spawn(self.server_monitor.run))
-        self._tasks.append(eventlet.spawn(self._close_idle))
+        self._tasks = [
+            eventlet.spawn(run_until_done, run, self.clock, self.log.record)
+            for run in (self.server_monitor.run, self._close_idle)
+        ]
 
     def stop(self, reason):
         """
