Apply the configured idle and header timeouts to callers

Connections of callers were kept for 75 s after their last request, whatever the configuration says, and a head without end held one for as long as a byte came every 75 s. Such a connection is never idle, so it cannot be closed for room.

Change: the configuration's idle_timeout_ms and header_timeout_ms are read (75 s and 30 s without them). A connection that is idle for longer is closed, unless bytes of a request wait on it. A head that takes longer is answered 408, which promises that the request has not run. A head that arrives in one piece needs no timer.

--- a/src/lavendermast/callerconnections.py
+++ b/src/lavendermast/callerconnections.py
@@ -7,6 +7,10 @@
 
 from lavendermast.descriptors import IdleConnections
 
+#: Timeouts of callers while no configuration sets others.
+IDLE_TIMEOUT_S = 75.0
+HEAD_TIMEOUT_S = 30.0
+
 
 class CallerConnections(IdleConnections):
     """
@@ -14,10 +18,17 @@
 
     Idle is a connection without a request: no byte of one has been read or waits to be
     read, and none is answered.
+
+    :param idle_timeout_s: time after which :meth:`close_expired` closes idle ones.
+    :param head_timeout_s: time that a caller may take for the head of a request.
     """
 
-    def __init__(self, clock):
+    def __init__(
+        self, clock, idle_timeout_s=IDLE_TIMEOUT_S, head_timeout_s=HEAD_TIMEOUT_S
+    ):
         self._clock = clock
+        self.idle_timeout_s = idle_timeout_s
+        self.head_timeout_s = head_timeout_s
         self._open = set()
         self._idle_since = {}  # ordered by time
 
@@ -54,15 +65,31 @@
         :return: whether there was one.
         """
         while self._idle_since:
-            sock = next(iter(self._idle_since))
-            del self._idle_since[sock]
-            if not has_input(sock):
-                # The task that waits for a request then closes the socket.
-                self.remove(sock)
-                greenio.shutdown_safe(sock)
+            if self._close_first():
                 return True
         return False
 
+    def close_expired(self):
+        """Close the connections that have been idle for longer than they may."""
+        oldest = self._clock.monotonic() - self.idle_timeout_s
+        while self.get_oldest_idle_at() <= oldest:
+            self._close_first()
+
+    def _close_first(self):
+        """
+        Close the longest idle connection if no request has arrived on it.
+
+        :return: whether it was closed; if not, it no longer counts as idle.
+        """
+        sock = next(iter(self._idle_since))
+        del self._idle_since[sock]
+        if has_input(sock):
+            return False
+        # The task that waits for a request then closes the socket.
+        self.remove(sock)
+        greenio.shutdown_safe(sock)
+        return True
+
 
 def has_input(sock):
     """Return whether bytes, or the peer's close, wait to be read from a socket."""
--- a/src/lavendermast/entrymodel.py
+++ b/src/lavendermast/entrymodel.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from lavendermast.callerconnections import HEAD_TIMEOUT_S, IDLE_TIMEOUT_S
 from lavendermast.models import Server
 
 
@@ -51,10 +52,19 @@
 
 @attrs.frozen
 class CallerLimits:
-    """Limits on the size of callers' requests, in bytes."""
+    """
+    Limits on callers' requests and connections.
+
+    :param max_header_bytes: size of all header fields of a request.
+    :param max_body_bytes: size of its body.
+    :param head_timeout_s: time that a caller may take for the head of a request.
+    :param idle_timeout_s: time for which a connection may have no request.
+    """
 
     max_header_bytes: int = 16_384
     max_body_bytes: int = 64 * 1024 * 1024
+    head_timeout_s: float = HEAD_TIMEOUT_S
+    idle_timeout_s: float = IDLE_TIMEOUT_S
 
 
 @attrs.frozen
--- a/src/lavendermast/entrynode.py
+++ b/src/lavendermast/entrynode.py
@@ -301,6 +301,9 @@
         self.upstream.set_max_idle_connections(
             dict.fromkeys(config.services, MAX_IDLE_CONNECTIONS)
         )
+        callers = self.listeners["caller"].connections
+        callers.idle_timeout_s = config.limits.idle_timeout_s
+        callers.head_timeout_s = config.limits.head_timeout_s
         first = self.config is None
         self.config = config
         if first and not self.leaving:
@@ -364,6 +367,7 @@
             self.clock.sleep(MAINTENANCE_INTERVAL_S)
             self.evidence.expire()
             self.upstream.close_idle()
+            self.listeners["caller"].connections.close_expired()
             started_requests = self.application.started_requests
             share = MAINTENANCE_INTERVAL_S / RATE_TIME_CONSTANT_S
             rate = (started_requests - self._counted_requests) / MAINTENANCE_INTERVAL_S
--- a/src/lavendermast/listeners.py
+++ b/src/lavendermast/listeners.py
@@ -22,6 +22,10 @@
 #: Time in which closed connections release their descriptors.
 RELEASE_PAUSE_S = 0.005
 
+_HEAD_TIMEOUT_RESPONSE = (
+    b"HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+)
+
 
 def discard_event(event, **fields):
     """Log nothing."""
@@ -49,6 +53,7 @@
 
     def __init__(self, connections, conn_state, server):
         self._connections = connections
+        self._head_timeout = None
         try:
             super().__init__(conn_state, server)
         finally:
@@ -58,12 +63,35 @@
         self._connections.mark_idle(self.connection)
         try:
             # Waits for the first byte of a request and leaves it in the buffer.
-            self.rfile.peek(1)
+            buffered = self.rfile.peek(1)
         except ConnectionError:
             return b""
         self._connections.mark_busy(self.connection)
+        if b"\r\n\r\n" not in buffered:
+            self._head_timeout = eventlet.Timeout(self._connections.head_timeout_s)
         return super()._read_request_line()
 
+    def handle_one_request(self):
+        """Serve one request, unless its head takes too long."""
+        try:
+            super().handle_one_request()
+        except eventlet.Timeout as timeout:
+            if timeout is not self._head_timeout:
+                raise
+            self.wfile.write(_HEAD_TIMEOUT_RESPONSE)
+            self.close_connection = True
+        finally:
+            self._cancel_head_timeout()
+
+    def handle_one_response(self):
+        """Answer a request whose head was read."""
+        self._cancel_head_timeout()
+        super().handle_one_response()
+
+    def _cancel_head_timeout(self):
+        if self._head_timeout is not None:
+            self._head_timeout.cancel()
+
     def get_environ(self):
         """Return the WSGI environment of a request."""
         environ = super().get_environ()
--- a/src/lavendermast/node.py
+++ b/src/lavendermast/node.py
@@ -205,6 +205,7 @@
         while True:
             self.clock.sleep(CLOSE_IDLE_INTERVAL_S)
             self.upstream.close_idle()
+            self.caller_listener.connections.close_expired()
             self.idempotency_guard.close_idle()
 
     def _run_request(self, request, route_name, route, environ):
--- a/src/lavendermast/platform/documents.py
+++ b/src/lavendermast/platform/documents.py
@@ -24,6 +24,10 @@
     "non_idempotent": RequestKind.NON_IDEMPOTENT,
     "download": RequestKind.DOWNLOAD,
 }
+_TIMEOUT_KEYS = {
+    "head_timeout_s": "header_timeout_ms",
+    "idle_timeout_s": "idle_timeout_ms",
+}
 _STATES = {"ready": ServerState.LIVE, "draining": ServerState.LEAVING}
 #: Errors that a malformed document causes: a number too large for a float raises
 #: ``OverflowError``, JSON that is nested too deeply ``RecursionError``.
@@ -135,7 +139,6 @@
         raise DocumentError(f"{CONFIG_KEY} was deleted")
     try:
         value = json.loads(content)
-        limits = value["limits"]
         return EntryConfig(
             version=int(value["version"].removeprefix("r")),
             routes=tuple(
@@ -144,12 +147,21 @@
                 for rule in listener["rules"]
             ),
             services=tuple(item["name"] for item in value["upstreams"]),
-            limits=CallerLimits(limits["max_header_bytes"], limits["max_body_bytes"]),
+            limits=_decode_limits(value["limits"]),
         )
     except _DECODE_ERRORS as error:
         raise DocumentError(f"{CONFIG_KEY}: {type(error).__name__}: {error}") from error
 
 
+def _decode_limits(limits):
+    timeouts = {
+        name: limits[key] / 1000 for name, key in _TIMEOUT_KEYS.items() if key in limits
+    }
+    return CallerLimits(
+        limits["max_header_bytes"], limits["max_body_bytes"], **timeouts
+    )
+
+
 def _decode_route(host, rule):
     action = rule["action"]
     split = action.get("traffic_split") or [{"service": action["service"]}]
--- a/tests/test_descriptors.py
+++ b/tests/test_descriptors.py
@@ -293,3 +293,37 @@
     assert events == ["state_unconfirmed", "store_lost", "store_regained"]
     assert catalog.handle_store_recovery.called is is_outage
     assert bool(room) is not is_outage
+
+
+def test_idle_connection_is_closed_after_the_configured_time():
+    """
+    Guards against connections that callers no longer use and that hold descriptors.
+
+    A connection on which a request arrives is not idle.
+    """
+    clock = ManualClock()
+    connections = CallerConnections(clock, idle_timeout_s=15.0)
+    pairs = [socket.socketpair() for _ in range(3)]
+    for number, (_, sock) in enumerate(pairs):
+        clock.advance(number)
+        connections.add(sock)
+    pairs[0][0].sendall(b"G")
+    clock.advance(14.5)
+    connections.close_expired()
+    assert len(connections) == 2
+    assert pairs[1][0].recv(1) == b""
+    clock.advance(1.0)
+    connections.close_expired()
+    assert len(connections) == 1
+
+
+@pytest.mark.parametrize("part", [b"G", b"GET / HTTP/1.1\r\nHost: h\r\nX: "])
+def test_head_that_takes_too_long_is_answered_as_not_run(listener, part):
+    """Guards against connections that are held, never idle, by a head without end."""
+    listener.listener.connections.head_timeout_s = 0.3
+    with eventlet.Timeout(5), socket.create_connection(listener.address) as sock:
+        sock.sendall(part)
+        received = b""
+        while data := sock.recv(999):
+            received += data
+    assert received.startswith(b"HTTP/1.1 408 ")
