Do not run a request whose head ends early

Cause: the HTTP library takes the end of the connection for the end of the head. Found by a test for the header timeout.

Change: a head that does not end with an empty line closes the connection; nothing is run.

--- a/src/lavendermast/listeners.py
+++ b/src/lavendermast/listeners.py
@@ -44,6 +44,19 @@
     error = info
 
 
+class _HeadReader:
+    """Keeps the last line that was read, which shows how a head ended."""
+
+    def __init__(self, stream):
+        self._stream = stream
+        self.last_line = b""
+
+    def readline(self, size=-1):
+        """Return the next line."""
+        self.last_line = self._stream.readline(size)
+        return self.last_line
+
+
 class _HttpProtocol(eventlet.wsgi.HttpProtocol):
     """
     Tells the table of connections which ones are idle.
@@ -83,6 +96,17 @@
         finally:
             self._cancel_head_timeout()
 
+    def parse_request(self):
+        """Return whether a whole and valid head was read."""
+        # The library takes the end of the connection for the end of the head.
+        self.rfile = reader = _HeadReader(self.rfile)
+        if not super().parse_request():
+            return False
+        if reader.last_line in (b"\r\n", b"\n"):
+            return True
+        self.close_connection = True
+        return False
+
     def handle_one_response(self):
         """Answer a request whose head was read."""
         self._cancel_head_timeout()
