Bound the work for responses in short chunks

Cause: the bounds on a response count its bytes, and a chunk of one byte takes as much processor time as a long one: 1 MiB of payload was a million chunks, with a yield after 43,690 of them. Each chunk was an object as well, 50 times its data. And a head that shows that the response is not the server's own was judged only after its body had been read.

Change: the bytes around the data of chunks may be 64 KiB and a quarter of the data, then the response is given up. A chunk counts as 512 bytes towards the next yield. Chunks that have arrived are returned as one piece. A response without the server's signature ends with its head; only a body of known length up to 64 KiB is still read, so that the connection can be reused.

--- a/src/lavendermast/framing.py
+++ b/src/lavendermast/framing.py
@@ -19,9 +19,17 @@
 #: that a server that sends without end neither delays other requests nor outlasts the
 #: deadline of its attempt.
 YIELD_INTERVAL_BYTES = 256 * 1024
+#: A chunk takes as much processor time as this many bytes, however short it is.
+CHUNK_COST_BYTES = 512
+#: Chunks that are returned as one piece.
+MAX_CHUNKS_PER_PIECE = YIELD_INTERVAL_BYTES // CHUNK_COST_BYTES
+#: The bytes around the data of chunks may be this many, and a share of the data.
+MAX_FRAMING_BYTES = 65536
+MAX_FRAMING_SHARE = 0.25
 _STATUS_LINE = re.compile(rb"HTTP/1\.([01]) ([1-9][0-9]{2})(?: [^\r\n]*)?")
 _FIELD_NAME = re.compile(rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+")
 _CHUNK_LINE = re.compile(rb"([0-9A-Fa-f]{1,16})[ \t]*(?:;[^\r\n]*)?")
+_CHUNK_START = re.compile(_CHUNK_LINE.pattern + rb"\r\n")
 _HOP_BY_HOP = frozenset(
     {
         "connection",
@@ -75,6 +83,8 @@
         self._close_delimited = False
         self._remaining = 0
         self._unyielded_bytes = 0
+        self._data_bytes = 0
+        self._framing_bytes = 0
         self.length = None
         self.status = 0
         self.headers = []
@@ -124,25 +134,58 @@
         Return the next bytes of the body, empty at its end.
 
         :raises TruncatedResponseError: when the connection closes before the body ends.
-        :raises FramingError: when a chunk is malformed or bytes follow the body.
+        :raises FramingError: when a chunk is malformed, chunks are mostly framing or
+            bytes follow the body.
         """
         if self.finished:
             return b""
         if self._close_delimited:
             return self._read_until_close()
-        if self._remaining == 0 and self._chunked:
-            self._start_chunk()
+        if self._chunked:
+            return self._read_chunks()
         if self._remaining == 0:
             self._finish()
             return b""
         if not self._count_buffered():
             self._receive()
-        piece = self._buffer[self._start : self._start + self._remaining]
-        self._start += len(piece)
-        self._remaining -= len(piece)
-        if self._remaining == 0 and self._chunked:
-            self._expect_line_end()
-        return piece
+        return self._take_data()
+
+    def _take_data(self):
+        """Remove the data from the buffer that belongs to the body and return it."""
+        data = self._buffer[self._start : self._start + self._remaining]
+        self._start += len(data)
+        self._remaining -= len(data)
+        return data
+
+    def _read_chunks(self):
+        """
+        Return the data of the chunks that have arrived, or of the next one.
+
+        One object for each of many short chunks would take far more memory than their
+        data.
+        """
+        parts = []
+        while len(parts) < MAX_CHUNKS_PER_PIECE:
+            if self._remaining == 0:
+                if parts and not _CHUNK_START.match(self._buffer, self._start):
+                    # Data that has arrived is not held back by what follows it.
+                    break
+                self._start_chunk()
+                if self._remaining == 0:
+                    self._finish()
+                    break
+            if not self._count_buffered():
+                if parts:
+                    break
+                self._receive()
+            parts.append(self._take_data())
+            if self._remaining == 0:
+                self._expect_line_end()
+        data = b"".join(parts)
+        self._data_bytes += len(data)
+        self._unyielded_bytes += len(parts) * CHUNK_COST_BYTES
+        self._yield_if_due()
+        return data
 
     def _read_until_close(self):
         piece = self._buffer[self._start :]
@@ -161,13 +204,16 @@
 
     def _receive_bytes(self):
         """Return the next bytes of the connection, empty when the server closed it."""
-        if self._unyielded_bytes >= YIELD_INTERVAL_BYTES:
-            self._unyielded_bytes = 0
-            eventlet.sleep(0)
+        self._yield_if_due()
         data = receive(self._sock, READ_BYTES)
         self._unyielded_bytes += len(data)
         return data
 
+    def _yield_if_due(self):
+        if self._unyielded_bytes >= YIELD_INTERVAL_BYTES:
+            self._unyielded_bytes = 0
+            eventlet.sleep(0)
+
     def _receive(self):
         data = self._receive_bytes()
         if not data:
@@ -220,9 +266,15 @@
         self.length = self._remaining = int(size)
 
     def _start_chunk(self):
-        match = _CHUNK_LINE.fullmatch(self._read_line())
+        line = self._read_line()
+        match = _CHUNK_LINE.fullmatch(line)
         if match is None:
             raise FramingError("malformed chunk size")
+        # The line ends after the size and after the data.
+        self._framing_bytes += len(line) + 4
+        allowed_bytes = MAX_FRAMING_BYTES + self._data_bytes * MAX_FRAMING_SHARE
+        if self._framing_bytes > allowed_bytes:
+            raise FramingError("chunks too short")
         self._remaining = int(match[1], 16)
         if self._remaining:
             return
--- a/src/lavendermast/upstream.py
+++ b/src/lavendermast/upstream.py
@@ -37,6 +37,8 @@
 #: How long the reduced idle time stays in force after the last such reset.
 REDUCED_MAX_IDLE_TTL_S = 10.0
 _KEEP_ALIVE_TIMEOUT = re.compile(r"timeout=([0-9]{1,6})")
+#: Bytes of an unusable response that are read so that its connection can be reused.
+MAX_UNUSED_BYTES = 65536
 #: Time in which connections of callers that were closed for one to a server release
 #: their descriptors.
 RELEASE_PAUSE_S = 0.005
@@ -428,6 +430,11 @@
         size = 0
         result = AttemptResult(attempt.server.name, AttemptStatus.OK)
         result.head_at = self._clock.monotonic()
+        self._protocol.fill_result(result, response)
+        if result.status is AttemptStatus.CUT and not _is_short(response):
+            # Nothing in the body can make the response usable.
+            attempt.connection.close()
+            return result
         if response.length is not None and response.length > self._buffer_bytes:
             result.stream = BodyStream(self, attempt, response, pieces)
         else:
@@ -437,7 +444,6 @@
                 if size > self._buffer_bytes:
                     result.stream = BodyStream(self, attempt, response, pieces)
                     break
-        self._protocol.fill_result(result, response)
         if result.stream is None:
             result.body = pieces[0] if len(pieces) == 1 else b"".join(pieces)
             if result.ran or self._protocol.response_id_header:
@@ -495,6 +501,11 @@
         return math.inf
 
 
+def _is_short(response):
+    """Return whether reading a body costs less than a new connection."""
+    return response.length is not None and response.length <= MAX_UNUSED_BYTES
+
+
 def _close_connection(attempt):
     if attempt.connection is not None:
         attempt.connection.close()
