Share the memory of a process among all bodies

Cause: each body and response was bounded by itself, and nothing added up what the process holds. An upload was held up to four times: its parts, their sum, the whole request in one piece, and the rest of that while it was sent.

A body that does not fit is refused at once with 503 and Retry-After; a response for which none is left is streamed and not buffered. The memory is returned when the response has been written, so slow readers count. A body is held once: it grows in place and is sent from there. While a body arrives, other requests get a turn after each 64 KiB (4 KiB of a chunked one). New metrics: lavendermast_entry_body_bytes, lavendermast_entry_memory_refusals_total.

--- a/src/lavendermast/connections.py
+++ b/src/lavendermast/connections.py
@@ -12,6 +12,8 @@
 
 # Monkey patching removes poll from the select module.
 _select = patcher.original("select")
+#: Bytes of a body that are sent with the head, in one packet if they fit.
+FIRST_BODY_BYTES = 65536
 _FIELD_NAME = re.compile(r"[!#$%&'*+.^_`|~0-9A-Za-z-]+")
 _FORBIDDEN = re.compile(r"[\r\n\0]")
 
@@ -31,6 +33,7 @@
         self.keep_alive_s = None  # the server's Keep-Alive timeout, if it sent one
         self.sent = False
         self._pieces = []
+        self._body = memoryview(b"")
 
     def connect(self):
         """Open the socket; the calling code limits the wait with a timeout."""
@@ -54,12 +57,15 @@
         ):
             raise ValueError("malformed header")
         start_line = self._pieces[0][:-2]
-        self._pieces = [start_line, section.encode("latin-1"), b"\r\n", body]
+        self._pieces = [start_line, section.encode("latin-1"), b"\r\n"]
+        self._body = memoryview(body)
 
     def exchange(self):
         """Send the prepared request and return the response after reading its head."""
-        data = b"".join(self._pieces)
+        first, rest = self._body[:FIRST_BODY_BYTES], self._body[FIRST_BODY_BYTES:]
+        data = b"".join([*self._pieces, first])
         self._pieces.clear()
+        self._body = memoryview(b"")
         try:
             count = self.sock.send(data)
         except OSError as error:
@@ -68,6 +74,9 @@
         self.sent = True
         if count < len(data):
             self.sock.sendall(data[count:])
+        if rest:
+            # A slice of a memoryview is no copy.
+            self.sock.sendall(rest)
         # Skips urllib3's getresponse, which wraps the standard response class.
         return super(HTTPConnection, self).getresponse()
 
--- a/src/lavendermast/entry.py
+++ b/src/lavendermast/entry.py
@@ -71,15 +71,17 @@
     :param header_names: a :class:`CallerHeaderNames`.
     :param node: object with ``router``, ``config``, ``leaving`` and ``refusing``.
     :param runner: an :class:`~lavendermast.attempts.AttemptRunner`.
+    :param memory: a :class:`~lavendermast.memory.MemoryBudget` for bodies.
 
     ``in_flight`` counts the requests whose response is not written yet; beyond
     ``max_in_flight`` requests are refused.
     """
 
-    def __init__(self, header_names, node, runner, clock, record_event):
+    def __init__(self, header_names, node, runner, memory, clock, record_event):
         self._header_names = header_names
         self._node = node
         self._runner = runner
+        self._memory = memory
         self._clock = clock
         self._record_event = record_event
         self.in_flight = 0
@@ -92,23 +94,26 @@
         arrived_at = self._clock.monotonic()
         self.in_flight += 1
         self.started_requests += 1
+        reservation = self._memory.open()
+
+        def end_request():
+            self.in_flight -= 1
+            reservation.release()
+
         try:
-            route, reply = self._make_reply(environ, arrived_at)
+            route, reply = self._make_reply(environ, arrived_at, reservation)
             parts = self._send(reply, route, environ, arrived_at, start_response)
         except BaseException:
-            self.in_flight -= 1
+            end_request()
             raise
-        return _ResponseBody(parts, self._end_request)
-
-    def _end_request(self):
-        self.in_flight -= 1
+        return _ResponseBody(parts, end_request)
 
-    def _make_reply(self, environ, arrived_at):
+    def _make_reply(self, environ, arrived_at, reservation):
         """Return the route, ``None`` if there is none, and the reply."""
         route = None
         try:
             route = self._find_route(environ)
-            request = self._read_request(environ, route, arrived_at)
+            request = self._read_request(environ, route, arrived_at, reservation)
             service = self._node.router.choose_service(route)
             caller_cancellation = Cancellation()
             with DisconnectWatcher(
@@ -138,7 +143,7 @@
             raise RequestError(404, "no-route", "no route matches")
         return route
 
-    def _read_request(self, environ, route, arrived_at):
+    def _read_request(self, environ, route, arrived_at, reservation):
         limits = self._node.config.limits
         check_header_size(environ, limits.max_header_bytes)
         left_s = route.timeout_s
@@ -151,12 +156,13 @@
             path=get_raw_path(environ),
             query=environ.get("QUERY_STRING", ""),
             headers=read_headers(environ),
-            body=read_body(environ, limits.max_body_bytes),
+            body=read_body(environ, limits.max_body_bytes, reservation),
             customer="",
             deadline=arrived_at + left_s,
             deadline_unix_ms=0,
             arrived_at=arrived_at,
             idempotent=route.idempotent,
+            reservation=reservation,
         )
 
     def _send(self, reply, route, environ, arrived_at, start_response):
--- a/src/lavendermast/entrymetrics.py
+++ b/src/lavendermast/entrymetrics.py
@@ -152,6 +152,19 @@
         "File descriptors that are open, and how many may be.",
         _count_descriptors,
     )
+    registry.add_gauge(
+        "lavendermast_entry_body_bytes",
+        "Memory of bodies of requests and responses, and its bound.",
+        lambda: [
+            ({"state": "used"}, node.memory.used_bytes),
+            ({"state": "limit"}, node.memory.max_bytes),
+        ],
+    )
+    registry.add_counter(
+        "lavendermast_entry_memory_refusals_total",
+        "Bodies that were refused or not buffered for lack of memory.",
+        lambda: [({}, node.memory.refusals)],
+    )
     registry.add_counter(
         "lavendermast_entry_accept_errors_total",
         "Connections that could not be accepted, by listener.",
--- a/src/lavendermast/entrynode.py
+++ b/src/lavendermast/entrynode.py
@@ -27,6 +27,7 @@
 from lavendermast.listeners import HttpListener
 from lavendermast.logs import EventLog
 from lavendermast.losstracker import LossTracker
+from lavendermast.memory import MemoryBudget
 from lavendermast.notices import ServerNotices
 from lavendermast.peers import PeerNetwork
 from lavendermast.ratelimits import INACTIVE_SHARE, RateLimits
@@ -80,6 +81,7 @@
         self.log = EventLog.from_settings(settings, self.clock)
         record = self.log.record
         self.descriptors = DescriptorBudget.from_settings(settings, record)
+        self.memory = MemoryBudget.from_settings(settings)
         self.config = None
         self.router = None
         self.leaving = False
@@ -175,7 +177,7 @@
             record,
         )
         self.application = EntryApplication(
-            platform.header_names, self, self.runner, self.clock, record
+            platform.header_names, self, self.runner, self.memory, self.clock, record
         )
         self.application.max_in_flight = self.descriptors.requests_in_flight
         self.listeners = {
--- a/src/lavendermast/models.py
+++ b/src/lavendermast/models.py
@@ -145,6 +145,8 @@
     :param used_connections: connections to servers that it was sent on. None is used
         for it again: a second copy of an earlier response would look like that of the
         later attempt, as both have the same identifier.
+    :param reservation: a :class:`~lavendermast.memory.Reservation` for its body and
+        responses; ``None`` sets no bound.
     """
 
     id: str
@@ -160,6 +162,7 @@
     key: str = ""
     idempotent: bool | None = None
     used_connections: list = attrs.field(factory=list, eq=False, repr=False)
+    reservation: object = attrs.field(default=None, eq=False, repr=False)
 
     @functools.cached_property
     def fingerprint(self):
--- a/src/lavendermast/requests.py
+++ b/src/lavendermast/requests.py
@@ -5,6 +5,8 @@
 import re
 import urllib.parse
 
+import eventlet
+
 from lavendermast.exceptions import RequestError
 from lavendermast.models import CallerRequest
 
@@ -17,6 +19,12 @@
 #: ``malformed-key`` if the request is not idempotent.
 MAX_KEY_HEADER_CHARACTERS = 512
 MAX_CUSTOMER_CHARACTERS = 128
+#: Bytes of a body that are read at once, without a turn for other requests.
+READ_BYTES = 65536
+#: The same for a body in chunks, which may be of one byte each.
+CHUNKED_READ_BYTES = 4096
+#: Retry-After of a request whose body does not fit in memory now.
+NO_MEMORY_RETRY_S = 0.5
 _REQUEST_ID = re.compile(r"[A-Za-z0-9._-]{8,64}")
 
 
@@ -113,12 +121,14 @@
     return headers
 
 
-def read_body(environ, limit):
+def read_body(environ, limit, reservation=None):
     """
     Return the complete request body.
 
+    :param reservation: a :class:`~lavendermast.memory.Reservation` for the body, or
+        ``None``.
     :raises RequestError: when the length is invalid, the body exceeds ``limit`` bytes
-        or the body ends early.
+        or the memory that is left, or the body ends early.
     """
     length = environ.get("CONTENT_LENGTH") or None
     chunked = "HTTP_TRANSFER_ENCODING" in environ
@@ -128,24 +138,52 @@
         return b""
     if length is not None and int(length) > limit:
         raise RequestError(413, "body-too-large", f"{length} bytes of {limit}")
-    read_size = limit + 1 if length is None else int(length)
-    body = _read_up_to(environ["wsgi.input"], read_size)
-    if len(body) > limit:
-        raise RequestError(413, "body-too-large", f"more than {limit} bytes")
-    if length is not None and len(body) < read_size:
+    if length is None:
+        return _read_chunks(environ["wsgi.input"], limit, reservation)
+    return _read_exactly(environ["wsgi.input"], int(length), reservation)
+
+
+def _read_exactly(stream, length, reservation):
+    _reserve(reservation, length)
+    if length <= READ_BYTES:
+        body = _read(stream, length)
+    else:
+        body = bytearray()
+        while len(body) < length:
+            piece = _read(stream, min(length - len(body), READ_BYTES))
+            if not piece:
+                break
+            body += piece
+            # A read that finds data does not yield to other requests.
+            eventlet.sleep(0)
+    if len(body) < length:
         raise RequestError(400, "body-cut", f"{len(body)} bytes of {length}")
     return body
 
 
-def _read_up_to(stream, remaining):
-    parts = []
+def _read_chunks(stream, limit, reservation):
+    body = bytearray()
+    while piece := _read(stream, CHUNKED_READ_BYTES):
+        if len(body) + len(piece) > limit:
+            raise RequestError(413, "body-too-large", f"more than {limit} bytes")
+        _reserve(reservation, len(piece))
+        body += piece
+        eventlet.sleep(0)
+    return body
+
+
+def _reserve(reservation, count):
+    if reservation is not None and not reservation.grow(count):
+        raise RequestError(
+            503, "no-memory", f"{count} bytes", retry_after=NO_MEMORY_RETRY_S
+        )
+
+
+def _read(stream, count):
     try:
-        while remaining > 0 and (part := stream.read(remaining)):
-            parts.append(part)
-            remaining -= len(part)
+        return stream.read(count)
     except (OSError, ValueError, http.client.HTTPException) as error:
         raise RequestError(400, "body-cut", str(error)) from error
-    return b"".join(parts)
 
 
 def get_raw_path(environ):
--- a/src/lavendermast/settings_model.py
+++ b/src/lavendermast/settings_model.py
@@ -157,6 +157,7 @@
     :param cpu_share: Share of a core that this process may use.
     :param cpu_speed: Speed of that core, relative to a core of usual speed.
     :param max_descriptors: File descriptors that this process may have open; 0 for the limit that the system sets.
+    :param max_memory_mb: Memory in MB that this process may use; 0 for 200 MB.
     :param grace_s: Seconds between SIGTERM and SIGKILL.
     :param caller_hold_s: Seconds for which callers cache an address response.
     :param lapse_s: Seconds after the store recovers for which servers whose entries were deleted during the outage are still used.
@@ -180,6 +181,7 @@
     cpu_share: float
     cpu_speed: float
     max_descriptors: int
+    max_memory_mb: float
     grace_s: float
     caller_hold_s: float
     lapse_s: float
@@ -206,6 +208,7 @@
             cpu_share=data.get("cpu_share", 1),
             cpu_speed=data.get("cpu_speed", 1),
             max_descriptors=data.get("max_descriptors", 0),
+            max_memory_mb=data.get("max_memory_mb", 0),
             grace_s=data.get("grace_s", 6),
             caller_hold_s=data.get("caller_hold_s", 1),
             lapse_s=data.get("lapse_s", 2),
--- a/src/lavendermast/upstream.py
+++ b/src/lavendermast/upstream.py
@@ -185,7 +185,8 @@
     """
     Sends requests to backend servers over pooled connections.
 
-    :param buffer_bytes: longest body that is buffered; a longer one is streamed.
+    :param buffer_bytes: longest body that is buffered; a longer one is streamed, and so
+        is one for which no memory is left.
     :param max_idle_connections: mapping of service to the maximum number of idle
         connections per server.
     :param protocol: the :class:`~lavendermast.serverprotocol.ServerProtocol` to use.
@@ -377,7 +378,7 @@
                 continue
             finally:
                 request.used_connections.append(attempt.connection)
-            return self._read_response(attempt, response)
+            return self._read_response(attempt, response, request.reservation)
 
     def _acquire_connection(self, attempt, request):
         now = self._clock.monotonic()
@@ -425,7 +426,7 @@
                 raise
             raise ShortageError(str(second_error)) from second_error
 
-    def _read_response(self, attempt, response):
+    def _read_response(self, attempt, response, reservation):
         pieces = collections.deque()
         size = 0
         result = AttemptResult(attempt.server.name, AttemptStatus.OK)
@@ -441,7 +442,8 @@
             while piece := response.read_piece():
                 pieces.append(piece)
                 size += len(piece)
-                if size > self._buffer_bytes:
+                has_memory = reservation is None or reservation.grow(len(piece))
+                if size > self._buffer_bytes or not has_memory:
                     result.stream = BodyStream(self, attempt, response, pieces)
                     break
         if result.stream is None:
--- a/tests/test_entry_application.py
+++ b/tests/test_entry_application.py
@@ -11,6 +11,7 @@
 from lavendermast.entrymodel import EntryRoute, RequestKind, SplitPart
 from lavendermast.exceptions import TruncatedResponseError
 from lavendermast.listeners import HttpListener
+from lavendermast.memory import MemoryBudget
 from lavendermast.models import Outcome, Reply
 
 ROUTE = EntryRoute("r", "h", "/", (SplitPart("stock"),), RequestKind.DOWNLOAD, 9.0, 2.0)
@@ -53,8 +54,14 @@
         runner = types.SimpleNamespace(
             run=lambda *_: Reply(Outcome.ANSWERED, "ok", 200, **reply)
         )
+        memory = MemoryBudget(100_000_000)
         application = EntryApplication(
-            NAMES, node, runner, SystemClock(), lambda event, **fields: None
+            NAMES,
+            node,
+            runner,
+            memory,
+            SystemClock(),
+            lambda event, **fields: None,
         )
         listeners.append(HttpListener("127.0.0.1:0", application))
         listeners[-1].start()
