Simulate a store that takes calls silently and never answers them

The simulated store refused connections or answered late; a call that is lost although the outage ends was not among its faults.

Nothing had to be changed for it.

--- a/bench/propagation.py
+++ b/bench/propagation.py
@@ -27,6 +27,8 @@
 #: Time before the first fault, in two parts, and after the last one.
 CALM_S = 5.0
 QUIET_END_S = 8.0
+#: Longest durations of a silence of the store, from less than a call takes.
+SILENCES_S = (0.2, 0.6, 1.2, 3.3, 8.0)
 
 
 class Faults:
@@ -63,6 +65,22 @@
             vm.touch()
         self._record("store_cut ends", vms)
 
+    def do_store_silent(self):
+        """Let the store be silent to all VMs, with changes as it ends."""
+        store = self._fleet.store
+        if store.silent:
+            return
+        vms = list(self._fleet.vms.values())
+        self._record("store_silent", vms[:0])
+        store.silent = True
+        self._clock.sleep(self._rng.choice(SILENCES_S) * self._rng.uniform(0.5, 1.0))
+        store.silent = False
+        for vm in vms:
+            vm.touch()
+        self._record("store_silent ends", vms[:0])
+        self._clock.sleep(self._rng.uniform(0.0, 0.3))
+        store.put()
+
     def do_links_cut(self):
         """Cut VMs off from some or all others, in one or both directions."""
         vms = self._fleet.choose(self._rng)
@@ -128,17 +146,18 @@
     return findings
 
 
-def run_seed(seed, seconds=60.0, series=3, kinds=None):
+def run_seed(seed, seconds=60.0, series=3, kinds=None, fleet_size=None):
     """
     Run one seed in a thread of its own and return fleet and findings.
 
     :param kinds: names of the faults to inject; all without it.
+    :param fleet_size: zones, as a text of their names, and VMs per zone.
     """
     result = []
 
     def run():
         hubs.use_hub(VirtualHub)
-        result.append(_run(seed, seconds, series, kinds))
+        result.append(_run(seed, seconds, series, kinds, fleet_size or ()))
 
     thread = patcher.original("threading").Thread(target=run)
     thread.start()
@@ -146,8 +165,8 @@
     return result[0]
 
 
-def _run(seed, seconds, series, kinds):
-    fleet = SimulatedFleet()
+def _run(seed, seconds, series, kinds, fleet_size):
+    fleet = SimulatedFleet(*fleet_size)
     clock = VirtualClock()
     fleet.store.put()
     rng = random.Random(f"{seed}/starts")
@@ -184,11 +203,18 @@
     parser.add_argument("--seeds", type=int, nargs=2, default=(1, 10))
     parser.add_argument("--seconds", type=float, default=60.0)
     parser.add_argument("--kinds", nargs="*", help="faults to inject, all by default")
+    parser.add_argument("--zones", default="abcdef", help="names of the zones")
+    parser.add_argument("--vms", type=int, default=7, help="VMs per zone")
     parser.add_argument("--events", action="store_true", help="print all events")
     options = parser.parse_args()
     failed = 0
     for seed in range(options.seeds[0], options.seeds[1] + 1):
-        fleet, findings = run_seed(seed, options.seconds, kinds=options.kinds)
+        fleet, findings = run_seed(
+            seed,
+            options.seconds,
+            kinds=options.kinds,
+            fleet_size=(options.zones, options.vms),
+        )
         failed += bool(findings)
         print(
             f"seed {seed}: {len(findings)} findings, {fleet.calm_calls} store calls in "
--- a/bench/simulatedfleet.py
+++ b/bench/simulatedfleet.py
@@ -69,11 +69,12 @@
 
 
 class Store:
-    """Versions of one document, and the VMs that do not reach it."""
+    """Versions of one document; while ``silent``, calls are never answered."""
 
     def __init__(self):
         self.acked_at = []
         self.changed = Event()
+        self.silent = False
 
     @property
     def revision(self):
@@ -96,7 +97,11 @@
 
 
 class SimulatedSource(DocumentSource):
-    """The store as one VM sees it; responses are lost silently while it is cut off."""
+    """
+    The store as one VM sees it; responses are lost silently while it is cut off.
+
+    A call that is made while the store is silent is lost even if the silence ends.
+    """
 
     def __init__(self, store, vm):
         self._store, self._vm = store, vm
@@ -105,27 +110,31 @@
 
     def read_all(self):
         """Return the newest version."""
-        self._call()
+        self._call(READ_TIMEOUT_S)
         return self._receive(0, True)
 
     def watch(self, revision, wait_s):
         """Return the newest version once there is one after a revision."""
-        self._call()
+        self._call(wait_s + READ_TIMEOUT_S)
         deadline = self._vm.clock.monotonic() + wait_s
         changed = self._store.changed
         if self._store.revision <= revision:
             with eventlet.Timeout(deadline - self._vm.clock.monotonic(), False):
                 changed.wait()
-        if self._vm.store_cut:
+        if self._vm.store_cut or self._store.silent:
             eventlet.sleep(deadline + READ_TIMEOUT_S - self._vm.clock.monotonic())
             self._vm.wait_thawed()
             raise StoreError("no response")
         return self._receive(revision, False)
 
-    def _call(self):
+    def _call(self, timeout_s):
         self.calls += 1
         eventlet.sleep(STORE_DELAY_S)
         self._vm.wait_thawed()
+        if self._store.silent:
+            eventlet.sleep(timeout_s)
+            self._vm.wait_thawed()
+            raise StoreError("no response")
         if self._vm.store_cut:
             eventlet.sleep(CONNECT_TIMEOUT_S)
             self._vm.wait_thawed()
@@ -269,7 +278,8 @@
     def is_in_contact(self):
         """Return whether the VM ran and reached the store for ``CONTACT_TIMEOUT_S``."""
         calm = self.clock.monotonic() - self.disturbed_at >= CONTACT_TIMEOUT_S
-        return calm and self.running and not self.store_cut and self.frozen is None
+        reaches_store = not (self.store_cut or self.fleet_links.store.silent)
+        return calm and self.running and reaches_store and self.frozen is None
 
 
 @attrs.define
--- a/tests/test_store_responses.py
+++ b/tests/test_store_responses.py
@@ -48,3 +48,30 @@
     monkeypatch.setattr(store, "MAX_RESPONSE_BYTES", 1024 * 1024)
     with eventlet.Timeout(20), pytest.raises(StoreError):
         MetadataStore(serve(head, write)).read_all()
+
+
+def test_call_that_is_never_answered_ends_and_the_next_one_is_answered():
+    """
+    Guards against a reader that a call made in a silence of the store holds.
+
+    The connection of that call stays silent for good, while new ones work.
+    """
+    calls = []
+
+    def serve_after_silence():
+        while True:
+            peer, _ = listener.accept()
+            calls.append(peer)
+            if len(calls) > 1:
+                peer.recv(65536)
+                body = b'{"items": [], "at_rev": 7}'
+                head = f"HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n\r\n"
+                peer.sendall(head.encode() + body)
+
+    listener = eventlet.listen(("127.0.0.1", 0))
+    eventlet.spawn(serve_after_silence)
+    client = MetadataStore("{}:{}".format(*listener.getsockname()))
+    with eventlet.Timeout(store.READ_TIMEOUT_S + 0.5), pytest.raises(StoreError):
+        client.read_all()
+    with eventlet.Timeout(0.5):
+        assert client.read_all().to_revision == 7
