Refuse requests whose framing is unclear

Cause: the HTTP library decodes chunks only if the header is exactly "chunked", takes the first of several lengths, and keeps a field name with a space as another name, while read_body takes any Transfer-Encoding for chunks. Where the two differ, the body is empty and the connection goes on at its first byte. Its reader of chunks also takes signs and prefixes of numbers, and drops what follows a chunk's data.

Change: one rule for all framing, applied when the head has been read: at most one length of digits or one "chunked" of HTTP/1.1, and well-formed fields. All else is answered 400, or 501 for another coding, and the connection is closed. The lines between chunks are checked while the library reads them, and after an error no further request is read from the connection.

--- a/src/lavendermast/listeners.py
+++ b/src/lavendermast/listeners.py
@@ -8,6 +8,7 @@
 import eventlet.wsgi
 
 from lavendermast.callerconnections import CallerConnections
+from lavendermast.callerframing import ChunkReader, find_framing_error
 from lavendermast.clock import SystemClock
 from lavendermast.descriptors import is_shortage
 from lavendermast.utils import parse_address
@@ -22,9 +23,7 @@
 #: Time in which closed connections release their descriptors.
 RELEASE_PAUSE_S = 0.005
 
-_HEAD_TIMEOUT_RESPONSE = (
-    b"HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
-)
+_REFUSAL = b"HTTP/1.1 %s\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
 
 
 def discard_event(event, **fields):
@@ -91,8 +90,7 @@
         except eventlet.Timeout as timeout:
             if timeout is not self._head_timeout:
                 raise
-            self.wfile.write(_HEAD_TIMEOUT_RESPONSE)
-            self.close_connection = True
+            self._refuse("408 Request Timeout")
         finally:
             self._cancel_head_timeout()
 
@@ -102,16 +100,24 @@
         self.rfile = reader = _HeadReader(self.rfile)
         if not super().parse_request():
             return False
-        if reader.last_line in (b"\r\n", b"\n"):
-            return True
-        self.close_connection = True
-        return False
+        if reader.last_line not in (b"\r\n", b"\n"):
+            self.close_connection = True
+            return False
+        refusal = find_framing_error(self.request_version, self.headers)
+        if refusal is not None:
+            self._refuse(refusal)
+        return refusal is None
 
     def handle_one_response(self):
         """Answer a request whose head was read."""
         self._cancel_head_timeout()
         super().handle_one_response()
 
+    def _refuse(self, status):
+        """Answer a request that cannot be read, and close its connection."""
+        self.wfile.write(_REFUSAL % status.encode())
+        self.close_connection = True
+
     def _cancel_head_timeout(self):
         if self._head_timeout is not None:
             self._head_timeout.cancel()
@@ -120,6 +126,9 @@
         """Return the WSGI environment of a request."""
         environ = super().get_environ()
         environ["SERVER_PROTOCOL"] = self.request_version
+        body = environ["eventlet.input"]
+        if body.chunked_input:
+            body.rfile = ChunkReader(body.rfile)
         return environ
 
 
--- a/tests/test_caller_requests.py
+++ b/tests/test_caller_requests.py
@@ -112,3 +112,85 @@
     assert not reservation.grow(10)
     reservation.release()
     assert budget.used_bytes == 0
+
+
+SMUGGLED = b"POST /smuggled HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n"
+LENGTH = b"Content-Length: %d\r\n" % len(SMUGGLED)
+CHUNKED = b"Transfer-Encoding: chunked\r\n"
+CHUNKS = b"%x\r\n%s\r\n0\r\n\r\n" % (len(SMUGGLED), SMUGGLED)
+
+
+def frame(framing, body):
+    return b"POST /book/1 HTTP/1.1\r\nHost: h\r\n" + framing + b"\r\n" + body
+
+
+@pytest.mark.parametrize(
+    ("framing", "body", "status"),
+    [
+        (b"Transfer-Encoding: gzip, chunked\r\n", CHUNKS, 501),
+        (b"Transfer-Encoding: identity\r\n", SMUGGLED, 501),
+        (b"Transfer-Encoding: xchunked\r\n", CHUNKS, 501),
+        (CHUNKED + CHUNKED, CHUNKS, 400),
+        (CHUNKED + LENGTH, CHUNKS, 400),
+        (b"Content-Length: 0\r\n" + LENGTH, SMUGGLED, 400),
+        (LENGTH + LENGTH, SMUGGLED, 400),
+        (LENGTH.replace(b": ", b": +"), SMUGGLED, 400),
+        (LENGTH.replace(b":", b" :"), SMUGGLED, 400),
+        (b"No colon\r\n" + LENGTH, SMUGGLED, 400),
+        (b"A: b\r\n " + LENGTH, SMUGGLED, 400),
+        (b"A: b\rc\r\n" + LENGTH, SMUGGLED, 400),
+    ],
+)
+def test_request_with_unclear_framing_is_refused(listener, framing, body, status):
+    """
+    Guards against a body that is lost, or run as a request that nobody sent (UNASKED).
+    """
+    received = exchange(listener, frame(framing, body))
+    assert listener.runs == []
+    assert received.startswith(b"HTTP/1.1 %d " % status)
+    assert received.count(b"HTTP/1.1") == 1
+
+
+@pytest.mark.parametrize("framing", [LENGTH, CHUNKED, CHUNKED.lower()])
+def test_request_with_clear_framing_is_run_once(listener, framing):
+    """Guards against a refusal of sound framing."""
+    body = SMUGGLED if framing is LENGTH else CHUNKS
+    received = exchange(listener, frame(framing, body) + frame(b"", b""))
+    assert listener.runs == [("POST", "/book/1")] * 2
+    assert received.count(b"HTTP/1.1 200") == 2
+
+
+@pytest.mark.parametrize(
+    "body",
+    [
+        b"+3\r\nabc\r\n0\r\n\r\n",
+        b"-3\r\nabc\r\n0\r\n\r\n",
+        b"0x3\r\nabc\r\n0\r\n\r\n",
+        b"3\r\nabcXX\r\n0\r\n\r\n",
+        b"3\nabc\r\n0\r\n\r\n",
+        b"3\r\nabc\r\n\r\n0\r\n\r\n",
+        b"3\r\nabc\r\n0\r\nA: b\n\r\n",
+        b"3\r\nab",
+        b"",
+    ],
+)
+def test_malformed_chunks_are_never_a_body(body):
+    """Guards against chunks that the library reads in another way than the caller."""
+    bodies = []
+
+    def application(environ, start_response):
+        try:
+            bodies.append(read_body(environ, 100))
+        except RequestError as error:
+            start_response(f"{error.status} -", [("Content-Length", "0")])
+            return [b""]
+        start_response("200 OK", [("Content-Length", "0")])
+        return [b""]
+
+    strict = HttpListener("127.0.0.1:0", application)
+    strict.start()
+    received = exchange(strict, frame(CHUNKED, body) + frame(b"", b""))
+    strict.stop_accepting()
+    assert bodies == []
+    assert received.startswith(b"HTTP/1.1 400 ")
+    assert received.count(b"HTTP/1.1") == 1
