Keep requests that crash servers known while VMs restart

Cause: only the first active VM of a region repeated what is held, and a VM that has restarted is the first again at once, knowing nothing. A VM that starts did not ask, and regions did not tell each other.

Change: what is held is repeated by the two active VMs of a region that have run for longest. A VM that has become active asks them, and one VM of each other region, four times within 2 s; who holds requests answers. The message CrashReports has the new field heldWanted, which older builds ignore.

--- a/src/lavendermast/crashsharing.py
+++ b/src/lavendermast/crashsharing.py
@@ -11,8 +11,14 @@
 CRASH_CHECK_DELAY_S = 0.03
 #: Each report is sent twice, since datagrams may be lost.
 COPY_DELAY_S = 0.25
-#: VMs that have become active hear of held requests within this time.
+#: Interval at which held requests are repeated to the active VMs of the region.
 HELD_INTERVAL_S = 2.0
+#: A VM that has become active asks others this many times which requests are held: it
+#: may not know all VMs yet, and datagrams may be lost.
+ASKS = 4
+ASK_INTERVAL_S = 0.5
+#: VMs of the region that are asked, and of which each repeats what is held.
+KEEPERS = 2
 #: Each suspect takes up to 60 of the 1,400 bytes of a datagram.
 MAX_SUSPECTS_PER_DATAGRAM = 20
 
@@ -25,6 +31,9 @@
     all others too and accepts no new one. Resets of single connections, errors and
     timeouts are none.
 
+    A VM that has started knows of no held request. The active VMs that have run for
+    longest, its region's keepers, tell it.
+
     :param tracker: the :class:`~lavendermast.crashes.CrashTracker`.
     :param sharing: an :class:`~lavendermast.evidencesharing.EvidenceSharing`, which
         knows the VMs of the regions.
@@ -39,22 +48,50 @@
         self._clock = clock
         self._record_event = record_event
         self._checks = {}
+        self._was_active = False
+        self._asks_left = 0
+        self._next_repeat = 0.0
         self.crashes = 0
         network.register(CrashReports, self._handle_reports)
 
     def run(self):
-        """Repeat what is held while this VM represents its region."""
+        """Ask what is held once this VM is active, and repeat it as a keeper."""
         while True:
-            self._clock.sleep(HELD_INTERVAL_S)
-            self._tracker.expire()
-            held = self._tracker.find_held()
-            if held and self._sharing.is_representative():
-                suspects = [
-                    _make_suspect(run, fingerprint)
-                    for fingerprint, runs in held
-                    for run in runs
-                ]
-                self._send(self._sharing.get_region_addresses(), suspects, False)
+            self._clock.sleep(ASK_INTERVAL_S)
+            self.advance()
+
+    def advance(self):
+        """Ask and repeat what is due."""
+        self._tracker.expire()
+        self._ask_after_activation()
+        now = self._clock.monotonic()
+        if now < self._next_repeat:
+            return
+        self._next_repeat = now + HELD_INTERVAL_S
+        held = self._make_held_suspects()
+        if held and self._sharing.is_keeper(KEEPERS):
+            self._send(self._sharing.get_region_addresses(), held, False)
+
+    def _ask_after_activation(self):
+        is_active = self._sharing.is_active()
+        if is_active and not self._was_active:
+            self._asks_left = ASKS
+        self._was_active = is_active
+        if not (is_active and self._asks_left):
+            return
+        self._asks_left -= 1
+        addresses = [
+            *self._sharing.get_keeper_addresses(KEEPERS),
+            *self._sharing.get_representative_addresses(),
+        ]
+        self._network.broadcast(addresses, CrashReports(held_wanted=True))
+
+    def _make_held_suspects(self):
+        return [
+            _make_suspect(run, fingerprint)
+            for fingerprint, runs in self._tracker.find_held()
+            for run in runs
+        ]
 
     def get_hold_s(self, request):
         """Return the seconds for which a request is still held, 0 if it is not."""
@@ -127,6 +164,8 @@
 
     def _handle_reports(self, envelope, address):
         message = envelope.body
+        if message.held_wanted:
+            self._send([address], self._make_held_suspects(), False)
         for suspect in message.suspects:
             if suspect.cleared:
                 self._tracker.clear(suspect.fingerprint)
--- a/src/lavendermast/evidencesharing.py
+++ b/src/lavendermast/evidencesharing.py
@@ -110,6 +110,26 @@
                 return active[0]
         return None
 
+    def is_active(self):
+        """Return whether callers are directed to this VM."""
+        return self._fleet.local_vm in self._fleet.get_active(self._settings.zone)
+
+    def is_keeper(self, count):
+        """Return whether this VM is one of the longest running ones of its region."""
+        return self._fleet.local_vm in self._find_longest_running()[:count]
+
+    def get_keeper_addresses(self, count):
+        """Return the addresses of the longest running active VMs but this one."""
+        vms = self._find_longest_running()
+        others = [vm for vm in vms if vm is not self._fleet.local_vm]
+        return [vm.peer_address for vm in others[:count]]
+
+    def _find_longest_running(self):
+        """Return the active VMs of this region by the time of their start."""
+        zones = self._get_zones(self._settings.region)
+        vms = [vm for zone in zones for vm in self._fleet.get_active(zone)]
+        return sorted(vms, key=lambda vm: (vm.boot_id, vm.vm))
+
     def get_representative_addresses(self):
         """Return the peer addresses of the representatives of all other regions."""
         representatives = [
--- a/src/lavendermast/messages_model.py
+++ b/src/lavendermast/messages_model.py
@@ -728,12 +728,14 @@
 
     suspects: tuple[CrashSuspect, ...] = ()
     relay_wanted: bool = False
+    held_wanted: bool = False
 
     def to_dict(self):
         """Return the fields as pycapnp accepts them."""
         return {
             "suspects": [item.to_dict() for item in self.suspects],
             "relayWanted": self.relay_wanted,
+            "heldWanted": self.held_wanted,
         }
 
     @classmethod
@@ -742,6 +744,7 @@
         return cls(
             suspects=tuple(CrashSuspect.from_reader(item) for item in reader.suspects),
             relay_wanted=reader.relayWanted,
+            held_wanted=reader.heldWanted,
         )
 
 
--- a/src/lavendermast/schema/messages.capnp
+++ b/src/lavendermast/schema/messages.capnp
@@ -227,10 +227,12 @@
   cleared @3 :Bool;
 }
 
-# The receiver passes it on to its region when relayWanted is set.
+# The receiver passes it on to its region when relayWanted is set, and answers with the
+# requests that it holds when heldWanted is set.
 struct CrashReports {
   suspects @0 :List(CrashSuspect);
   relayWanted @1 :Bool;
+  heldWanted @2 :Bool;
 }
 
 # One document of the store as it was written.
