--- a/src/lavendermast/retries.py
+++ b/src/lavendermast/retries.py
@@ -32,6 +32,13 @@
     AttemptStatus.SHORTAGE: 503,
 }
 
+#: Statuses after which no attempt at any server can succeed.
+_FINAL_STATUSES = {
+    AttemptStatus.CANCELLED,
+    AttemptStatus.EXPIRED,
+    AttemptStatus.SHORTAGE,
+}
+
 
 class RetryBudget:
     """
@@ -230,7 +237,7 @@
         """
         if bytes_sent:
             return "answer-begun"
-        if result.status in (AttemptStatus.CANCELLED, AttemptStatus.EXPIRED):
+        if result.status in _FINAL_STATUSES:
             return result.status.value
         if not context.idempotent and ran:
             return "may-have-run"
--- a/tests/test_retries.py
+++ b/tests/test_retries.py
@@ -26,6 +26,7 @@
 timeout         retry         stop          stop          unknown   504
 cut             retry         stop          stop          unknown   502
 expired         stop          stop          stop          not-run   503
+shortage        stop          stop          stop          not-run   503
 cancelled       stop          stop          stop          unknown   499
 """
 ROWS = [line.split() for line in TABLE.split("\n")[2:-1]]
