End a server's departure with its restart in the soak

Cause: the stand-in went on saying that it leaves after its restart, and the check knew no restarts of servers.

Change: a restart ends what the server says. The check takes each departure by itself, from its start to the server's restart, so a server that says it again is checked again; before, only the first departure of a name was.

--- a/bench/soakworld.py
+++ b/bench/soakworld.py
@@ -249,6 +249,9 @@
         server.proxy.go_down(self._random.uniform(*RESTART_S))
         server.is_down = False
         server.born += 1
+        # A server that starts again knows nothing of before.
+        server.leaving = False
+        self._account.end_departure(server.name)
         if server.name in self.servers:
             self._register_server(server, server.state)
         return server.name
@@ -257,7 +260,7 @@
         """Let a server say that it is leaving while its entry says that it is ready."""
         if server.name not in self.servers or server.name in self._account.drains:
             return "already leaving"
-        self._account.departures.setdefault(server.name, time.monotonic())
+        self._account.begin_departure(server.name)
         server.leaving = True
         eventlet.sleep(seconds)
         return self.replace_server(server)
