Share the retry slack among active and inactive VMs

Cause: the slack was divided by the active VMs, but each VM that gets requests has that part, and 41 of 44 made retries in one window. A budget began full, however small its part, and a reload of the settings filled all budgets again.

Change: inactive VMs share a tenth of the slack, active ones the rest (retries.compute_slack_share). A budget begins with half of its part and a reload changes its limits only.

--- a/src/lavendermast/entrynode.py
+++ b/src/lavendermast/entrynode.py
@@ -31,7 +31,7 @@
 from lavendermast.notices import ServerNotices
 from lavendermast.peers import PeerNetwork
 from lavendermast.ratelimits import INACTIVE_SHARE, RateLimits
-from lavendermast.retries import WindowedRetryBudget
+from lavendermast.retries import WindowedRetryBudget, compute_slack_share
 from lavendermast.selection import ServerSelector
 from lavendermast.settings import load_entry_settings
 from lavendermast.tasks import run_until_done
@@ -252,8 +252,8 @@
         ``seeds``, ``floor_share``, ``retry_share``, ``retry_slack``,
         ``retry_window_s``, ``grace_s`` and ``caller_hold_s`` take effect at once, and
         so does the port of ``caller_address`` in directory responses. All other
-        settings, also the listeners' addresses, take effect only after a restart. The
-        retry budgets start again at their capacity.
+        settings, also the listeners' addresses, take effect only after a restart. What
+        is left of the retry budgets stays.
         """
         try:
             settings = load_entry_settings(path)
@@ -263,7 +263,7 @@
         self.settings = settings
         self.fleet.seeds = settings.seeds
         self._loss_tracker.floor_share = settings.floor_share
-        self._budgets.clear()
+        self._update_budgets()
         self.log.record(
             "reloaded",
             seeds=",".join(settings.seeds),
@@ -323,21 +323,27 @@
     def _get_budget(self, service):
         budget = self._budgets.get(service)
         if budget is None:
-            settings = self.settings
             budget = self._budgets[service] = WindowedRetryBudget(
-                settings.retry_share * RETRY_BUDGET_SHARE,
-                self._compute_slack(),
-                settings.retry_window_s,
-                self.clock,
+                *self._compute_budget_limits(), self.clock
             )
         return budget
 
-    def _compute_slack(self):
-        """Return this VM's part of ``retry_slack``, which all active VMs share."""
+    def _compute_budget_limits(self):
+        """Return share, slack and window of this VM's retry budgets."""
+        settings = self.settings
+        return (
+            settings.retry_share * RETRY_BUDGET_SHARE,
+            settings.retry_slack * RETRY_BUDGET_SHARE * self._compute_slack_share(),
+            settings.retry_window_s,
+        )
+
+    def _compute_slack_share(self):
+        """Return this VM's part of ``retry_slack``."""
         active = sum(len(self.fleet.get_active(zone)) for zone in self._regions)
         # A zone whose VMs are not known yet counts with the minimum of active VMs.
         active = max(active, len(self._regions) * MIN_ACTIVE_VMS)
-        return self.settings.retry_slack * RETRY_BUDGET_SHARE / active
+        inactive = self.fleet.count_inactive() * len(self._regions)
+        return compute_slack_share(active, inactive)
 
     def _make_directory_body(self, query):
         region, zone = self.platform.read_query(query)
@@ -379,10 +385,10 @@
             self._rate_share = self._compute_rate_share()
 
     def _update_budgets(self):
-        """Adjust the retry budgets to the current number of active VMs."""
-        slack = self._compute_slack()
+        """Adjust the retry budgets to the settings and the number of active VMs."""
+        limits = self._compute_budget_limits()
         for budget in self._budgets.values():
-            budget.set_slack(slack)
+            budget.set_limits(*limits)
 
     def _record_error(self, error):
         self.log.record("peer_error", detail=f"{type(error).__name__}: {error}")
--- a/src/lavendermast/retries.py
+++ b/src/lavendermast/retries.py
@@ -16,6 +16,9 @@
 #: the refusals in a load spike late.
 SHED_RESPONSE_TIME_S = 0.022
 
+#: Share of the fleet's slack for retries that all inactive VMs use together.
+INACTIVE_SLACK_SHARE = 0.1
+
 _UNIT = 1_000_000  # budget of one retry; integers keep the bound exact
 
 #: HTTP status returned to the caller for attempts without a usable response.
@@ -82,6 +85,24 @@
         return True
 
 
+def compute_slack_share(active, inactive):
+    """
+    Return one VM's part of the fleet's slack.
+
+    All inactive VMs share a small part of it, since callers' requests still reach them;
+    the active ones share the rest.
+
+    :param active: number of active VMs of the fleet.
+    :param inactive: number of inactive VMs for one of them, 0 for an active VM.
+
+    >>> compute_slack_share(9, 0), compute_slack_share(9, 20)
+    (0.1, 0.005)
+    """
+    if inactive:
+        return INACTIVE_SLACK_SHARE / inactive
+    return (1 - INACTIVE_SLACK_SHARE) / active
+
+
 class WindowedRetryBudget:
     """
     One VM's part of the retries and hedges that a fleet may make in any window.
@@ -103,17 +124,18 @@
     """
 
     def __init__(self, share, slack, window_s, clock):
-        self._share = share
-        self._window_s = window_s
         self._clock = clock
-        self.set_slack(slack)
-        self._left = self._capacity
+        # With a small part of the slack, the first attempt has to be saved up.
+        self._left = slack / 2
         self._refilled_at = clock.monotonic()
+        self.set_limits(share, slack, window_s)
 
-    def set_slack(self, slack):
-        """Set this VM's part of the fleet's slack."""
+    def set_limits(self, share, slack, window_s):
+        """Set this VM's part of the fleet's limits; what is left is not refilled."""
+        self._share = share
         self._capacity = max(slack / 2, 1.0)
-        self._rate = slack / 2 / self._window_s
+        self._rate = slack / 2 / window_s
+        self._left = min(self._left, self._capacity)
 
     def add_request(self):
         """Count a request of a caller; retries are not counted."""
--- a/tests/test_retries.py
+++ b/tests/test_retries.py
@@ -12,6 +12,8 @@
     RetryBudget,
     RetryContext,
     RetryPolicy,
+    WindowedRetryBudget,
+    compute_slack_share,
 )
 
 # For each status of a first attempt and kind of request: whether it is retried, and the
@@ -110,3 +112,28 @@
     assert [budget.spend() for _ in range(MAX_SAVED_RETRIES + 1)] == [
         True
     ] * MAX_SAVED_RETRIES + [False]
+
+
+@pytest.mark.parametrize("reloads", [False, True])
+def test_budgets_of_active_and_inactive_vms_stay_within_the_slack_of_the_fleet(reloads):
+    """
+    Guards against retries beyond the fleet's budget (BUDGET).
+
+    Callers' requests also reach VMs that are not active, and each VM retries as much as
+    it may. The settings are reloaded while the window lasts.
+    """
+    slack, window_s, active, inactive = 60.0, 10.0, 12, 32
+    clock = ManualClock(100.0)
+    limits = [
+        (0.0, slack * compute_slack_share(active, count), window_s)
+        for count in [0] * active + [inactive] * inactive
+    ]
+    budgets = [WindowedRetryBudget(*each, clock) for each in limits]
+    retries = 0
+    for _ in range(100):
+        for budget, each in zip(budgets, limits, strict=True):
+            if reloads:
+                budget.set_limits(*each)
+            retries += budget.spend()
+        clock.advance(window_s / 100)
+    assert retries <= slack
