--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -310,13 +310,18 @@
     assert (reply.status, reply.body) == (500, b"whole")
 
 
-def test_exhausted_budget_stops_retries():
-    """Guards against a retry storm, and against a denied retry that is not logged."""
+@pytest.mark.parametrize(("slack", "sent"), [(0, 1), (2, 2)])
+def test_exhausted_budget_stops_retries(slack, sent):
+    """
+    Guards against a retry storm, and against a denied retry that is not logged.
+
+    Half of the slack is there at the start.
+    """
     reply, upstream, events, _ = run(
-        [(0.02, CUT), (0.02, CUT), (0.0, OK)], make_route(max_attempts=3), slack=0
+        [(0.02, CUT), (0.02, CUT), (0.0, OK)], make_route(max_attempts=3), slack=slack
     )
     assert reply.status == 502
-    assert len(upstream.sent) == 2
+    assert len(upstream.sent) == sent
     denied = [fields for event, fields in events if event == "attempt_denied"]
     assert [(item["reason"], item["cause"]) for item in denied] == [("retry", "budget")]
 
