Split the reading of callers' requests from the listeners; log shortages once a second

callerprotocol holds what reads requests on a connection, listeners what accepts connections. A lack of descriptors that lasts wrote a line for each failed call; it writes one a second, with the number closed so far.

--- a/src/lavendermast/descriptors.py
+++ b/src/lavendermast/descriptors.py
@@ -16,6 +16,8 @@
 MIN_CONNECTIONS = 4
 #: Connections that are closed at once when no descriptor is free.
 CLOSED_AT_ONCE = 8
+#: A lack of descriptors is logged once in this time.
+LOG_INTERVAL_S = 1.0
 #: Errors of calls that need a descriptor, buffer or local port that this process or
 #: machine has not got. They say nothing about the peer.
 _SHORTAGE_ERRNOS = frozenset(
@@ -75,23 +77,27 @@
 
     :param limit: number of descriptors that the process may have open.
 
-    >>> budget = DescriptorBudget(1000, lambda event, **fields: None)
+    >>> from lavendermast.clock import ManualClock
+    >>> budget = DescriptorBudget(1000, ManualClock(), lambda event, **fields: None)
     >>> budget.caller_connections, budget.control_connections
     (400, 50)
     """
 
-    def __init__(self, limit, record_event):
+    def __init__(self, limit, clock, record_event):
         self.limit = limit
+        self._clock = clock
+        self._next_log_at = -math.inf
         self._record_event = record_event
         self._holders = []
         self.closed_for_room = 0
 
     @classmethod
-    def from_settings(cls, settings, record_event):
+    def from_settings(cls, settings, clock, record_event):
         """Return a budget for the lower of the process's limit and the settings'."""
         limit = get_descriptor_limit()
         maximum = getattr(settings, "max_descriptors", 0)
-        return cls(min(limit, maximum) if maximum else limit, record_event)
+        limit = min(limit, maximum) if maximum else limit
+        return cls(limit, clock, record_event)
 
     @property
     def caller_connections(self):
@@ -126,9 +132,18 @@
                 break
             closed += 1
         self.closed_for_room += closed
-        self._record_event("descriptors_short", limit=self.limit, closed=closed)
+        self._log_shortage()
         return closed
 
+    def _log_shortage(self):
+        now = self._clock.monotonic()
+        if now < self._next_log_at:
+            return
+        self._next_log_at = now + LOG_INTERVAL_S
+        self._record_event(
+            "descriptors_short", limit=self.limit, closed=self.closed_for_room
+        )
+
     def _compute_part(self, share):
         if math.isinf(self.limit):
             return math.inf
--- a/src/lavendermast/entrynode.py
+++ b/src/lavendermast/entrynode.py
@@ -80,7 +80,7 @@
         self.platform = platform
         self.log = EventLog.from_settings(settings, self.clock)
         record = self.log.record
-        self.descriptors = DescriptorBudget.from_settings(settings, record)
+        self.descriptors = DescriptorBudget.from_settings(settings, self.clock, record)
         self.memory = MemoryBudget.from_settings(settings)
         self.config = None
         self.router = None
--- a/src/lavendermast/listeners.py
+++ b/src/lavendermast/listeners.py
@@ -8,7 +8,7 @@
 import eventlet.wsgi
 
 from lavendermast.callerconnections import CallerConnections
-from lavendermast.callerframing import ChunkReader, find_framing_error
+from lavendermast.callerprotocol import CallerProtocol
 from lavendermast.clock import SystemClock
 from lavendermast.descriptors import is_shortage
 from lavendermast.utils import parse_address
@@ -23,8 +23,6 @@
 #: Time in which closed connections release their descriptors.
 RELEASE_PAUSE_S = 0.005
 
-_REFUSAL = b"HTTP/1.1 %s\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
-
 
 def discard_event(event, **fields):
     """Log nothing."""
@@ -43,95 +41,6 @@
     error = info
 
 
-class _HeadReader:
-    """Keeps the last line that was read, which shows how a head ended."""
-
-    def __init__(self, stream):
-        self._stream = stream
-        self.last_line = b""
-
-    def readline(self, size=-1):
-        """Return the next line."""
-        self.last_line = self._stream.readline(size)
-        return self.last_line
-
-
-class _HttpProtocol(eventlet.wsgi.HttpProtocol):
-    """
-    Tells the table of connections which ones are idle.
-
-    It also names the caller's protocol version, where eventlet always has HTTP/1.0.
-    """
-
-    def __init__(self, connections, conn_state, server):
-        self._connections = connections
-        self._head_timeout = None
-        try:
-            super().__init__(conn_state, server)
-        finally:
-            connections.remove(conn_state[1])
-
-    def _read_request_line(self):
-        self._connections.mark_idle(self.connection)
-        try:
-            # Waits for the first byte of a request and leaves it in the buffer.
-            buffered = self.rfile.peek(1)
-        except ConnectionError:
-            return b""
-        self._connections.mark_busy(self.connection)
-        if b"\r\n\r\n" not in buffered:
-            self._head_timeout = eventlet.Timeout(self._connections.head_timeout_s)
-        return super()._read_request_line()
-
-    def handle_one_request(self):
-        """Serve one request, unless its head takes too long."""
-        try:
-            super().handle_one_request()
-        except eventlet.Timeout as timeout:
-            if timeout is not self._head_timeout:
-                raise
-            self._refuse("408 Request Timeout")
-        finally:
-            self._cancel_head_timeout()
-
-    def parse_request(self):
-        """Return whether a whole and valid head was read."""
-        # The library takes the end of the connection for the end of the head.
-        self.rfile = reader = _HeadReader(self.rfile)
-        if not super().parse_request():
-            return False
-        if reader.last_line not in (b"\r\n", b"\n"):
-            self.close_connection = True
-            return False
-        refusal = find_framing_error(self.request_version, self.headers)
-        if refusal is not None:
-            self._refuse(refusal)
-        return refusal is None
-
-    def handle_one_response(self):
-        """Answer a request whose head was read."""
-        self._cancel_head_timeout()
-        super().handle_one_response()
-
-    def _refuse(self, status):
-        """Answer a request that cannot be read, and close its connection."""
-        self.wfile.write(_REFUSAL % status.encode())
-        self.close_connection = True
-
-    def _cancel_head_timeout(self):
-        if self._head_timeout is not None:
-            self._head_timeout.cancel()
-
-    def get_environ(self):
-        """Return the WSGI environment of a request."""
-        environ = super().get_environ()
-        environ["SERVER_PROTOCOL"] = self.request_version
-        body = environ["eventlet.input"]
-        if body.chunked_input:
-            body.rfile = ChunkReader(body.rfile)
-        return environ
-
-
 class ListeningSocket:
     """
     A listening socket whose ``accept`` goes on after errors.
@@ -259,7 +168,7 @@
                     self._application,
                     log=_NullLog(),
                     log_output=False,
-                    protocol=functools.partial(_HttpProtocol, self.connections),
+                    protocol=functools.partial(CallerProtocol, self.connections),
                     custom_pool=self._pool,
                     socket_timeout=SOCKET_TIMEOUT_S,
                     debug=False,
--- a/src/lavendermast/node.py
+++ b/src/lavendermast/node.py
@@ -68,7 +68,7 @@
         self.policy = Policy(self._get_serving_members)
         self.pools = ServicePools(settings, self.clock, record_event)
         self.retry_controller = RetryController(self.clock)
-        descriptors = DescriptorBudget.from_settings(settings, record_event)
+        descriptors = DescriptorBudget.from_settings(settings, self.clock, record_event)
         self.fleet.network.make_room = descriptors.make_room
         self.upstream = Upstream(self.clock, 0, {}, budget=descriptors)
         self.dispatcher = Dispatcher(
--- a/tests/test_descriptors.py
+++ b/tests/test_descriptors.py
@@ -207,7 +207,7 @@
 def test_room_is_made_from_what_is_idle_for_longest():
     """Guards against fresh connections that are closed before older ones."""
     callers, servers = FakeHolder(1.0, 2.0, 9.0), FakeHolder(*range(3, 9))
-    budget = DescriptorBudget(100, lambda event, **fields: None)
+    budget = DescriptorBudget(100, ManualClock(), lambda event, **fields: None)
     budget.add_holder(servers)
     budget.add_holder(callers)
     assert budget.make_room() == 8
