Make the store's stand-in name no revision beyond its events

Cause: a watch of the stand-in slept after its last look at the events and then named the revision of that later moment.

Change: events and revision are read together, until the deadline.

--- a/standins/metadata.py
+++ b/standins/metadata.py
@@ -6,6 +6,7 @@
 
 import base64
 import json
+import time
 import urllib.parse
 
 import eventlet
@@ -80,13 +81,16 @@
 
     def _watch(self, query, start_response):
         after, era = int(query["after"]), self.era
-        for _ in range(int(query["wait_ms"]) // 20 + 1):
+        deadline = time.monotonic() + int(query["wait_ms"]) / 1000
+        while True:
             if after + 1 < self.first_kept_revision or after > self.revision:
                 return self._respond(start_response, 410, {"error": "compacted"})
             events = [event for event in self.events if event["rev"] > after]
-            if events or era != self.era:
+            if events or era != self.era or time.monotonic() >= deadline:
                 break
             eventlet.sleep(0.02)
+        # Read without a pause in between: a revision after the events would tell the
+        # reader that it knows of a change that it never gets.
         body = {"events": events, "at_rev": self.revision}
         return self._respond(start_response, 200, body)
 
