--- a/bench/propagation.py
+++ b/bench/propagation.py
@@ -15,9 +15,8 @@
 import sys
 
 import eventlet
-from eventlet import hubs, patcher
 
-from bench.simulatedfleet import Cut, SimulatedFleet, VirtualClock, VirtualHub
+from bench.simulatedfleet import Cut, SimulatedFleet, VirtualClock, run_virtually
 from bench.soakchecks import CONFIG_PROPAGATION_S
 
 CHANGE_INTERVAL_S = 1.3
@@ -153,16 +152,7 @@
     :param kinds: names of the faults to inject; all without it.
     :param fleet_size: zones, as a text of their names, and VMs per zone.
     """
-    result = []
-
-    def run():
-        hubs.use_hub(VirtualHub)
-        result.append(_run(seed, seconds, series, kinds, fleet_size or ()))
-
-    thread = patcher.original("threading").Thread(target=run)
-    thread.start()
-    thread.join()
-    return result[0]
+    return run_virtually(_run, seed, seconds, series, kinds, fleet_size or ())
 
 
 def _run(seed, seconds, series, kinds, fleet_size):
--- a/bench/simulatedfleet.py
+++ b/bench/simulatedfleet.py
@@ -4,7 +4,7 @@
 
 import attrs
 import eventlet
-from eventlet import hubs
+from eventlet import hubs, patcher
 from eventlet.event import Event
 from eventlet.hubs.hub import BaseHub
 
@@ -47,6 +47,20 @@
         self.now += max(seconds or 0.0, 0.0)
 
 
+def run_virtually(function, *args):
+    """Call a function in a thread with a ``VirtualHub`` and return its result."""
+    result = []
+
+    def run():
+        hubs.use_hub(VirtualHub)
+        result.append(function(*args))
+
+    thread = patcher.original("threading").Thread(target=run)
+    thread.start()
+    thread.join()
+    return result[0]
+
+
 class VirtualClock(Clock):
     """The time of a ``VirtualHub``; the tasks of a frozen VM do not wake up."""
 
--- a/src/lavendermast/callerconnections.py
+++ b/src/lavendermast/callerconnections.py
@@ -1,11 +1,11 @@
 """Connections that callers have open, and which of them may be closed."""
 
 import math
-import socket
 
 from eventlet import greenio
 
 from lavendermast.descriptors import IdleConnections
+from lavendermast.sockets import peek
 
 #: Timeouts of callers while no configuration sets others.
 IDLE_TIMEOUT_S = 75.0
@@ -83,20 +83,9 @@
         """
         sock = next(iter(self._idle_since))
         del self._idle_since[sock]
-        if has_input(sock):
+        if peek(sock) is not None:
             return False
         # The task that waits for a request then closes the socket.
         self.remove(sock)
         greenio.shutdown_safe(sock)
         return True
-
-
-def has_input(sock):
-    """Return whether bytes, or the peer's close, wait to be read from a socket."""
-    try:
-        sock.fd.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
-    except BlockingIOError:
-        return False
-    except (OSError, ValueError):
-        pass
-    return True
--- a/src/lavendermast/callerframing.py
+++ b/src/lavendermast/callerframing.py
@@ -7,10 +7,10 @@
 
 import re
 
-_FIELD_NAME = re.compile(r"[!#$%&'*+.^_`|~0-9A-Za-z-]+")
+from lavendermast.framing import CHUNK_START, FIELD_NAME
+
 _FIELD_VALUE = re.compile(r"[^\r\n\0]*")
 _LENGTH = re.compile(r"[0-9]{1,18}")
-_CHUNK_LINE = re.compile(rb"([0-9A-Fa-f]{1,16})[ \t]*(?:;[^\r\n]*)?\r\n")
 MAX_TRAILER_LINES = 100
 
 BAD_REQUEST = "400 Bad Request"
@@ -47,7 +47,7 @@
 
 
 def _is_field(name, value):
-    return _FIELD_NAME.fullmatch(name) and _FIELD_VALUE.fullmatch(value)
+    return FIELD_NAME.fullmatch(name) and _FIELD_VALUE.fullmatch(value)
 
 
 class ChunkReader:
@@ -88,7 +88,7 @@
             self._after_data = False
             self._check(line == b"\r\n")
             return line
-        match = _CHUNK_LINE.fullmatch(line)
+        match = CHUNK_START.fullmatch(line)
         self._check(match is not None)
         if int(match[1], 16) == 0:
             self._trailer_lines = 0
--- a/src/lavendermast/callers.py
+++ b/src/lavendermast/callers.py
@@ -1,9 +1,9 @@
 """Detects that a caller has closed its connection."""
 
-import socket
-
 from eventlet import hubs
 
+from lavendermast.sockets import peek
+
 #: Requests that end sooner are never checked, which keeps the common case cheap.
 CHECK_INTERVAL_S = 0.1
 
@@ -33,12 +33,9 @@
         self._timer = hub.schedule_call_global(CHECK_INTERVAL_S, self._check)
 
     def _check(self):
-        try:
-            data = self._sock.fd.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
-        except BlockingIOError:
+        data = peek(self._sock)
+        if data is None:
             self._schedule()
             return
-        except (OSError, ValueError):
-            data = b""
         if not data:
             self._cancellation.cancel()
--- a/src/lavendermast/connections.py
+++ b/src/lavendermast/connections.py
@@ -7,14 +7,13 @@
 from urllib3.connection import HTTPConnection
 
 from lavendermast.exceptions import LavendermastError
-from lavendermast.framing import ServerResponse
+from lavendermast.framing import FIELD_NAME, ServerResponse
 from lavendermast.sockets import SERVER_SOCKET_OPTIONS, set_options
 
 # Monkey patching removes poll from the select module.
 _select = patcher.original("select")
 #: Bytes of a body that are sent with the head, in one packet if they fit.
 FIRST_BODY_BYTES = 65536
-_FIELD_NAME = re.compile(r"[!#$%&'*+.^_`|~0-9A-Za-z-]+")
 _FORBIDDEN = re.compile(r"[\r\n\0]")
 
 
@@ -53,7 +52,7 @@
         # Headers are validated here because putheader is several times slower.
         section = "".join([f"{name}: {value}\r\n" for name, value in headers])
         if _FORBIDDEN.search("".join([value for _, value in headers])) or not all(
-            _FIELD_NAME.fullmatch(name) for name, _ in headers
+            FIELD_NAME.fullmatch(name) for name, _ in headers
         ):
             raise ValueError("malformed header")
         start_line = self._pieces[0][:-2]
--- a/src/lavendermast/descriptors.py
+++ b/src/lavendermast/descriptors.py
@@ -16,6 +16,8 @@
 MIN_CONNECTIONS = 4
 #: Connections that are closed at once when no descriptor is free.
 CLOSED_AT_ONCE = 8
+#: Time in which closed connections release their descriptors.
+RELEASE_PAUSE_S = 0.005
 #: A lack of descriptors is logged once in this time.
 LOG_INTERVAL_S = 1.0
 #: Errors of calls that need a descriptor, buffer or local port that this process or
--- a/src/lavendermast/framing.py
+++ b/src/lavendermast/framing.py
@@ -27,9 +27,10 @@
 MAX_FRAMING_BYTES = 65536
 MAX_FRAMING_SHARE = 0.25
 _STATUS_LINE = re.compile(rb"HTTP/1\.([01]) ([1-9][0-9]{2})(?: [^\r\n]*)?")
-_FIELD_NAME = re.compile(rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+")
+FIELD_NAME = re.compile(r"[!#$%&'*+.^_`|~0-9A-Za-z-]+")
+_FIELD_NAME_BYTES = re.compile(FIELD_NAME.pattern.encode())
 _CHUNK_LINE = re.compile(rb"([0-9A-Fa-f]{1,16})[ \t]*(?:;[^\r\n]*)?")
-_CHUNK_START = re.compile(_CHUNK_LINE.pattern + rb"\r\n")
+CHUNK_START = re.compile(_CHUNK_LINE.pattern + rb"\r\n")
 _HOP_BY_HOP = frozenset(
     {
         "connection",
@@ -167,7 +168,7 @@
         parts = []
         while len(parts) < MAX_CHUNKS_PER_PIECE:
             if self._remaining == 0:
-                if parts and not _CHUNK_START.match(self._buffer, self._start):
+                if parts and not CHUNK_START.match(self._buffer, self._start):
                     # Data that has arrived is not held back by what follows it.
                     break
                 self._start_chunk()
@@ -303,7 +304,7 @@
 
 def _parse_field(line):
     name, separator, value = line.partition(b":")
-    if not separator or _FIELD_NAME.fullmatch(name) is None:
+    if not separator or _FIELD_NAME_BYTES.fullmatch(name) is None:
         raise FramingError("malformed header")
     value = value.strip(b" \t")
     if b"\n" in value or b"\r" in value or b"\0" in value:
--- a/src/lavendermast/listeners.py
+++ b/src/lavendermast/listeners.py
@@ -2,7 +2,6 @@
 
 import functools
 import sys
-import traceback
 
 import eventlet
 import eventlet.wsgi
@@ -10,7 +9,8 @@
 from lavendermast.callerconnections import CallerConnections
 from lavendermast.callerprotocol import CallerProtocol
 from lavendermast.clock import SystemClock
-from lavendermast.descriptors import is_shortage
+from lavendermast.descriptors import RELEASE_PAUSE_S, is_shortage
+from lavendermast.tasks import describe_error
 from lavendermast.utils import parse_address
 
 SOCKET_TIMEOUT_S = 75
@@ -20,8 +20,6 @@
 EXTRA_CONNECTIONS = 64
 #: Pause after an error of ``accept`` for which nothing could be done.
 ACCEPT_PAUSE_S = 0.05
-#: Time in which closed connections release their descriptors.
-RELEASE_PAUSE_S = 0.005
 
 
 def discard_event(event, **fields):
@@ -177,7 +175,7 @@
                 self._record_event(
                     "listener_failed",
                     port=self.port,
-                    detail="".join(traceback.format_exception(error)[-3:]),
+                    detail=describe_error(error),
                 )
             eventlet.sleep(ACCEPT_PAUSE_S)
 
--- a/src/lavendermast/sockets.py
+++ b/src/lavendermast/sockets.py
@@ -32,6 +32,21 @@
         sock.setsockopt(*option)
 
 
+def peek(sock):
+    """
+    Return what waits at a green socket, without reading it and without blocking.
+
+    :return: the first byte, empty if the connection has ended, ``None`` if nothing
+        waits.
+    """
+    try:
+        return sock.fd.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+    except BlockingIOError:
+        return None
+    except (OSError, ValueError):
+        return b""
+
+
 def receive(sock, count):
     """
     Read up to ``count`` bytes from a green socket; no bytes mean an orderly close.
--- a/src/lavendermast/tasks.py
+++ b/src/lavendermast/tasks.py
@@ -6,6 +6,11 @@
 RESTART_DELAY_S = 0.2
 
 
+def describe_error(error):
+    """Return the end of an error's traceback, for the log."""
+    return "".join(traceback.format_exception(error)[-3:])
+
+
 def run_until_done(run, clock, record_event):
     """
     Run a background task; after an error, log it and run the task again.
@@ -20,6 +25,6 @@
             record_event(
                 "task_failed",
                 task=getattr(run, "__qualname__", repr(run)),
-                detail="".join(traceback.format_exception(error)[-3:]),
+                detail=describe_error(error),
             )
             clock.sleep(RESTART_DELAY_S)
--- a/src/lavendermast/upstream.py
+++ b/src/lavendermast/upstream.py
@@ -10,7 +10,7 @@
 from eventlet import hubs
 
 from lavendermast.connections import NotSentError, ServerConnection
-from lavendermast.descriptors import IdleConnections, is_shortage
+from lavendermast.descriptors import RELEASE_PAUSE_S, IdleConnections, is_shortage
 from lavendermast.exceptions import (
     FramingError,
     LavendermastError,
@@ -39,9 +39,6 @@
 _KEEP_ALIVE_TIMEOUT = re.compile(r"timeout=([0-9]{1,6})")
 #: Bytes of an unusable response that are read so that its connection can be reused.
 MAX_UNUSED_BYTES = 65536
-#: Time in which connections of callers that were closed for one to a server release
-#: their descriptors.
-RELEASE_PAUSE_S = 0.005
 #: A connection is no longer reused this long before the end of the server's keep-alive
 #: timeout: the close takes one network delay to arrive, and servers round the timeout.
 KEEP_ALIVE_MARGIN_S = 1.5
--- a/tests/test_propagation.py
+++ b/tests/test_propagation.py
@@ -3,10 +3,9 @@
 import random
 
 import pytest
-from eventlet import hubs, patcher
 
 from bench.propagation import run_seed
-from bench.simulatedfleet import SimulatedFleet, VirtualClock, VirtualHub
+from bench.simulatedfleet import SimulatedFleet, VirtualClock, run_virtually
 from bench.soakchecks import CONFIG_PROPAGATION_S
 
 SECONDS = 30.0
@@ -30,30 +29,21 @@
 
 def follow_after_silence(size, silence_s, phase_s):
     """Return the time from the end of a silence until all VMs follow the store."""
-    result = []
-
-    def run():
-        hubs.use_hub(VirtualHub)
-        fleet, clock = SimulatedFleet(*size), VirtualClock()
-        fleet.store.put()
-        for vm in fleet.vms.values():
-            vm.start()
-        clock.sleep(6.0 + phase_s)
-        fleet.store.silent = True
-        clock.sleep(silence_s)
-        fleet.store.silent = False
-        ended_at = clock.monotonic()
-        fleet.store.put()
-        while clock.monotonic() < ended_at + 10.0:
-            clock.sleep(0.02)
-            if all(vm.catalog.config_version == 2 for vm in fleet.vms.values()):
-                break
-        result.append(clock.monotonic() - ended_at)
-
-    thread = patcher.original("threading").Thread(target=run)
-    thread.start()
-    thread.join()
-    return result[0]
+    fleet, clock = SimulatedFleet(*size), VirtualClock()
+    fleet.store.put()
+    for vm in fleet.vms.values():
+        vm.start()
+    clock.sleep(6.0 + phase_s)
+    fleet.store.silent = True
+    clock.sleep(silence_s)
+    fleet.store.silent = False
+    ended_at = clock.monotonic()
+    fleet.store.put()
+    while clock.monotonic() < ended_at + 10.0:
+        clock.sleep(0.02)
+        if all(vm.catalog.config_version == 2 for vm in fleet.vms.values()):
+            break
+    return clock.monotonic() - ended_at
 
 
 @pytest.mark.parametrize("size", [("a", 1), ("ab", 1), ("ab", 2), ("abcdef", 3)])
@@ -67,5 +57,6 @@
     rng = random.Random(1)
     for _ in range(24):
         silence_s = rng.choice([0.1, 0.3, 1.2, 3.3, 8.0]) * rng.uniform(0.5, 1.0)
-        delay_s = follow_after_silence(size, silence_s, rng.uniform(0.0, 1.0))
+        phase_s = rng.uniform(0.0, 1.0)
+        delay_s = run_virtually(follow_after_silence, size, silence_s, phase_s)
         assert delay_s < CONFIG_PROPAGATION_S
