Serve peers while others connect and stay silent

Cause: a connection took one of 16 places, which bound the memory of transfers, before its first byte came, and the task that accepts waits for a place.

Change: the peer listener accepts as the HTTP listeners do (ListeningSocket, which also replaces its own handling of accept errors); a connection takes a place when its first byte has come. Beyond 128 connections the one that has been silent for longest is closed. make_room reaches the transport with the budget.

Evidence: test_silent_peers_keep_no_others_from_an_answer, 16 and 129 silent peers: on "no reply within 3.0 s" both times, now answered.

--- a/src/lavendermast/entrynode.py
+++ b/src/lavendermast/entrynode.py
@@ -94,10 +94,9 @@
         self._regions = {item.zone: item.region for item in settings.zones}
         boot_id = int(self.clock.time() * 1000)
         self.network = PeerNetwork.from_settings(
-            settings, FrameCodec(_FRAME_KEY, 1), self.clock
+            settings, FrameCodec(_FRAME_KEY, 1), self.clock, record, self.descriptors
         )
         self.network.record_error = self._record_error
-        self.network.make_room = self.descriptors.make_room
         self.catalog = Catalog(platform.decode, self.clock, record, settings.lapse_s)
         self.catalog.on_config.append(self._apply_config)
         self.catalog.on_server.append(self._apply_server)
--- a/src/lavendermast/fleet.py
+++ b/src/lavendermast/fleet.py
@@ -41,14 +41,17 @@
     Joins the fleet and keeps its documents current.
 
     :param settings: the process settings.
+    :param budget: the ``DescriptorBudget`` of this process.
     """
 
-    def __init__(self, settings, clock, record_event):
+    def __init__(self, settings, clock, record_event, budget):
         self.settings = settings
         self._clock = clock
         self._record_event = record_event
         self.codec = FrameCodec.from_settings(settings)
-        self.network = PeerNetwork.from_settings(settings, self.codec, clock)
+        self.network = PeerNetwork.from_settings(
+            settings, self.codec, clock, record_event, budget
+        )
         self.network.record_error = self._record_error
         self._coordination = Coordination.from_settings(
             settings,
--- a/src/lavendermast/node.py
+++ b/src/lavendermast/node.py
@@ -57,7 +57,8 @@
         self.clock = clock or SystemClock()
         self.log = EventLog.from_settings(settings, self.clock)
         record_event = self.log.record
-        self.fleet = FleetAgent(settings, self.clock, record_event)
+        descriptors = DescriptorBudget.from_settings(settings, self.clock, record_event)
+        self.fleet = FleetAgent(settings, self.clock, record_event, descriptors)
         local_member = self.fleet.membership.local_member
         self.identity = Identity(
             local_member.vm,
@@ -68,8 +69,6 @@
         self.policy = Policy(self._get_serving_members)
         self.pools = ServicePools(settings, self.clock, record_event)
         self.retry_controller = RetryController(self.clock)
-        descriptors = DescriptorBudget.from_settings(settings, self.clock, record_event)
-        self.fleet.network.make_room = descriptors.make_room
         self.upstream = Upstream(self.clock, 0, {}, budget=descriptors)
         self.dispatcher = Dispatcher(
             self.policy, self.pools, self.upstream, self.retry_controller, record_event
--- a/src/lavendermast/peers.py
+++ b/src/lavendermast/peers.py
@@ -7,10 +7,13 @@
 import attrs
 import eventlet
 from eventlet.green import socket
+from eventlet.hubs import trampoline
 
+from lavendermast.callerconnections import CallerConnections
 from lavendermast.codec import MAX_MESSAGE_BYTES, Envelope
 from lavendermast.descriptors import is_shortage
 from lavendermast.exceptions import MessageError, PeerError
+from lavendermast.listeners import LISTEN_BACKLOG, ListeningSocket, discard_event
 from lavendermast.messages_model import BODY_CLASSES
 from lavendermast.utils import parse_address
 
@@ -18,8 +21,10 @@
 MAX_DATAGRAM_BYTES = 1_400
 #: Bounds the memory of incoming bulk transfers: 16 x 4 MB is half of the 128 MB of
 #: memory for the control plane.
-MAX_CONNECTIONS = 16
-#: Maximum time that a peer which stops sending in mid-message holds a connection.
+MAX_TRANSFERS = 16
+#: Connections beyond which the ones that have been silent for longest are closed.
+MAX_CONNECTIONS = 128
+#: Maximum time for one message and its reply.
 CONNECTION_TIMEOUT_S = 5.0
 RECEIVE_BUFFER_BYTES = 4 * 1024 * 1024
 BIND_ATTEMPTS = 20
@@ -134,28 +139,34 @@
 
     :param udp: bound datagram socket.
     :param tcp: listening socket on the same port number.
-
-    ``make_room`` is called when this process lacks descriptors.
+    :param record_event: logs an event; by default events are discarded.
+    :param budget: the :class:`~lavendermast.descriptors.DescriptorBudget` that makes
+        room when this process lacks descriptors; ``None`` for a transport by itself.
     """
 
-    def __init__(self, vm, codec, clock, udp, tcp):
+    def __init__(self, vm, codec, clock, udp, tcp, record_event, budget):
         super().__init__(vm)
         self._codec = codec
         self._clock = clock
         self._udp = udp
-        self._tcp = tcp
-        self.make_room = lambda: 0
-        self._pool = eventlet.GreenPool(MAX_CONNECTIONS)
+        self._make_room = budget.make_room if budget is not None else lambda: 0
+        self._connections = CallerConnections(clock)
+        self._listener = ListeningSocket(
+            tcp, self._connections, MAX_CONNECTIONS, self._make_room, record_event
+        )
+        self._transfers = eventlet.Semaphore(MAX_TRANSFERS)
         self._tasks = []
         self._closed = False
         host, port = udp.getsockname()
         self.address = f"{host}:{port}"
 
     @classmethod
-    def from_settings(cls, settings, codec, clock):
+    def from_settings(
+        cls, settings, codec, clock, record_event=discard_event, budget=None
+    ):
         """Return a transport bound to the ``peer_address`` of the settings."""
         udp, tcp = bind_sockets(*parse_address(settings.peer_address))
-        return cls(settings.vm, codec, clock, udp, tcp)
+        return cls(settings.vm, codec, clock, udp, tcp, record_event, budget)
 
     def run(self):
         """Receive until :meth:`close` is called."""
@@ -172,7 +183,7 @@
         for task in self._tasks:
             task.kill()
         self._udp.close()
-        self._tcp.close()
+        self._listener.close_socket()
 
     def spawn(self, function, *args):
         """Run a function in a separate green thread."""
@@ -217,7 +228,7 @@
             raise PeerError(f"{address}: no reply within {seconds:.1f} s") from error
         except (OSError, ValueError, MessageError) as error:
             if is_shortage(error):
-                self.make_room()
+                self._make_room()
             raise PeerError(f"{address}: {error}") from error
         self.counts.add("received", envelope.body, len(reply))
         return envelope.body
@@ -234,35 +245,33 @@
             self.run_safely(self._handle_frame, frame, address)
 
     def _accept_connections(self):
-        failing = False
         while not self._closed:
-            try:
-                connection, source = self._tcp.accept()
-            except OSError as error:
-                self.counts.drops["accept_error"] += 1
-                if self.record_error and not failing:
-                    self.record_error(error)
-                failing = True
-                if is_shortage(error):
-                    self.make_room()
-                eventlet.sleep(0.05)
-                continue
-            failing = False
-            self._pool.spawn_n(self._serve, connection, f"{source[0]}:{source[1]}")
+            connection, source = self._listener.accept()
+            eventlet.spawn_n(self._serve, connection, f"{source[0]}:{source[1]}")
 
     def _serve(self, connection, address):
         try:
             with eventlet.Timeout(CONNECTION_TIMEOUT_S), connection:
-                reply = self._handle_frame(read_frame(connection), address)
-                if reply is not None:
-                    envelope = self.make_envelope(reply, self._clock)
-                    frame = self._codec.encode(envelope)
-                    write_frame(connection, frame)
-                    self.counts.add("sent", reply, len(frame))
+                # Silent peers, as after a partition, keep no others from their turn.
+                trampoline(connection, read=True)
+                self._connections.mark_busy(connection)
+                with self._transfers:
+                    self._answer(connection, address)
         except eventlet.Timeout:
             self.counts.drops["connection_timeout"] += 1
         except (OSError, MessageError):
             self.counts.drops["connection_error"] += 1
+        finally:
+            self._connections.remove(connection)
+
+    def _answer(self, connection, address):
+        """Read one message and write the reply, if there is one."""
+        reply = self._handle_frame(read_frame(connection), address)
+        if reply is None:
+            return
+        frame = self._codec.encode(self.make_envelope(reply, self._clock))
+        write_frame(connection, frame)
+        self.counts.add("sent", reply, len(frame))
 
     def _handle_frame(self, frame, address):
         try:
@@ -284,7 +293,7 @@
             udp.bind((host, port))
             tcp.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
             tcp.bind(udp.getsockname())
-            tcp.listen(MAX_CONNECTIONS)
+            tcp.listen(LISTEN_BACKLOG)
         except OSError:
             udp.close()
             tcp.close()
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -1,5 +1,6 @@
 """Peer transport over real sockets on the loopback interface."""
 
+import contextlib
 import random
 import types
 
@@ -21,7 +22,13 @@
     SyncMembers,
     Verdict,
 )
-from lavendermast.peers import MAX_DATAGRAM_BYTES, PeerNetwork, parse_address
+from lavendermast.peers import (
+    MAX_CONNECTIONS,
+    MAX_DATAGRAM_BYTES,
+    MAX_TRANSFERS,
+    PeerNetwork,
+    parse_address,
+)
 from lavendermast.settings_model import ProcessSettings
 from tests.memory_network import Fleet
 
@@ -109,6 +116,28 @@
         network.request(address, SyncMembers(), deadline + 60)
 
 
+@pytest.mark.parametrize("silent", [MAX_TRANSFERS, MAX_CONNECTIONS + 1])
+def test_silent_peers_keep_no_others_from_an_answer(start_vm, silent):
+    """Guards against a listener that stands still for peers that were cut off."""
+    network, first = start_vm("vm-1")
+    first.documents.offer("config", 3, b"content", "store")
+    other, second = start_vm("vm-2", (network.address,))
+    second.readiness.contact_peers()
+    wait_until(lambda: second.documents.get("config"))
+    address = parse_address(network.address)
+    with contextlib.ExitStack() as stack:
+        connections = [
+            stack.enter_context(eventlet.connect(address)) for _ in range(silent)
+        ]
+        deadline = other._clock.monotonic() + 3.0
+        reply = other.request(network.address, FetchDocument("config"), deadline)
+        assert second.documents.apply(reply) == "same"
+        if silent > MAX_CONNECTIONS:
+            assert connections[0].recv(1) == b""
+        connections[-1].sendall(b"\xff\xff\xff\xff")
+        wait_until(lambda: network.counts.drops["connection_error"])
+
+
 @pytest.mark.parametrize("length", [1, 20, 63, 200])
 def test_every_message_with_queued_items_fits_a_datagram(length):
     """Guards against fragmentation, where one loss drops all; sizes are worst cases."""
