Share the memory of the daemon among all bodies

Cause: the bound of a body was that of its route, and nothing added bodies up; the budget of the entry VMs was not used by the daemon.

Change: the gateway reserves the memory of each request in a MemoryBudget and returns it when the response has been written; what does not fit is refused at once with 503, a response is streamed. New settings max_memory_mb (0 for 200 MB) and max_descriptors for the daemon, as for entry VMs; metrics lavendermast_body_bytes and lavendermast_memory_refusals_total. The body of a response is one class for both applications; it also closes the stream.

--- a/bench/document_cost.py
+++ b/bench/document_cost.py
@@ -94,7 +94,7 @@
     for index in range(count):
         place = (f"region-{index % 3}", f"zone-{index % 6}", "site")
         settings = ProcessSettings(
-            f"vm-{index}", *place, "", "127.0.0.1:0", "", "", (), (), "-"
+            f"vm-{index}", *place, "", "127.0.0.1:0", "", "", (), (), "-", 0, 0
         )
         network = PeerNetwork.from_settings(settings, codec, clock)
         settings = attrs.evolve(settings, peer_address=network.address)
--- a/bench/state_size.py
+++ b/bench/state_size.py
@@ -148,6 +148,8 @@
         (),
         (),
         "-",
+        max_descriptors=0,
+        max_memory_mb=0,
     )
     dependencies = (clock, random.Random(1), lambda *args, **fields: None)
     membership = Membership.from_settings(process, *dependencies)
--- a/src/lavendermast/answers.py
+++ b/src/lavendermast/answers.py
@@ -1,8 +1,31 @@
-"""WSGI responses whose complete body is known in advance."""
+"""Parts of WSGI responses that several applications share."""
 
 from lavendermast.models import Outcome, Reply
 
 
+class ResponseBody:
+    """
+    Parts of a response's body.
+
+    :param on_close: called once the WSGI server has written them or failed to.
+    """
+
+    def __init__(self, parts, on_close):
+        self._parts = parts
+        self._on_close = on_close
+
+    def __iter__(self):
+        return iter(self._parts)
+
+    def close(self):
+        """End the request, and the stream that the parts come from."""
+        try:
+            if hasattr(self._parts, "close"):
+                self._parts.close()
+        finally:
+            self._on_close()
+
+
 def send_response(start_response, status, content=b"", content_type=None):
     """
     Start a response with Content-Length and return its body for the WSGI server.
--- a/src/lavendermast/descriptors.py
+++ b/src/lavendermast/descriptors.py
@@ -97,8 +97,7 @@
     def from_settings(cls, settings, clock, record_event):
         """Return a budget for the lower of the process's limit and the settings'."""
         limit = get_descriptor_limit()
-        maximum = getattr(settings, "max_descriptors", 0)
-        limit = min(limit, maximum) if maximum else limit
+        limit = min(limit, settings.max_descriptors or math.inf)
         return cls(limit, clock, record_event)
 
     @property
--- a/src/lavendermast/entry.py
+++ b/src/lavendermast/entry.py
@@ -6,6 +6,7 @@
 import attrs
 
 from lavendermast.answers import (
+    ResponseBody,
     accepts_chunks,
     reject_unknown_length,
     send_response,
@@ -45,25 +46,6 @@
     request_id_header: str
 
 
-class _ResponseBody:
-    """
-    Parts of a response's body.
-
-    :param on_close: called once the WSGI server has written them or failed to.
-    """
-
-    def __init__(self, parts, on_close):
-        self._parts = parts
-        self._on_close = on_close
-
-    def __iter__(self):
-        return iter(self._parts)
-
-    def close(self):
-        """End the request."""
-        self._on_close()
-
-
 class EntryApplication:
     """
     Forwards callers' requests to backend servers.
@@ -106,7 +88,7 @@
         except BaseException:
             end_request()
             raise
-        return _ResponseBody(parts, end_request)
+        return ResponseBody(parts, end_request)
 
     def _make_reply(self, environ, arrived_at, reservation):
         """Return the route, ``None`` if there is none, and the reply."""
--- a/src/lavendermast/gateway.py
+++ b/src/lavendermast/gateway.py
@@ -6,7 +6,11 @@
 import urllib.parse
 
 from lavendermast.addresses import ADDRESSES_PATH
-from lavendermast.answers import accepts_chunks, reject_unknown_length
+from lavendermast.answers import (
+    ResponseBody,
+    accepts_chunks,
+    reject_unknown_length,
+)
 from lavendermast.exceptions import LavendermastError, RequestError
 from lavendermast.logs import DIGEST_CHARACTERS, digest_bytes
 from lavendermast.models import Outcome, Reply
@@ -48,15 +52,17 @@
     :param run_request: callable ``(request, route_name, route, environ) -> Reply``.
     :param address_book: the :class:`~lavendermast.addresses.AddressBook` that lists
         the VMs for callers.
+    :param memory: a :class:`~lavendermast.memory.MemoryBudget` for bodies.
     """
 
     def __init__(
-        self, policy, run_request, address_book, identity, clock, record_event
+        self, policy, run_request, address_book, identity, memory, clock, record_event
     ):
         self._policy = policy
         self._run_request = run_request
         self._address_book = address_book
         self._vm = identity.vm
+        self._memory = memory
         self._reader = RequestReader(identity.vm, identity.boot_id, clock)
         self._clock = clock
         self._record_event = record_event
@@ -65,6 +71,16 @@
         self.close_connections = False
 
     def __call__(self, environ, start_response):
+        reservation = self._memory.open()
+        try:
+            parts = self._handle(environ, start_response, reservation)
+        except BaseException:
+            reservation.release()
+            raise
+        return ResponseBody(parts, reservation.release)
+
+    def _handle(self, environ, start_response, reservation):
+        """Return the parts of the response's body."""
         started = self._clock.monotonic()
         request_id = self._reader.get_request_id(environ)
         self.in_flight[request_id] = started
@@ -74,7 +90,7 @@
                 return self._send_addresses(environ, start_response, request_id)
             route_name, route = self._find_route(environ)
             request = self._reader.read(
-                environ, request_id, route, self._policy.config.limits
+                environ, request_id, route, self._policy.config.limits, reservation
             )
             reply = self._run_request(request, route_name, route, environ)
         except RequestError as error:
--- a/src/lavendermast/node.py
+++ b/src/lavendermast/node.py
@@ -20,6 +20,7 @@
 from lavendermast.judging import ServerMonitor
 from lavendermast.listeners import HttpListener
 from lavendermast.logs import EventLog
+from lavendermast.memory import MemoryBudget
 from lavendermast.messages_model import Handover, HandoverReply
 from lavendermast.metrics import MetricsRegistry
 from lavendermast.nodemetrics import register_metrics
@@ -58,6 +59,7 @@
         self.log = EventLog.from_settings(settings, self.clock)
         record_event = self.log.record
         descriptors = DescriptorBudget.from_settings(settings, self.clock, record_event)
+        self.memory = MemoryBudget.from_settings(settings)
         self.fleet = FleetAgent(settings, self.clock, record_event, descriptors)
         local_member = self.fleet.membership.local_member
         self.identity = Identity(
@@ -188,6 +190,7 @@
             self._run_request,
             self.address_book,
             self.identity,
+            self.memory,
             self.clock,
             record_event,
         )
--- a/src/lavendermast/nodemetrics.py
+++ b/src/lavendermast/nodemetrics.py
@@ -94,6 +94,15 @@
     yield {}, len(ledger) if ledger is not None else 0
 
 
+def _count_body_bytes(node):
+    yield {"state": "used"}, node.memory.used_bytes
+    yield {"state": "limit"}, node.memory.max_bytes
+
+
+def _count_memory_refusals(node):
+    yield {}, node.memory.refusals
+
+
 def _make_traffic_collector(attribute):
     def collect(node):
         counter = getattr(node.fleet.network.counts, attribute)
@@ -171,6 +180,18 @@
         "Idempotency keys that are remembered.",
         _count_ledger_entries,
     ),
+    Metric(
+        "body_bytes",
+        "gauge",
+        "Memory of bodies of requests and responses, and its bound.",
+        _count_body_bytes,
+    ),
+    Metric(
+        "memory_refusals_total",
+        "counter",
+        "Bodies that were refused or not buffered for lack of memory.",
+        _count_memory_refusals,
+    ),
     Metric(
         "control_messages_total",
         "counter",
--- a/src/lavendermast/requests.py
+++ b/src/lavendermast/requests.py
@@ -48,12 +48,13 @@
             return proposed
         return f"{self._id_prefix}-{next(self._id_numbers):x}"
 
-    def read(self, environ, request_id, route, limits):
+    def read(self, environ, request_id, route, limits, reservation):
         """
         Read the complete body and return the request.
 
-        :raises RequestError: when the request is malformed or too large, or its
-            deadline has passed.
+        :param reservation: a :class:`~lavendermast.memory.Reservation` for its body.
+        :raises RequestError: when the request is malformed, too large or beyond the
+            memory that is left, or its deadline has passed.
         """
         arrived_at = self._clock.monotonic()
         check_header_size(environ, limits.max_header_bytes)
@@ -64,7 +65,7 @@
             path=get_raw_path(environ),
             query=environ.get("QUERY_STRING", ""),
             headers=read_headers(environ),
-            body=read_body(environ, route.max_body_bytes),
+            body=read_body(environ, route.max_body_bytes, reservation),
             customer=environ.get("HTTP_LAVENDERMAST_CUSTOMER", "")[
                 :MAX_CUSTOMER_CHARACTERS
             ],
@@ -72,6 +73,7 @@
             deadline_unix_ms=deadline_unix_ms,
             arrived_at=arrived_at,
             key=_read_key(environ),
+            reservation=reservation,
         )
 
     def _read_deadline(self, environ, route):
--- a/src/lavendermast/settings_model.py
+++ b/src/lavendermast/settings_model.py
@@ -411,6 +411,8 @@
     :param fleet_keys: Keys of the fleet; the first signs, all verify.
     :param seeds: Peer addresses to contact at start in addition to the VM list.
     :param log_path: File for the decision log; - is standard output.
+    :param max_descriptors: File descriptors that this process may have open; 0 for the limit that the system sets.
+    :param max_memory_mb: Memory in MB that this process may use; 0 for 200 MB.
     """
 
     vm: str
@@ -424,6 +426,8 @@
     fleet_keys: tuple[FleetKey, ...]
     seeds: tuple[str, ...]
     log_path: str
+    max_descriptors: int
+    max_memory_mb: float
 
     @classmethod
     def from_config(cls, data):
@@ -442,4 +446,6 @@
             ),
             seeds=tuple(data.get("seeds", [])),
             log_path=data.get("log_path", "-"),
+            max_descriptors=data.get("max_descriptors", 0),
+            max_memory_mb=data.get("max_memory_mb", 0),
         )
--- a/tests/memory_network.py
+++ b/tests/memory_network.py
@@ -69,7 +69,9 @@
         """Start a VM and return its ``Coordination``."""
         vm, address = vm or f"vm-{index}", f"10.0.0.{index}:7000"
         place = (f"region-{index % 3}", f"zone-{index % 6}", "site")
-        settings = ProcessSettings(vm, *place, address, address, "", "", (), (), "-")
+        settings = ProcessSettings(
+            vm, *place, address, address, "", "", (), (), "-", 0, 0
+        )
         transport = self.transports[address] = MemoryTransport(vm, address, self)
 
         def record(event, **fields):
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -45,6 +45,28 @@
     assert headers["content-length"] == "50000"
 
 
+def test_bodies_of_all_requests_share_the_memory_of_the_daemon(cluster):
+    """
+    Guards against uploads, each within its limit, that exceed the memory together.
+
+    What does not fit is refused at once; it has not run and may come again.
+    """
+    memory = cluster.nodes[0].memory
+    others = memory.open()
+    assert others.grow(memory.max_bytes - 50)
+    key = f"{get_token(cluster)}.memory"
+    status, headers, _ = post(cluster, key, b"x" * 60)
+    assert (status, headers["lavendermast-reason"]) == (503, "no-memory")
+    assert float(headers["retry-after"]) > 0
+    assert count_runs(cluster, key) == 0
+    status, _, body = cluster.request("GET", "/stock/7")
+    assert (status, bool(body)) == (200, True)
+    others.release()
+    assert post(cluster, key, b"x" * 60)[0] == 200
+    assert cluster.request("GET", "/stock/big")[0] == 200
+    cluster.wait(lambda: memory.used_bytes == 0)
+
+
 def test_log_has_outcome_and_size_of_a_streamed_response(cluster):
     """
     Guards against wrong log entries (R8) and leaked queue permits.
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -40,7 +40,20 @@
     started = []
 
     def start(vm, seeds=()):
-        place = ("riga", "riga-0", "site", "", "127.0.0.1:0", "", "", (), seeds, "-")
+        place = (
+            "riga",
+            "riga-0",
+            "site",
+            "",
+            "127.0.0.1:0",
+            "",
+            "",
+            (),
+            seeds,
+            "-",
+            0,
+            0,
+        )
         settings = ProcessSettings(vm, *place)
         clock = SystemClock()
         network = PeerNetwork.from_settings(settings, CODEC, clock)
