End the daemon's calls of the store that never end or lack a descriptor

What callers saw: nothing yet; a VM whose reader stands still follows no change of the configuration unless the zone's other reader does.

Cause: two causes that were mended for entry VMs remained in the daemon's client of the store. A response of which a byte comes now and then reset the time limit with each byte, for up to 1 MB of bytes; and an own lack of descriptors was reported as a failure of the store, and nobody made room.

Change: a transfer ends 5 s after the time for its first bytes, a value that is too large closes its connection, and a lack of descriptors is an error of its own that closes idle connections.

--- a/bench/faulty_daemon.py
+++ b/bench/faulty_daemon.py
@@ -87,8 +87,8 @@
 class FaultyStoreClient(store.StoreClient):
     """Store client whose calls fail while the store's address is blocked."""
 
-    def __init__(self, address):
-        super().__init__(address)
+    def __init__(self, address, make_room):
+        super().__init__(address, make_room)
         self._address = address
 
     def _call(self, path, timeout):
--- a/src/lavendermast/fleet.py
+++ b/src/lavendermast/fleet.py
@@ -65,7 +65,7 @@
         self.gossip = self._coordination.gossip
         self.detector = self._coordination.detector
         self.documents = self._coordination.documents
-        self.store = StoreClient.from_settings(settings)
+        self.store = StoreClient.from_settings(settings, budget)
         self.bundle = None
         self.ready = False
         self.on_ready = []
--- a/src/lavendermast/store.py
+++ b/src/lavendermast/store.py
@@ -4,13 +4,17 @@
 import eventlet
 import urllib3
 
-from lavendermast.exceptions import StoreError
+from lavendermast.descriptors import is_shortage
+from lavendermast.exceptions import StoreError, StoreShortageError
 from lavendermast.hashing import rank_members
 from lavendermast.utils import parse_address
 
 MAX_VALUE_BYTES = 1024 * 1024
 WATCH_WAIT_S = 10.0
 READ_TIMEOUT_S = 5.0
+#: A response that still arrives this long after the time for its first bytes is given
+#: up.
+MAX_TRANSFER_S = 5.0
 RETRY_INTERVAL_S = 2.0
 READERS_PER_ZONE = 2
 
@@ -28,16 +32,18 @@
     Reads and watches values.
 
     :param address: ``ip:port`` of the configuration service.
+    :param make_room: called when this process lacks descriptors for a call.
     """
 
-    def __init__(self, address):
+    def __init__(self, address, make_room):
+        self._make_room = make_room
         self._pool = urllib3.HTTPConnectionPool(*parse_address(address), maxsize=4)
         self.calls = 0
 
     @classmethod
-    def from_settings(cls, settings):
+    def from_settings(cls, settings, budget):
         """Return a client for the store address of the process settings."""
-        return cls(settings.store_address)
+        return cls(settings.store_address, budget.make_room)
 
     def read(self, name):
         """Return the current value, or ``None`` when there is none."""
@@ -50,13 +56,26 @@
 
     def _call(self, path, timeout):
         self.calls += 1
+        transfer_timeout = eventlet.Timeout(timeout + MAX_TRANSFER_S)
         try:
-            response = self._pool.request(
-                "GET", path, timeout=timeout, retries=False, preload_content=False
-            )
-            content = response.read(MAX_VALUE_BYTES + 1)
-            response.release_conn()
+            with transfer_timeout:
+                response = self._pool.request(
+                    "GET", path, timeout=timeout, retries=False, preload_content=False
+                )
+                content = response.read(MAX_VALUE_BYTES + 1)
+                if len(content) > MAX_VALUE_BYTES:
+                    response.close()
+                response.release_conn()
+        except eventlet.Timeout as error:
+            if error is not transfer_timeout:  # A timeout set by the calling code.
+                raise
+            raise StoreError(f"the response at {path} does not end") from error
         except urllib3.exceptions.HTTPError as error:
+            if is_shortage(error):
+                self._make_room()
+                raise StoreShortageError(
+                    f"no descriptor for a call of the configuration service: {error}"
+                ) from error
             raise StoreError(
                 f"request to the configuration service failed: {error}"
             ) from error
--- a/tests/test_descriptors.py
+++ b/tests/test_descriptors.py
@@ -18,6 +18,7 @@
 from lavendermast.messages_model import StoredChanges
 from lavendermast.models import AttemptStatus, CallerRequest, Server
 from lavendermast.platform.store import MetadataStore
+from lavendermast.store import StoreClient
 from lavendermast.upstream import Upstream
 from standins.entryworld import HOST, EntryWorld
 
@@ -252,6 +253,10 @@
     monkeypatch.setattr("urllib3.util.connection.create_connection", fail)
     with pytest.raises(StoreShortageError):
         MetadataStore("127.0.0.1:9").read_all()
+    room = []
+    with pytest.raises(StoreShortageError):
+        StoreClient("127.0.0.1:9", lambda: room.append(8)).read("config")
+    assert room == [8]
 
 
 class _EndError(Exception):
--- a/tests/test_store_responses.py
+++ b/tests/test_store_responses.py
@@ -1,8 +1,9 @@
-"""Responses of the platform's store that do not end."""
+"""Responses of stores that do not end."""
 
 import eventlet
 import pytest
 
+import lavendermast.store
 from lavendermast.exceptions import StoreError
 from lavendermast.platform import store
 from lavendermast.platform.store import MetadataStore
@@ -50,6 +51,17 @@
         MetadataStore(serve(head, write)).read_all()
 
 
+@pytest.mark.parametrize("head", [HEAD, HEAD_WITH_LENGTH])
+@pytest.mark.parametrize("write", [write_fast, write_slowly])
+def test_daemon_gives_up_a_store_response_without_end(head, write, monkeypatch):
+    """Guards against a reader that a store's response holds or fills up for ever."""
+    monkeypatch.setattr(lavendermast.store, "READ_TIMEOUT_S", 0.5)
+    monkeypatch.setattr(lavendermast.store, "MAX_TRANSFER_S", 0.5)
+    client = lavendermast.store.StoreClient(serve(head, write), lambda: 0)
+    with eventlet.Timeout(20), pytest.raises(StoreError):
+        client.read("config")
+
+
 def test_call_that_is_never_answered_ends_and_the_next_one_is_answered():
     """
     Guards against a reader that a call made in a silence of the store holds.
