Answer requests that arrive as the daemon's listener stops

What callers saw: a closed connection in place of a response, for a request that had run, in the moment in which a VM that leaves stops its listener.

Cause: when the WSGI server's loop ends, it shuts down each connection whose request line it has not read, though a request may wait there. The task of that connection still reads and runs it, and cannot write.

Change: HttpListener.stop first closes the idle connections on which nothing waits (peek), and lets the tasks of the others begin. Entry VMs do not use this method; their way is unchanged.

Evidence: test_request_that_arrives_as_its_listener_stops_is_answered, on b'' in place of the response. By hand, a POST sent in that moment ran and its caller got nothing; now 200.

--- a/src/lavendermast/callerconnections.py
+++ b/src/lavendermast/callerconnections.py
@@ -1,4 +1,4 @@
-"""Connections that callers have open, and which of them may be closed."""
+"""Connections that a listener accepted, and which of them may be closed."""
 
 import math
 
--- a/src/lavendermast/listeners.py
+++ b/src/lavendermast/listeners.py
@@ -18,6 +18,8 @@
 #: Connections beyond the maximum that are accepted while all others are busy. Their
 #: requests can be refused at once, while connections in the queue would wait.
 EXTRA_CONNECTIONS = 64
+#: Time in which requests that have arrived are begun to be read.
+READ_PAUSE_S = 0.05
 #: Pause after an error of ``accept`` for which nothing could be done.
 ACCEPT_PAUSE_S = 0.05
 
@@ -186,5 +188,17 @@
 
     def stop(self):
         """Stop accepting, close idle connections and wait for the busy ones."""
+        self._close_idle()
         self.stop_accepting()
         self._pool.waitall()
+
+    def _close_idle(self):
+        """
+        Close idle connections, except those on which a request has arrived.
+
+        The WSGI server shuts down all connections whose request line it has not read
+        yet. A request that waits there would run, and its response could not be sent.
+        """
+        while self.connections.close_oldest():
+            pass
+        eventlet.sleep(READ_PAUSE_S)
--- a/tests/test_descriptors.py
+++ b/tests/test_descriptors.py
@@ -177,6 +177,23 @@
         assert slow.recv(999).startswith(b"HTTP/1.1 200")
 
 
+def test_request_that_arrives_as_its_listener_stops_is_answered(listener):
+    """Guards against requests that run although their response cannot be sent."""
+    request = b"GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n"
+    socks = [socket.create_connection(listener.address) for _ in range(3)]
+    with eventlet.Timeout(5):
+        for sock in socks:
+            kept_alive = request.replace(b"close", b"keep-alive")
+            assert ask(sock, kept_alive).startswith(b"HTTP/1.1 200")
+        for sock in socks[1:]:
+            # The task that reads the connection has no turn before the stop.
+            sock.fd.sendall(request)
+        listener.listener.stop()
+        assert socks[0].recv(999) == b""
+        for sock in socks[1:]:
+            assert sock.recv(999).startswith(b"HTTP/1.1 200")
+
+
 def test_connections_beyond_the_maximum_are_served_while_all_are_busy(listener):
     """Guards against callers that wait in the queue and are not told to go away."""
     busy = [socket.create_connection(listener.address) for _ in range(3)]
