Limit calls in time in one place, and count failed accepts of peers again

The floor repeated the comparison that Candidate.is_doubtful makes, with a second constant of the same value; it asks the candidate now.

The peer listener lost a count when it began to accept by ListeningSocket: drops with the reason accept_error, in the metrics of both daemons. PeerNetwork.count_drops adds them again.

No bound, pattern or expectation changes. test_failed_accepts_are_counted_with_the_drops is new; the tests of peers, both stores, selection, descriptors and nodes pass.

--- a/src/lavendermast/entrymetrics.py
+++ b/src/lavendermast/entrymetrics.py
@@ -58,7 +58,7 @@
         "Messages of other VMs that were dropped, by reason.",
         lambda: [
             ({"reason": reason}, count)
-            for reason, count in node.network.counts.drops.items()
+            for reason, count in node.network.count_drops().items()
         ],
     )
     registry.add_counter(
--- a/src/lavendermast/nodemetrics.py
+++ b/src/lavendermast/nodemetrics.py
@@ -113,7 +113,7 @@
 
 
 def _count_drops(node):
-    for reason, count in node.fleet.network.counts.drops.items():
+    for reason, count in node.fleet.network.count_drops().items():
         yield {"reason": reason}, count
 
 
--- a/src/lavendermast/peers.py
+++ b/src/lavendermast/peers.py
@@ -15,6 +15,7 @@
 from lavendermast.exceptions import MessageError, PeerError
 from lavendermast.listeners import LISTEN_BACKLOG, ListeningSocket, discard_event
 from lavendermast.messages_model import BODY_CLASSES
+from lavendermast.tasks import limit_time
 from lavendermast.utils import parse_address
 
 #: A datagram of this size fits one Ethernet frame with IP options and a tunnel header.
@@ -185,6 +186,13 @@
         self._udp.close()
         self._listener.close_socket()
 
+    def count_drops(self):
+        """Return the number of dropped messages and refused connections by reason."""
+        drops = dict(self.counts.drops)
+        if self._listener.accept_errors:
+            drops["accept_error"] = self._listener.accept_errors
+        return drops
+
     def spawn(self, function, *args):
         """Run a function in a separate green thread."""
         eventlet.spawn_n(self.run_safely, function, *args)
@@ -215,17 +223,16 @@
         if seconds <= 0:
             raise PeerError(f"{address}: deadline exceeded before the request was sent")
         frame = self._codec.encode(self.make_envelope(body, self._clock))
-        timeout = eventlet.Timeout(seconds)
+        late = PeerError(f"{address}: no reply within {seconds:.1f} s")
         try:
-            with timeout, eventlet.connect(parse_address(address)) as connection:
+            with (
+                limit_time(seconds, late),
+                eventlet.connect(parse_address(address)) as connection,
+            ):
                 write_frame(connection, frame)
                 self.counts.add("sent", body, len(frame))
                 reply = read_frame(connection)
             envelope = self._codec.decode(reply)
-        except eventlet.Timeout as error:
-            if error is not timeout:  # A timeout set by the calling code.
-                raise
-            raise PeerError(f"{address}: no reply within {seconds:.1f} s") from error
         except (OSError, ValueError, MessageError) as error:
             if is_shortage(error):
                 self._make_room()
--- a/src/lavendermast/platform/store.py
+++ b/src/lavendermast/platform/store.py
@@ -4,7 +4,6 @@
 import json
 import re
 
-import eventlet
 import urllib3
 from urllib3.util import Timeout
 
@@ -13,6 +12,7 @@
 from lavendermast.exceptions import HistoryLostError, StoreError, StoreShortageError
 from lavendermast.messages_model import StoredChange, StoredChanges
 from lavendermast.sockets import STORE_SOCKET_OPTIONS
+from lavendermast.tasks import limit_time
 from lavendermast.utils import parse_address
 
 from .documents import is_needed
@@ -77,9 +77,9 @@
         self.calls += 1
         fields = {name: str(value) for name, value in query.items() if value != ""}
         read_timeout_s = READ_TIMEOUT_S + wait_s
-        transfer_timeout = eventlet.Timeout(read_timeout_s + MAX_TRANSFER_S)
+        endless = StoreError(f"{path}: the response does not end")
         try:
-            with transfer_timeout:
+            with limit_time(read_timeout_s + MAX_TRANSFER_S, endless):
                 response = self._pool.request(
                     "GET",
                     path,
@@ -89,10 +89,6 @@
                     timeout=Timeout(connect=CONNECT_TIMEOUT_S, read=read_timeout_s),
                 )
                 data = _read_body(response)
-        except eventlet.Timeout as error:
-            if error is not transfer_timeout:  # A timeout set by the calling code.
-                raise
-            raise StoreError(f"{path}: the response does not end") from error
         except (urllib3.exceptions.HTTPError, OSError) as error:
             if is_shortage(error):
                 raise StoreShortageError(f"{path}: {error}") from error
--- a/src/lavendermast/selection.py
+++ b/src/lavendermast/selection.py
@@ -10,7 +10,6 @@
     FLOOR_IDLE_S,
     FLOOR_MARGIN,
     HEALTHY_FLOOR_MARGIN,
-    MAX_SICK_PROBABILITY,
 )
 from lavendermast.models import ServerState
 
@@ -36,10 +35,12 @@
 MAX_RANDOM_COST = 0.01
 
 #: While limited servers take no more requests, others take them only up to this many
-#: requests in flight per slot, and if they are not sick with a higher probability than
-#: this. A caller that returns later is better served than one that waits in a queue.
+#: requests in flight per slot, and if they are not doubtful. A caller that returns
+#: later is better served than one that waits in a queue.
 MAX_OVERFLOW_FILL = 3.0
-MAX_OVERFLOW_SICK_PROBABILITY = 0.45
+#: Servers that are sick with a higher probability neither relieve limited ones nor get
+#: requests only because they are idle, unless many requests are lost.
+DOUBTFUL_SICK_PROBABILITY = 0.45
 
 #: Callers that return after a pause are spread as if a server took this many requests
 #: per second and slot.
@@ -97,8 +98,8 @@
 
 
 def is_doubtful(sick_probability):
-    """Return whether a server is too likely to be sick to relieve limited ones."""
-    return sick_probability > MAX_OVERFLOW_SICK_PROBABILITY
+    """Return whether a server is too likely to be sick to be used without need."""
+    return sick_probability > DOUBTFUL_SICK_PROBABILITY
 
 
 @attrs.define(eq=False)
@@ -122,7 +123,7 @@
 
     @property
     def is_doubtful(self):
-        """Whether the server is too likely to be sick to relieve limited ones."""
+        """Whether the server is too likely to be sick to be used without need."""
         return is_doubtful(self.sick_probability)
 
     @property
@@ -333,8 +334,8 @@
         # Requests may turn out to be lost later, as when VMs fail while they are in
         # flight. So servers that are probably healthy are used at all times.
         chosen = self._choose_for_floor(
-            [c for c in in_region if c.sick_probability <= MAX_SICK_PROBABILITY],
-            [c for c in idle if c.sick_probability <= MAX_SICK_PROBABILITY],
+            [c for c in in_region if not c.is_doubtful],
+            [c for c in idle if not c.is_doubtful],
             margin=HEALTHY_FLOOR_MARGIN,
         )
         if chosen is not None:
--- a/src/lavendermast/store.py
+++ b/src/lavendermast/store.py
@@ -7,6 +7,7 @@
 from lavendermast.descriptors import is_shortage
 from lavendermast.exceptions import StoreError, StoreShortageError
 from lavendermast.hashing import rank_members
+from lavendermast.tasks import limit_time
 from lavendermast.utils import parse_address
 
 MAX_VALUE_BYTES = 1024 * 1024
@@ -56,9 +57,9 @@
 
     def _call(self, path, timeout):
         self.calls += 1
-        transfer_timeout = eventlet.Timeout(timeout + MAX_TRANSFER_S)
+        endless = StoreError(f"the response at {path} does not end")
         try:
-            with transfer_timeout:
+            with limit_time(timeout + MAX_TRANSFER_S, endless):
                 response = self._pool.request(
                     "GET", path, timeout=timeout, retries=False, preload_content=False
                 )
@@ -66,10 +67,6 @@
                 if len(content) > MAX_VALUE_BYTES:
                     response.close()
                 response.release_conn()
-        except eventlet.Timeout as error:
-            if error is not transfer_timeout:  # A timeout set by the calling code.
-                raise
-            raise StoreError(f"the response at {path} does not end") from error
         except urllib3.exceptions.HTTPError as error:
             if is_shortage(error):
                 self._make_room()
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -1,6 +1,7 @@
 """Peer transport over real sockets on the loopback interface."""
 
 import contextlib
+import errno
 import random
 import types
 
@@ -151,6 +152,23 @@
         wait_until(lambda: network.counts.drops["connection_error"])
 
 
+def test_failed_accepts_are_counted_with_the_drops(start_vm, monkeypatch):
+    """Guards against a lack of descriptors that no metric shows."""
+    network, _ = start_vm("vm-1")
+    listening = network._listener._socket
+    accept, failures = listening.accept, []
+
+    def fail_once():
+        if not failures:
+            failures.append(1)
+            raise OSError(errno.EMFILE, "Too many open files")
+        return accept()
+
+    monkeypatch.setattr(listening, "accept", fail_once)
+    eventlet.connect(parse_address(network.address)).close()
+    wait_until(lambda: network.count_drops().get("accept_error") == 1)
+
+
 @pytest.mark.parametrize("length", [1, 20, 63, 200])
 def test_every_message_with_queued_items_fits_a_datagram(length):
     """Guards against fragmentation, where one loss drops all; sizes are worst cases."""
