Read client accounts, ranks and limits of the new deployments

Cause: two deployments name client accounts with keys, allowances and ranks in their configuration, and bounds for them in their settings. Nothing read them.

Change: the platform folder decodes accounts, route priorities and public routes, and keeps good entries where others are malformed. Entry settings take the bounds; messages for the features that follow are defined. Clock.elapsed counts suspension.

Nothing uses the new values yet.

--- a/src/lavendermast/clock.py
+++ b/src/lavendermast/clock.py
@@ -13,6 +13,10 @@
     def monotonic(self):
         """Return seconds on a clock that never goes back."""
 
+    def elapsed(self):
+        """Return seconds on a clock that also counts while the machine is suspended."""
+        return self.monotonic()
+
     @abc.abstractmethod
     def time(self):
         """Return seconds since the Unix epoch."""
@@ -36,6 +40,10 @@
     monotonic = staticmethod(time.monotonic)
     time = staticmethod(time.time)
 
+    def elapsed(self):
+        """Return the seconds since the machine started, suspension included."""
+        return time.clock_gettime(time.CLOCK_BOOTTIME)
+
     def sleep(self, seconds):
         """Suspend the calling green thread."""
         eventlet.sleep(seconds)
--- a/src/lavendermast/entry.py
+++ b/src/lavendermast/entry.py
@@ -39,11 +39,16 @@
     :param time_left_variable: WSGI name of the header with the remaining
         milliseconds of the caller's timeout.
     :param request_id_header: name of the request ID header in responses.
+    :param key_variable: WSGI name of the header with the key of an account.
+    :param account_headers: lower-case names of the headers that are removed while
+        accounts are in force: the key, and the account that servers are told.
     """
 
     request_id_variable: str
     time_left_variable: str
     request_id_header: str
+    key_variable: str = ""
+    account_headers: frozenset = frozenset()
 
 
 class EntryApplication:
--- a/src/lavendermast/entrymodel.py
+++ b/src/lavendermast/entrymodel.py
@@ -24,6 +24,24 @@
     weight: float = 1.0
 
 
+@attrs.frozen
+class Account:
+    """
+    A client account.
+
+    :param keys: keys that its callers send.
+    :param priority: rank of its requests; 0 is the highest.
+    :param rate_limit: requests per second over all VMs together, 0.0 without a limit.
+    :param burst: requests that it may send at once beyond that rate.
+    """
+
+    name: str
+    keys: tuple = attrs.field(repr=False)
+    priority: int = 0
+    rate_limit: float = 0.0
+    burst: float = 0.0
+
+
 @attrs.frozen
 class EntryRoute:
     """
@@ -33,6 +51,8 @@
     :param timeout_s: seconds within which a request gets its final response.
     :param goal_s: latency goal in seconds; a later response has less value.
     :param max_attempts: maximum number of servers that one request may run on.
+    :param priority: rank of its requests within an account; 0 is the highest.
+    :param public: whether its requests need no key although there are accounts.
     """
 
     name: str
@@ -43,6 +63,8 @@
     timeout_s: float
     goal_s: float
     max_attempts: int = 1
+    priority: int = 0
+    public: bool = False
 
     @property
     def idempotent(self):
@@ -73,12 +95,17 @@
     One version of the configuration written by operators.
 
     :param services: names of the services.
+    :param accounts: client accounts, ``None`` if requests need no key.
+    :param account_findings: what was skipped or corrected in the accounts, one text
+        each with its place; no text contains a key.
     """
 
     version: int
     routes: tuple
     services: tuple
     limits: CallerLimits
+    accounts: tuple | None = None
+    account_findings: tuple = ()
 
 
 @attrs.frozen
--- a/src/lavendermast/messages_model.py
+++ b/src/lavendermast/messages_model.py
@@ -832,6 +832,110 @@
         )
 
 
+@attrs.frozen
+class StateQuery:
+    """Message struct StateQuery."""
+
+    sent_ms: int = 0
+
+    def to_dict(self):
+        """Return the fields as pycapnp accepts them."""
+        return {
+            "sentMs": self.sent_ms,
+        }
+
+    @classmethod
+    def from_reader(cls, reader):
+        """Return an instance from a pycapnp reader."""
+        return cls(
+            sent_ms=reader.sentMs,
+        )
+
+
+@attrs.frozen
+class StateReply:
+    """Message struct StateReply."""
+
+    sent_ms: int = 0
+    era: int = 0
+    revision: int = 0
+    age_ms: int = 0
+
+    def to_dict(self):
+        """Return the fields as pycapnp accepts them."""
+        return {
+            "sentMs": self.sent_ms,
+            "era": self.era,
+            "revision": self.revision,
+            "ageMs": self.age_ms,
+        }
+
+    @classmethod
+    def from_reader(cls, reader):
+        """Return an instance from a pycapnp reader."""
+        return cls(
+            sent_ms=reader.sentMs,
+            era=reader.era,
+            revision=reader.revision,
+            age_ms=reader.ageMs,
+        )
+
+
+@attrs.frozen
+class AccountUse:
+    """Message struct AccountUse."""
+
+    account: int = 0
+    admitted: int = 0
+    demand: float = 0.0
+
+    def to_dict(self):
+        """Return the fields as pycapnp accepts them."""
+        return {
+            "account": self.account,
+            "admitted": self.admitted,
+            "demand": self.demand,
+        }
+
+    @classmethod
+    def from_reader(cls, reader):
+        """Return an instance from a pycapnp reader."""
+        return cls(
+            account=reader.account,
+            admitted=reader.admitted,
+            demand=reader.demand,
+        )
+
+
+@attrs.frozen
+class AccountUses:
+    """Message struct AccountUses."""
+
+    uses: tuple[AccountUse, ...] = ()
+    counting_ms: int = 0
+    region: str = ""
+    relay_wanted: bool = False
+
+    def to_dict(self):
+        """Return the fields as pycapnp accepts them."""
+        return {
+            "uses": [item.to_dict() for item in self.uses],
+            "countingMs": self.counting_ms,
+            "region": self.region,
+            "relayWanted": self.relay_wanted,
+        }
+
+    @classmethod
+    def from_reader(cls, reader):
+        """Return an instance from a pycapnp reader."""
+        return cls(
+            uses=tuple(AccountUse.from_reader(item) for item in reader.uses),
+            counting_ms=reader.countingMs,
+            region=str(reader.region),
+            relay_wanted=reader.relayWanted,
+        )
+
+
 BODY_CLASSES = {
     "ping": Ping,
     "pingRequest": PingRequest,
@@ -849,4 +953,7 @@
     "fetchChanges": FetchChanges,
     "serverSummaries": ServerSummaries,
     "crashReports": CrashReports,
+    "stateQuery": StateQuery,
+    "stateReply": StateReply,
+    "accountUses": AccountUses,
 }
--- a/src/lavendermast/models.py
+++ b/src/lavendermast/models.py
@@ -147,6 +147,7 @@
         later attempt, as both have the same identifier.
     :param reservation: a :class:`~lavendermast.memory.Reservation` for its body and
         responses; ``None`` sets no bound.
+    :param account: the client account that it belongs to, or ``None``.
     """
 
     id: str
@@ -163,6 +164,7 @@
     idempotent: bool | None = None
     used_connections: list = attrs.field(factory=list, eq=False, repr=False)
     reservation: object = attrs.field(default=None, eq=False, repr=False)
+    account: object = attrs.field(default=None, eq=False, repr=False)
 
     @functools.cached_property
     def fingerprint(self):
--- a/src/lavendermast/platform/adapter.py
+++ b/src/lavendermast/platform/adapter.py
@@ -31,6 +31,8 @@
                 calls.REQUEST_ID_VARIABLE,
                 calls.TIME_LEFT_VARIABLE,
                 calls.REQUEST_ID_HEADER,
+                calls.KEY_VARIABLE,
+                calls.ACCOUNT_HEADERS,
             ),
             calls.PlatformServerProtocol(clock),
             MetadataStore(settings.store_address),
--- a/src/lavendermast/platform/calls.py
+++ b/src/lavendermast/platform/calls.py
@@ -21,6 +21,12 @@
 _PAUSE_HEADER = "retry-after"
 #: Has the value 1 in all responses of a server that is leaving.
 _LEAVING_HEADER = "server-leaving"
+#: WSGI name of the header with the key of a caller's account.
+KEY_VARIABLE = "HTTP_CREDENTIAL"
+#: Name of the account in requests to servers.
+_ACCOUNT_HEADER = "Tenant"
+#: Headers that are never passed on from callers while accounts are in force.
+ACCOUNT_HEADERS = frozenset({"credential", _ACCOUNT_HEADER.lower()})
 _DECIMAL = re.compile(r"[0-9]{1,9}(\.[0-9]{1,9})?")
 _REPLACED_HEADERS = frozenset(
     {"deadline-ms", "expect-instance", "content-length", "expect"}
@@ -47,6 +53,8 @@
         ]
         headers.append(("Deadline-Ms", str(max(left_ms, 1))))
         headers.append(("Expect-Instance", server.name))
+        if request.account is not None:
+            headers.append((_ACCOUNT_HEADER, request.account.name))
         return add_content_length(headers, request)
 
     def fill_result(self, result, response):
--- a/src/lavendermast/platform/documents.py
+++ b/src/lavendermast/platform/documents.py
@@ -17,6 +17,8 @@
 from lavendermast.exceptions import DocumentError
 from lavendermast.models import Server, ServerState
 
+from .accounts import MAX_PRIORITY, decode_accounts
+
 CONFIG_KEY = "op/config"
 SERVER_PREFIX = "servers/"
 _KINDS = {
@@ -139,6 +141,7 @@
         raise DocumentError(f"{CONFIG_KEY} was deleted")
     try:
         value = json.loads(content)
+        accounts, findings = decode_accounts(value.get("tenants"))
         return EntryConfig(
             version=int(value["version"].removeprefix("r")),
             routes=tuple(
@@ -148,6 +151,8 @@
             ),
             services=tuple(item["name"] for item in value["upstreams"]),
             limits=_decode_limits(value["limits"]),
+            accounts=accounts,
+            account_findings=findings,
         )
     except _DECODE_ERRORS as error:
         raise DocumentError(f"{CONFIG_KEY}: {type(error).__name__}: {error}") from error
@@ -176,4 +181,11 @@
         timeout_s=action["timeout_ms"] / 1000,
         goal_s=rule["goal_ms"] / 1000,
         max_attempts=int(action.get("max_attempts", 1)),
+        priority=_decode_priority(rule.get("priority")),
+        public=rule.get("public") is True,
     )
+
+
+def _decode_priority(value):
+    """Return a route's priority; one that is not a number counts as none."""
+    return value if type(value) is int and 0 <= value <= MAX_PRIORITY else 0
--- a/src/lavendermast/schema/messages.capnp
+++ b/src/lavendermast/schema/messages.capnp
@@ -259,6 +259,39 @@
   era @1 :UInt64;
 }
 
+# Asks a hub of the zone how old the state of the store is that it knows. sentMs is the
+# sender's own clock and comes back in the reply, which proves that the reply is younger.
+struct StateQuery {
+  sentMs @0 :UInt64;
+}
+
+# ageMs is the time since the hub's VM, or one that it heard of, sent the call that
+# confirmed the revision; 2^32 - 1 if none did.
+struct StateReply {
+  sentMs @0 :UInt64;
+  era @1 :UInt64;
+  revision @2 :UInt64;
+  ageMs @3 :UInt32;
+}
+
+# Use of one account, named by a hash, at a VM or in a region: requests that were admitted
+# since counting began, and requests per second that arrive, refused ones included.
+struct AccountUse {
+  account @0 :UInt64;
+  admitted @1 :UInt64;
+  demand @2 :Float32;
+}
+
+# countingMs is the time since the sender began to count. The receiver passes it on to its
+# region when relayWanted is set. region names the sender's region if the uses are the
+# sums of that region, and is empty if they are those of the sender alone.
+struct AccountUses {
+  uses @0 :List(AccountUse);
+  countingMs @1 :UInt32;
+  region @2 :Text;
+  relayWanted @3 :Bool;
+}
+
 struct Message {
   sender @0 :Text;
   bootId @1 :UInt64;
@@ -280,5 +313,8 @@
     fetchChanges @16 :FetchChanges;
     serverSummaries @17 :ServerSummaries;
     crashReports @18 :CrashReports;
+    stateQuery @19 :StateQuery;
+    stateReply @20 :StateReply;
+    accountUses @21 :AccountUses;
   }
 }
--- a/src/lavendermast/settings_model.py
+++ b/src/lavendermast/settings_model.py
@@ -165,6 +165,12 @@
     :param retry_window_s: Seconds over which further attempts are counted.
     :param retry_slack: Retries and hedges of one service that the whole fleet may make in each window beyond that share.
     :param floor_share: Share of a service's healthy servers that must get requests while many requests fail.
+    :param link_mbps: Bandwidth of this VM's link in Mbit/s; 0 if it is not known.
+    :param config_lag_ms: Time within which a configuration has to be in force, in milliseconds.
+    :param key_removal_ms: Longest time for which a key that was removed may still be used, in milliseconds; 0 if that is not enforced.
+    :param allowance_window_s: Seconds over which the allowances of accounts are checked.
+    :param allowance_excess: Share by which all VMs together may exceed an allowance in a window.
+    :param allowance_slack: Requests by which they may exceed it besides.
     """
 
     vm: str
@@ -189,6 +195,12 @@
     retry_window_s: float
     retry_slack: float
     floor_share: float
+    link_mbps: float
+    config_lag_ms: int
+    key_removal_ms: int
+    allowance_window_s: float
+    allowance_excess: float
+    allowance_slack: float
 
     @classmethod
     def from_config(cls, data):
@@ -216,6 +228,12 @@
             retry_window_s=data.get("retry_window_s", 10),
             retry_slack=data.get("retry_slack", 60),
             floor_share=data.get("floor_share", 0.7),
+            link_mbps=data.get("link_mbps", 0),
+            config_lag_ms=data.get("config_lag_ms", 2500),
+            key_removal_ms=data.get("key_removal_ms", 0),
+            allowance_window_s=data.get("allowance_window_s", 5),
+            allowance_excess=data.get("allowance_excess", 0.25),
+            allowance_slack=data.get("allowance_slack", 20),
         )
 
 
