Keep requests in their region while it has free slots, on slow links

Bodies of requests did not count in the cost of distance.

Change: where the settings name a link slower than 1,000 Mbit/s, servers of other regions are compared only while no well server of the region has a free slot, and both bodies count in the cost. Faster links choose as before.

Measured: the new selection test fails on the former rule.

--- a/src/lavendermast/attempts.py
+++ b/src/lavendermast/attempts.py
@@ -195,7 +195,9 @@
         if self._is_denied(state, reason):
             return False
         route = state.route
-        size = self._evidence.get_response_bytes(route)
+        size = self._selector.region_policy.count_bytes(
+            self._evidence.get_response_bytes(route), state.request
+        )
         trial = None
         if reason == "first" and not route.idempotent:
             trial = NON_IDEMPOTENT_TRIAL
--- a/src/lavendermast/entrynode.py
+++ b/src/lavendermast/entrynode.py
@@ -31,6 +31,7 @@
 from lavendermast.notices import ServerNotices
 from lavendermast.peers import PeerNetwork
 from lavendermast.ratelimits import INACTIVE_SHARE, RateLimits
+from lavendermast.regions import RegionPolicy
 from lavendermast.retries import WindowedRetryBudget, compute_slack_share
 from lavendermast.selection import ServerSelector
 from lavendermast.settings import load_entry_settings
@@ -154,6 +155,7 @@
             self.rate_limits,
             self.notices,
             self._compute_min_region_vms(),
+            RegionPolicy.from_settings(settings),
         )
         self.crash_tracker = CrashTracker(self.clock, record)
         self.crashes = CrashSharing(
--- a/src/lavendermast/selection.py
+++ b/src/lavendermast/selection.py
@@ -12,6 +12,7 @@
     HEALTHY_FLOOR_MARGIN,
 )
 from lavendermast.models import ServerState
+from lavendermast.regions import CheapestFirst
 
 #: Costs are fractions of the value of one request. A sick server fails 70% of its
 #: requests.
@@ -126,6 +127,11 @@
         """Whether the server is too likely to be sick to be used without need."""
         return is_doubtful(self.sick_probability)
 
+    @property
+    def has_free_slot(self):
+        """Whether the server can begin a request at once, as far as is known here."""
+        return self.pending < self.listed.slots
+
     @property
     def fill(self):
         """Requests in flight per slot."""
@@ -168,6 +174,8 @@
     :param rate_limits: the :class:`~lavendermast.ratelimits.RateLimits` of servers.
     :param notices: the :class:`~lavendermast.notices.ServerNotices`.
     :param vms: number of VMs of the region that choose servers concurrently.
+    :param region_policy: a :class:`~lavendermast.regions.RegionPolicy`; by default
+        servers of all regions are compared by cost.
     """
 
     def __init__(
@@ -183,6 +191,7 @@
         rate_limits,
         notices,
         vms=1,
+        region_policy=None,
     ):
         self._catalog = catalog
         self._get_evidence = get_evidence
@@ -198,6 +207,7 @@
         self._rate_limits = rate_limits
         self._notices = notices
         self._vms = vms
+        self.region_policy = region_policy or CheapestFirst()
 
     def choose(
         self,
@@ -212,7 +222,8 @@
         """
         Return the best ``Candidate``, or ``None`` if no live server may get a request.
 
-        :param response_bytes: expected size of the response.
+        :param response_bytes: expected bytes that count for the distance to a server
+            (see :class:`~lavendermast.regions.RegionPolicy`).
         :param excluded: names of servers not to use.
         :param trial: a :class:`TrialRule`, ``None`` for no trial.
         :param is_first: whether the attempt is the request's first; only first attempts
@@ -255,10 +266,9 @@
     def _find_usable(self, in_region, far, response_bytes, assess):
         """Return the candidates of all regions that may get a request."""
         usable, at_limit = self._split_by_room(in_region)
-        # A server of another region costs at least its distance, so these are assessed
-        # only if no server of this region costs less than that.
+        # A server of another region costs at least its distance.
         distance = REGION_COST + REGION_COST_PER_BYTE * response_bytes
-        if not usable or min(map(get_cost, usable)) > distance:
+        if self.region_policy.needs_others(usable, distance):
             remote, remote_at_limit = self._split_by_room(map(assess, far))
             usable += remote
             at_limit += remote_at_limit
--- a/tests/test_selection.py
+++ b/tests/test_selection.py
@@ -16,6 +16,7 @@
 from lavendermast.models import AttemptResult, AttemptStatus, Server, ServerState
 from lavendermast.notices import ServerNotices
 from lavendermast.ratelimits import RateLimits
+from lavendermast.regions import NearestFirst
 from lavendermast.selection import (
     IDEMPOTENT_TRIAL,
     NON_IDEMPOTENT_TRIAL,
@@ -489,3 +490,24 @@
     world.registry.finish("near", ROUTE, attempt, result, AttemptOutcome.SUCCEEDED)
     other.apply_reports("vm-1", 1, world.registry.take_reports())
     assert other.get("near").pending == 0
+
+
+def test_slow_link_crosses_regions_only_while_the_region_is_full(world):
+    """
+    Guards against requests that cross regions while servers of their own are free.
+
+    Half of the attempts of a day with free slots crossed regions, because a far server
+    with an open connection cost less than a near one with requests in flight.
+    """
+    world.server_selector.region_policy = NearestFirst()
+    for name in ("near", "region", "far"):
+        observe(world, name)
+    world.unconnected.update({"near", "region"})
+    attempts = []
+    for _ in range(12):
+        name = choose(world)
+        assert name != "far"
+        attempts.append((name, world.registry.start(name, ROUTE)))
+    assert choose(world) == "far"
+    finish(world, *attempts.pop())
+    assert choose(world) != "far"
