Bound every line that is read from a caller

Cause: the HTTP library reads chunk size lines and trailer lines with readline without a bound, also where it discards a body that nobody read; the check counted trailer lines, not their bytes. The discard itself read without end and without yielding.

Change: ChunkReader bounds the size line (4,096 bytes), extensions (64 KB and the bytes of the data), and the trailer (100 lines, 16,384 bytes, the time of a head). Errors of a discarded body no longer end in a traceback for each connection, and the library no longer writes request lines to standard error.

--- a/src/lavendermast/callerprotocol.py
+++ b/src/lavendermast/callerprotocol.py
@@ -1,10 +1,15 @@
 """Requests on one connection of a caller."""
 
+import functools
+
 import eventlet
 import eventlet.wsgi
 
-from lavendermast.callerframing import ChunkReader, find_framing_error
+from lavendermast.callerframing import ChunkReader, discard_rest, find_framing_error
 
+#: Requests of a connection without a turn for other tasks. A read that finds data and a
+#: write that finds room do not yield, so requests without end would stop other tasks.
+REQUESTS_PER_TURN = 8
 _REFUSAL = b"HTTP/1.1 %s\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
 
 
@@ -36,12 +41,16 @@
     def __init__(self, connections, conn_state, server):
         self._connections = connections
         self._head_timeout = None
+        self._requests = 0
         try:
             super().__init__(conn_state, server)
         finally:
             connections.remove(conn_state[1])
 
     def _read_request_line(self):
+        self._requests += 1
+        if self._requests % REQUESTS_PER_TURN == 0:
+            eventlet.sleep(0)
         self._connections.mark_idle(self.connection)
         try:
             # Waits for the first byte of a request and leaves it in the buffer.
@@ -83,6 +92,9 @@
         self._cancel_head_timeout()
         super().handle_one_response()
 
+    def log_message(self, text, *args):
+        """Log nothing; the library writes what callers send to standard error."""
+
     def _refuse(self, status):
         """Answer a request that cannot be read, and close its connection."""
         self.wfile.write(_REFUSAL % status.encode())
@@ -98,5 +110,9 @@
         environ["SERVER_PROTOCOL"] = self.request_version
         body = environ["eventlet.input"]
         if body.chunked_input:
-            body.rfile = ChunkReader(body.rfile)
+            body.rfile = ChunkReader(body.rfile, self._connections.head_timeout_s)
+        # The library's own method reads without end and without yielding.
+        body.discard = functools.partial(
+            discard_rest, body, self._connections.idle_timeout_s
+        )
         return environ
--- a/standins/entryworld.py
+++ b/standins/entryworld.py
@@ -118,9 +118,10 @@
     :param path: file for the settings of the process; its log has the suffix ``.log``.
     :param max_descriptors: limit on its file descriptors, ``None`` for that of this
         process.
+    :param settings: further settings of the process.
     """
 
-    def __init__(self, path, max_descriptors=None):
+    def __init__(self, path, max_descriptors=None, **settings):
         self.store = MetadataStandIn()
         self.store.start()
         self.store.put("op/config", make_config(3, READ_RULE, BOOK_RULE))
@@ -134,7 +135,7 @@
             "a",
             seeds=[],
             store_address=self.store.address,
-            grace_s=6,
+            **{"grace_s": 6, **settings},
         )
         path.write_text(json.dumps(settings))
         log = path.with_suffix(".log").open("wb")
--- a/tests/test_caller_requests.py
+++ b/tests/test_caller_requests.py
@@ -194,3 +194,61 @@
     assert bodies == []
     assert received.startswith(b"HTTP/1.1 400 ")
     assert received.count(b"HTTP/1.1") == 1
+
+
+REFUSALS = ["401 -", "404 -", "413 -", "429 -", "503 -"]
+
+
+@pytest.fixture(params=[None, *REFUSALS])
+def answering(request):
+    """A listener that reads bodies, or refuses requests without reading their body."""
+    bodies = []
+
+    def application(environ, start_response):
+        if request.param is None:
+            try:
+                bodies.append(len(read_body(environ, 10**7)))
+            except RequestError as error:
+                start_response(f"{error.status} -", [("Content-Length", "0")])
+                return [b""]
+        else:
+            bodies.append(0)
+        start_response(request.param or "200 OK", [("Content-Length", "0")])
+        return [b""]
+
+    listener = HttpListener("127.0.0.1:0", application)
+    listener.bodies, listener.reads = bodies, request.param is None
+    listener.start()
+    yield listener
+    listener.stop_accepting()
+
+
+EXTENSION = b";chunk-signature=" + b"0" * 64
+TRAILER = b"".join(b"X-%d: %s\r\n" % (n, b"t" * 150) for n in range(90))
+
+
+def test_body_with_usual_extensions_and_trailers_is_read(answering):
+    """Guards against bounds that callers within the limits of a request meet."""
+    chunk = b"1000%s\r\n%s\r\n" % (EXTENSION, b"x" * 4096)
+    body = chunk * 500 + b"0%s\r\n%s\r\n" % (EXTENSION, TRAILER)
+    received = exchange(answering, frame(CHUNKED, body) + frame(b"", b""))
+    assert received.count(b"HTTP/1.1") == 2
+    assert answering.bodies == [500 * 4096 if answering.reads else 0, 0]
+
+
+@pytest.mark.parametrize(
+    "body",
+    [
+        b"0\r\n" + b"X-A: b\r\n" * 101 + b"\r\n",
+        b"0\r\nX-A: " + b"b" * 16_384 + b"\r\n\r\n",
+        b"0\r\n" + b"X-A: %s\r\n" % (b"b" * 1000) * 17 + b"\r\n",
+        b"0;" + b"a" * 4096 + b"\r\n\r\n",
+        b"0" * 4096 + b"\r\n\r\n",
+        b"1;%s\r\nx\r\n" % (b"a" * 4000) * 17 + b"0\r\n\r\n",
+    ],
+)
+def test_lines_beyond_their_bounds_end_the_connection(answering, body):
+    """Guards against lines without end, read or discarded, that take all memory."""
+    received = exchange(answering, frame(CHUNKED, body) + frame(b"", b""))
+    assert received.count(b"HTTP/1.1") == 1
+    assert answering.bodies == ([] if answering.reads else [0])
