Treat statuses beyond 599 as broken, and distrust late bodies after 204 and 304

Cause: the parser of servers' responses accepted every status from 100 to 999, and the entry VM passed 600 to 999 to callers as a server's error. Statuses below 100, 1xx as a final status, and malformed ones were refused before already. A connection was kept after 204, 304 and answers to HEAD; where responses carry no request identifier (lavendermastd), a body that such a response must not have was taken for the answer to the next request if it came late.

Change: the status line takes 100 to 599 only, so that the answer counts as broken (it may have run). Without identifiers a connection is not kept after a response without a body. With identifiers it is kept unless a 204 or 304 declares a body; an undeclared one fails the check of the identifier.

The daemon process of the tests moved from tests/test_hostile_callers.py to tests/processes.py; crowd and bounds are unchanged.

--- a/src/lavendermast/framing.py
+++ b/src/lavendermast/framing.py
@@ -26,7 +26,10 @@
 #: The bytes around the data of chunks may be this many, and a share of the data.
 MAX_FRAMING_BYTES = 65536
 MAX_FRAMING_SHARE = 0.25
-_STATUS_LINE = re.compile(rb"HTTP/1\.([01]) ([1-9][0-9]{2})(?: [^\r\n]*)?")
+#: Statuses beyond 599 are none of HTTP; callers could not interpret them.
+_STATUS_LINE = re.compile(rb"HTTP/1\.([01]) ([1-5][0-9]{2})(?: [^\r\n]*)?")
+#: Responses with these statuses have no body, whatever their headers say.
+_BODYLESS_STATUSES = frozenset({204, 304})
 FIELD_NAME = re.compile(r"[!#$%&'*+.^_`|~0-9A-Za-z-]+")
 _FIELD_NAME_BYTES = re.compile(FIELD_NAME.pattern.encode())
 _CHUNK_LINE = re.compile(rb"([0-9A-Fa-f]{1,16})[ \t]*(?:;[^\r\n]*)?")
@@ -74,6 +77,9 @@
     #: Whether a response without a length is accepted; its body ends when the server
     #: closes the connection.
     accepts_close_delimited = False
+    #: Whether a late body of a response that has none could be taken for the response
+    #: to the next request, because responses do not say what they respond to.
+    is_anonymous = True
 
     def __init__(self, sock, method=None):
         self._sock = sock
@@ -240,8 +246,12 @@
     def _set_framing(self, values):
         lengths = values.get("content-length", [])
         encodings = values.get("transfer-encoding", [])
-        if self._method == "HEAD" or self.status in (204, 304):
+        if self._method == "HEAD" or self.status in _BODYLESS_STATUSES:
             self.length = 0
+            # A server that sends a body nevertheless may send it later.
+            declares_body = bool(encodings) or any(size != "0" for size in lengths)
+            if self.is_anonymous or (declares_body and self._method != "HEAD"):
+                self.persistent = False
             return
         if lengths and encodings:
             raise FramingError("both Content-Length and Transfer-Encoding")
@@ -326,6 +336,7 @@
     """
 
     accepts_close_delimited = True
+    is_anonymous = False
 
     def __init__(self, sock, method=None, *, id_header, request_id):
         super().__init__(sock, method)
--- a/standins/endless.py
+++ b/standins/endless.py
@@ -3,6 +3,7 @@
 import eventlet
 
 from standins.instance import InstanceStandIn
+from standins.rawbytes import find_request_id
 
 BLOCK_BYTES = 65536
 _OWN = "HTTP/1.1 200 -\r\nRequest-Id: {id}\r\nServer-Signature: s\r\n"
@@ -60,7 +61,7 @@
                     return
                 head += data
             self.answered += 1
-            sock.sendall(self._first.format(id=_find_id(head)).encode())
+            sock.sendall(self._first.format(id=find_request_id(head)).encode())
             while True:
                 sock.sendall(self._block)
                 eventlet.sleep(0)
@@ -68,11 +69,3 @@
             pass
         finally:
             sock.close()
-
-
-def _find_id(head):
-    for line in head.decode("latin-1").split("\r\n"):
-        name, _, value = line.partition(":")
-        if name.lower() == "request-id":
-            return value.strip()
-    return ""
--- a/tests/test_hostile_callers.py
+++ b/tests/test_hostile_callers.py
@@ -6,26 +6,19 @@
 fixed: they were chosen before the product was changed.
 """
 
-import json
 import os
 import pathlib
-import resource
-import subprocess
-import sys
 import time
 
 import attrs
 import eventlet
-import eventlet.wsgi
 import pytest
-import urllib3
 from eventlet.green import socket
 
-from bench.layouts import take_addresses
 from standins.backend import BackendServer, Work, serve_backend
 from standins.entryworld import BOOK_RULE, HOST, READ_RULE, EntryWorld, make_config
-from standins.platform import PlatformStore
 from tests.cluster import BASE
+from tests.processes import DaemonProcess, wait_for
 
 #: The memory setting of the processes, and the bound on what is resident.
 MAX_MEMORY_MB = 110
@@ -40,7 +33,6 @@
 CONNECTIONS = 40
 CONNECTION_BYTES = 1_000_000
 PAUSE_S = 0.05
-WAIT_S = 20.0
 MAX_BODY_BYTES = 64_000_000
 
 _CHUNKED = "POST {path} HTTP/1.1\r\nHost: {host}\r\nTransfer-Encoding: chunked\r\n\r\n"
@@ -90,7 +82,7 @@
 }
 
 
-class EntryProcess:
+class EntryCase:
     """An entry VM with one server."""
 
     def __init__(self, folder):
@@ -119,94 +111,33 @@
         self._world.stop()
 
 
-class DaemonProcess:
-    """A ``lavendermastd`` with its store and one server of each service."""
+class DaemonCase:
+    """A ``lavendermastd`` with one server of each service."""
 
     def __init__(self, folder):
-        store = PlatformStore()
-        listening = eventlet.listen(("127.0.0.1", 0))
-        port = listening.getsockname()[1]
-        log = open(os.devnull, "w")
-        self._task = eventlet.spawn(eventlet.wsgi.server, listening, store, log=log)
-        servers = [self._start_server(service) for service in BASE["services"]]
-        addresses = take_addresses(3)
-        settings = {
-            "vm": "vm-0",
-            "region": "r1",
-            "zone": "r1-a",
-            "site": "r1",
-            "caller_address": addresses[0],
-            "peer_address": addresses[1],
-            "admin_address": addresses[2],
-            "store_address": f"127.0.0.1:{port}",
-            "fleet_keys": [{"id": 1, "secret": "test-fleet-secret"}],
-            "log_path": str(folder / "daemon.log"),
-            "max_memory_mb": MAX_MEMORY_MB,
-        }
-        vm = make_vm("vm-0", "entry", "", addresses[0], addresses[1])
         order = {**BASE["routes"]["order"], "max_body_bytes": MAX_BODY_BYTES}
         base = {**BASE, "routes": {**BASE["routes"], "order": order}}
-        config = {"version": 1, "base": base, "overlays": {}}
-        vms = {"revision": 1, "vms": [vm, *servers]}
-        store.values["vms"] = (1, json.dumps(vms).encode())
-        store.values["config"] = (1, json.dumps(config).encode())
-        path = folder / "daemon.json"
-        path.write_text(json.dumps(settings))
-        options = ["-W", "ignore", "-m", "lavendermast.daemon", "--settings", str(path)]
-        source = str(pathlib.Path(__file__).resolve().parent.parent / "src")
-        self.process = subprocess.Popen(
-            [sys.executable, *options], env={**os.environ, "PYTHONPATH": source}
+        servers = {}
+        for service in BASE["services"]:
+            server = BackendServer(f"{service}-1", 6, 6, [Work("/", 1, 100)], 1)
+            port = serve_backend(server, ("127.0.0.1", 0), 100)
+            servers[server.name] = (service, f"127.0.0.1:{port}")
+        self._daemon = DaemonProcess(
+            folder, base, servers, MAX_DESCRIPTORS, max_memory_mb=MAX_MEMORY_MB
+        )
+        self.process, self.stop = self._daemon.process, self._daemon.stop
+        caller, admin = (
+            int(address.rpartition(":")[2])
+            for address in (self._daemon.caller_address, self._daemon.admin_address)
         )
-        limits = (MAX_DESCRIPTORS, MAX_DESCRIPTORS)
-        resource.prlimit(self.process.pid, resource.RLIMIT_NOFILE, limits)
-        self._http = urllib3.PoolManager(retries=False, timeout=WAIT_S)
-        self._url = f"http://{addresses[0]}/stock/1"
-        caller, admin = (int(addresses[n].rpartition(":")[2]) for n in (0, 2))
         self.targets = [(caller, "/orders"), (caller, "/none"), (admin, "/metrics")]
-        wait_for(self.is_serving)
-
-    def _start_server(self, service):
-        name = f"{service}-1"
-        server = BackendServer(name, 6, 6, [Work("/", 1, 100)], 1)
-        port = serve_backend(server, ("127.0.0.1", 0), 100)
-        return make_vm(name, "server", service, f"127.0.0.1:{port}", "")
+        assert wait_for(self.is_serving)
 
     def is_serving(self):
-        return self._http.request("GET", self._url).status == 200
-
-    def stop(self):
-        self.process.kill()
-        self.process.wait()
-        self._task.kill()
+        return self._daemon.send("/stock/1").status == 200
 
 
-def make_vm(name, kind, service, address, peer_address):
-    return {
-        "name": name,
-        "kind": kind,
-        "service": service,
-        "region": "r1",
-        "zone": "r1-a",
-        "address": address,
-        "peer_address": peer_address,
-        "state": "live",
-    }
-
-
-def wait_for(condition):
-    """Wait until a condition holds; errors of connections count as not yet."""
-    end = time.monotonic() + WAIT_S
-    while time.monotonic() < end:
-        try:
-            if condition():
-                return True
-        except (urllib3.exceptions.HTTPError, OSError):
-            pass
-        eventlet.sleep(0.05)
-    return False
-
-
-@pytest.fixture(params=[EntryProcess, DaemonProcess])
+@pytest.fixture(params=[EntryCase, DaemonCase])
 def system(request, tmp_path):
     made = request.param(tmp_path)
     yield made
