Report a request that was not sent by its deadline as not run

A request whose deadline passed while an attempt was in flight always got 504, also when that attempt was still connecting, had not begun, or had just been refused. The caller could not know that nothing ran.

At the final reply, results that have arrived are assessed, and attempts that have sent no byte are withdrawn: Upstream checks the cancellation just before the first byte, so a withdrawn attempt is never sent. If no other attempt may have run, the reply is 503 with Retry-After. A response whose head says that the request did not run keeps that status when its body is cut or late.

--- a/src/lavendermast/attempts.py
+++ b/src/lavendermast/attempts.py
@@ -307,12 +307,7 @@
 
     def _run_attempt(self, state, running):
         try:
-            result = self._upstream.send(
-                state.request,
-                running.server,
-                state.request.deadline,
-                running.cancellation,
-            )
+            result = self._send(state, running)
         except Exception as error:
             result = AttemptResult(running.server.name, AttemptStatus.CUT)
             result.detail = f"{type(error).__name__}: {error}"
@@ -321,6 +316,17 @@
             self._check_crash(state, running)
         state.results.put((running, result))
 
+    def _send(self, state, running):
+        if running.cancellation.requested:
+            return AttemptResult(running.server.name, AttemptStatus.CANCELLED)
+        running.has_begun = True
+        return self._upstream.send(
+            state.request,
+            running.server,
+            state.request.deadline,
+            running.cancellation,
+        )
+
     def _check_crash(self, state, running):
         """Find out whether the server crashed, before another attempt is made."""
         call = (state.request, running.server, running.run)
@@ -394,6 +400,9 @@
 
         It is a server's error response, not-run or unknown.
         """
+        reply = self._settle(state)
+        if reply is not None:
+            return reply
         failure = state.failure
         if status is None and failure and failure.status is AttemptStatus.ERROR:
             return make_response_reply(state, failure)
@@ -417,12 +426,34 @@
             server=failure.server if failure else "",
         )
 
+    def _settle(self, state):
+        """
+        Find out whether attempts that have not been assessed yet may have run.
+
+        Results may have arrived just before the deadline. An attempt that has sent no
+        byte yet, such as one that is still connecting, is withdrawn.
+
+        :return: the final reply, if such a result allows one.
+        """
+        while not state.results.empty():
+            running, result = state.results.get_nowait()
+            reply = self._handle_result(state, running, result)
+            if reply is not None:
+                return reply
+        for running in list(state.running.values()):
+            if running.withdraw():
+                del state.running[running.number]
+                state.not_run_attempts += 1
+        return None
+
     def _plan_return(self, state):
         """Return why a request did not run, and the value of ``Retry-After``."""
         if state.denial is not None:
             retry_after = self._denials.plan_return(state.request, state.denial)
             return state.denial.value, retry_after
-        reason = state.failure.status.value if state.failure else "no-server"
+        reason = "deadline" if state.attempts else "no-server"
+        if state.failure is not None:
+            reason = state.failure.status.value
         forecast = self._selector.forecast_room(state.service)
         if forecast is None:
             return reason, RETRY_AFTER_S
--- a/src/lavendermast/attemptstate.py
+++ b/src/lavendermast/attemptstate.py
@@ -24,7 +24,11 @@
 
 @attrs.define(eq=False)
 class RunningAttempt:
-    """An attempt in flight at a run of a server."""
+    """
+    An attempt in flight at a run of a server.
+
+    :param has_begun: whether its task has started.
+    """
 
     server: object
     run: ServerRun
@@ -32,6 +36,13 @@
     started: float
     cancellation: Cancellation
     evidence_attempt: object
+    has_begun: bool = False
+
+    def withdraw(self):
+        """Cancel it; return whether it certainly sent nothing and never will."""
+        is_unsent = not self.has_begun or self.cancellation.unsent
+        self.cancellation.cancel()
+        return is_unsent
 
 
 @attrs.define(eq=False)
--- a/src/lavendermast/upstream.py
+++ b/src/lavendermast/upstream.py
@@ -45,10 +45,17 @@
 
 
 class Cancellation:
-    """Lets another task cancel an attempt, which closes its connection."""
+    """
+    Lets another task cancel an attempt, which closes its connection.
+
+    ``unsent`` is true while the attempt has sent no byte of the request. A cancelled
+    attempt never sends its first byte, so one that is cancelled while this is true has
+    not run.
+    """
 
     def __init__(self):
         self.requested = False
+        self.unsent = False
         self._task = None
 
     def cancel(self):
@@ -157,8 +164,28 @@
     connection: ServerConnection | None = None
     idle_s: float | None = None  # idle time of a reused connection before the attempt
     sent_at: float = 0.0
+    refusal: AttemptResult | None = None  # the response's head, if it says "not run"
     _timer: object = None
 
+    def begin_sending(self):
+        """
+        Return whether the first byte may be sent, which the caller does at once.
+
+        A cancellation interrupts the task only at the hub's next turn; the connection
+        may be ready earlier.
+        """
+        if self.cancellation is None:
+            return True
+        if self.cancellation.requested:
+            return False
+        self.cancellation.unsent = False
+        return True
+
+    def mark_unsent(self):
+        """Note that no byte has been sent yet."""
+        if self.cancellation is not None:
+            self.cancellation.unsent = True
+
     def __enter__(self):
         if self.cancellation is not None:
             if self.cancellation.requested:
@@ -251,6 +278,7 @@
         :raises RequestError: when the request cannot be serialised as valid HTTP.
         """
         attempt = _Attempt(server, self._clock, deadline, cancellation)
+        attempt.mark_unsent()
         started = self._clock.monotonic()
         if started >= deadline:
             return AttemptResult(server.name, AttemptStatus.EXPIRED)
@@ -365,10 +393,14 @@
             attempt.connection.response_class = self._protocol.get_response_class(
                 request
             )
+            if not attempt.begin_sending():
+                _close_connection(attempt)
+                return AttemptResult(attempt.server.name, AttemptStatus.CANCELLED)
             attempt.sent_at = self._clock.monotonic()
             try:
                 response = attempt.connection.exchange()
             except NotSentError:
+                attempt.mark_unsent()
                 _close_connection(attempt)
                 if not reused:
                     raise
@@ -433,6 +465,8 @@
             # Nothing in the body can make the response usable.
             attempt.connection.close()
             return result
+        if not result.ran:
+            attempt.refusal = result
         if response.length is not None and response.length > self._buffer_bytes:
             result.stream = BodyStream(self, attempt, response, pieces)
         else:
@@ -460,6 +494,10 @@
         connection = attempt.connection
         sent = connection is not None and connection.sent
         _close_connection(attempt)
+        if attempt.refusal is not None:
+            # The head said that the request did not run, whatever became of the body.
+            attempt.refusal.body, attempt.refusal.stream = b"", None
+            return attempt.refusal
         result = AttemptResult(attempt.server.name, AttemptStatus.CUT)
         result.detail = str(error) or type(error).__name__
         if isinstance(error, _InterruptedError):
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -47,7 +47,11 @@
 
 
 class ScriptedUpstream:
-    """Returns the results of a list of ``(delay, status)``, one for each attempt."""
+    """
+    Returns the results of a list of ``(delay, status)``, one for each attempt.
+
+    With the status ``CONNECT_FAILED`` no byte of the request is ever sent.
+    """
 
     def __init__(self, script):
         self.script = list(script)
@@ -57,12 +61,15 @@
     def send(self, request, server, deadline, cancellation=None):
         self.sent.append(server.name)
         delay, status = self.script.pop(0)
+        cancellation.unsent = status is CONNECT_FAILED
         for _ in range(int(delay / 0.01)):
             if cancellation.requested:
                 self.cancelled.append(server.name)
                 return AttemptResult(server.name, AttemptStatus.CANCELLED)
             if SystemClock().monotonic() >= deadline:
-                return AttemptResult(server.name, AttemptStatus.TIMEOUT)
+                unsent = cancellation.unsent
+                late = CONNECT_FAILED if unsent else AttemptStatus.TIMEOUT
+                return AttemptResult(server.name, late)
             eventlet.sleep(0.01)
         code = {OK: 200, ERROR: 500, SHED: 503}.get(status, 0)
         return AttemptResult(server.name, status, http_status=code, body=b"whole")
@@ -395,3 +402,40 @@
     reply, upstream, *_ = run([], make_route(kind), is_refusing=True)
     assert (reply.status, reply.outcome) == (503, Outcome.NOT_RUN)
     assert (reply.reason, upstream.sent) == ("stopping", [])
+
+
+@pytest.mark.parametrize("kind", [RequestKind.IDEMPOTENT, RequestKind.NON_IDEMPOTENT])
+@pytest.mark.parametrize(
+    "script",
+    [
+        [(5.0, CONNECT_FAILED)] * 4,
+        [(0.0, SHED)] + [(5.0, CONNECT_FAILED)] * 4,
+    ],
+)
+def test_request_that_was_not_sent_by_its_deadline_is_reported_as_not_run(kind, script):
+    """
+    Guards against a 504 for a request that no server has run.
+
+    Its last attempt is still connecting at the deadline, so it is never sent.
+    """
+    reply, upstream, *_ = run(script, make_route(kind, 3), timeout_s=0.2)
+    assert (reply.status, reply.outcome) == (503, Outcome.NOT_RUN)
+    assert reply.retry_after > 0
+    eventlet.sleep(0.05)
+    assert upstream.cancelled
+
+
+def test_unsent_hedge_does_not_hide_an_attempt_that_was_sent():
+    """Guards against a 503 although the first of two attempts may have run."""
+    script = [(5.0, OK), (5.0, CONNECT_FAILED)]
+    reply, upstream, *_ = run(script, make_route(), timeout_s=0.8)
+    assert len(upstream.sent) == 2
+    assert (reply.status, reply.outcome) == (504, Outcome.UNKNOWN)
+
+
+def test_request_that_arrives_after_its_deadline_is_not_run():
+    """Guards against a 504 for a request whose attempt has not even begun."""
+    reply, upstream, *_ = run([(0.0, OK)], make_route(), timeout_s=-0.01)
+    assert (reply.status, reply.outcome) == (503, Outcome.NOT_RUN)
+    eventlet.sleep(0.05)
+    assert upstream.sent == []
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -8,6 +8,7 @@
 from hypothesis import given, strategies as st
 
 from lavendermast.clock import ManualClock, SystemClock
+from lavendermast.connections import ServerConnection
 from lavendermast.exceptions import FramingError, RequestError, TruncatedResponseError
 from lavendermast.framing import ServerResponse
 from lavendermast.models import AttemptStatus, CallerRequest, Server
@@ -537,3 +538,46 @@
         upstream.send(request, server.server, request.deadline).status for _ in range(2)
     ]
     assert statuses == [AttemptStatus.SHED, AttemptStatus.OK]
+
+
+def test_cancelled_attempt_never_sends_its_first_byte(start, monkeypatch):
+    """
+    Guards against a server that runs a request which its caller was told never runs.
+
+    The attempt is cancelled while it connects, and the connection opens before the
+    cancellation can interrupt it.
+    """
+    cancellation = Cancellation()
+    unsent = []
+    connect = ServerConnection.connect
+
+    def connect_and_cancel(connection):
+        connect(connection)
+        unsent.append(cancellation.unsent)
+        cancellation.cancel()
+
+    monkeypatch.setattr(ServerConnection, "connect", connect_and_cancel)
+    server = start(OK_RESPONSE)
+    result = send(make_upstream(), server, cancellation=cancellation)
+    eventlet.sleep(0.05)
+    assert (result.status, unsent) == (AttemptStatus.CANCELLED, [True])
+    assert server.received == []
+
+
+def test_attempt_counts_as_sent_from_its_first_byte_on(start):
+    """Guards against a 503 for a request that a server may have run."""
+    cancellation = Cancellation()
+    send(make_upstream(), start(OK_RESPONSE), cancellation=cancellation)
+    assert not cancellation.unsent
+
+
+@pytest.mark.parametrize("is_closed", [True, False])
+def test_refusal_counts_as_not_run_although_its_body_is_incomplete(start, is_closed):
+    """Guards against a 502 or 504 although the server said that nothing ran."""
+    data = b"HTTP/1.1 503 Busy\r\nNot-Executed: 1\r\nRequest-Id: r1\r\n"
+    data += b"Content-Length: 9\r\n\r\nno"
+    clock = SystemClock()
+    upstream = Upstream(clock, 1000, {"stock": 4}, PlatformServerProtocol(clock))
+    server = start(answer_and_close(data) if is_closed else data)
+    result = upstream.send(make_request(), server.server, clock.monotonic() + 0.2)
+    assert (result.status, result.ran) == (AttemptStatus.SHED, False)
