Move the admission queues into a package

Cause: the queue of the daemon, the queue for rate limits and the admission of an entry VM need the same decisions.

Change: admission.py and roomqueue.py move to lavendermast.admission without a change of behaviour. The completion rate and the plan of return times are modules of their own. Their tests pass unchanged but for one import.

--- a/src/lavendermast/admission.py
+++ b/src/lavendermast/admission/customerqueue.py
@@ -10,7 +10,8 @@
 import eventlet
 from eventlet.event import Event
 
-from .exceptions import RequestError
+from lavendermast.admission.completions import CompletionRate
+from lavendermast.exceptions import RequestError
 
 #: Interval at which expired waiters are refused, and others are admitted to servers
 #: whose pause ended.
@@ -28,11 +29,6 @@
 #: Share of the remaining time that the expected wait may take outside an overload. The
 #: rest is for the attempt and for errors of the estimate.
 WAIT_SHARE = 0.5
-#: Shortest window of the completion rate; slow work uses four times its mean service
-#: time, which is the time from grant to release.
-MIN_RATE_WINDOW_S = 0.5
-#: Weight of the newest service time in the moving average.
-SERVICE_TIME_WEIGHT = 0.1
 #: Bounds of the Retry-After sent to callers.
 MIN_RETRY_AFTER_S, MAX_RETRY_AFTER_S = 1, 30
 
@@ -75,48 +71,6 @@
         self.queue.release(self)
 
 
-class CompletionRate:
-    """
-    Estimates the completions a second while the queue's capacity is in use.
-
-    Until enough completions are counted, the estimate uses the rate expected from the
-    mean service time. Its weight falls as time passes, so the estimate falls in a
-    stall.
-    """
-
-    def __init__(self):
-        self._times = collections.deque()
-        self._mean_service_time_s = 0.0
-        self._busy_since = None
-
-    def set_busy(self, now, busy):
-        """Set whether all capacity is in use."""
-        if not busy:
-            self._busy_since = None
-        elif self._busy_since is None:
-            self._busy_since = now
-
-    def record(self, now, service_time_s):
-        """Count one completion."""
-        self._times.append(now)
-        self._mean_service_time_s += (
-            SERVICE_TIME_WEIGHT if self._mean_service_time_s else 1.0
-        ) * (service_time_s - self._mean_service_time_s)
-
-    def estimate(self, now, permits):
-        """Return the expected completions a second with ``permits`` in flight."""
-        window = max(MIN_RATE_WINDOW_S, 4 * self._mean_service_time_s)
-        while self._times and self._times[0] < now - window:
-            self._times.popleft()
-        since = now if self._busy_since is None else self._busy_since
-        since = max(since, now - window)
-        completed = len(self._times)
-        if self._times and self._times[0] <= since:
-            completed = sum(1 for moment in self._times if moment > since)
-        service_time_s = max(self._mean_service_time_s or now - since, 0.001)
-        return (completed + max(permits, 1)) / (now - since + service_time_s)
-
-
 class AdmissionQueue:
     """
     Admits requests as capacity allows, customers in weighted round robin.
--- a/src/lavendermast/roomqueue.py
+++ b/src/lavendermast/admission/roomqueue.py
@@ -1,5 +1,7 @@
 """Requests and callers that wait until servers at their rate limits take more."""
 
+from lavendermast.admission.returns import ReturnPlan
+
 #: A request waits only if a server will take it within this share of the route's
 #: latency goal.
 ROOM_WAIT_SHARE = 0.25
@@ -28,7 +30,7 @@
     def __init__(self, clock):
         self._clock = clock
         self._waiting = 0
-        self._last_return_at = 0.0
+        self._returns = ReturnPlan(clock, MIN_WAIT_S, MAX_RETRY_AFTER_S)
 
     def wait(self, forecast, goal_s, waited, left):
         """
@@ -58,9 +60,4 @@
 
         Refused callers are spread over the times at which servers take requests.
         """
-        now = self._clock.monotonic()
-        return_at = max(
-            now + forecast.delay_s, self._last_return_at + forecast.interval_s
-        )
-        self._last_return_at = min(return_at, now + MAX_RETRY_AFTER_S)
-        return max(round(self._last_return_at - now, 3), MIN_WAIT_S)
+        return self._returns.add(forecast.delay_s, forecast.interval_s)
--- a/src/lavendermast/attempts.py
+++ b/src/lavendermast/attempts.py
@@ -6,11 +6,11 @@
 import eventlet
 from eventlet.queue import Empty
 
+from lavendermast.admission import MAX_RETRY_AFTER_S, RoomQueue
 from lavendermast.attemptstate import RequestState, RunningAttempt, classify_attempt
 from lavendermast.crashes import ServerRun
 from lavendermast.denials import RETRY_AFTER_S, Denial
 from lavendermast.models import AttemptResult, AttemptStatus, Outcome, Reply
-from lavendermast.roomqueue import MAX_RETRY_AFTER_S, RoomQueue
 from lavendermast.selection import IDEMPOTENT_TRIAL, NON_IDEMPOTENT_TRIAL
 from lavendermast.suspicion import compute_lost_probability
 from lavendermast.upstream import Cancellation
--- a/tests/test_roomqueue.py
+++ b/tests/test_roomqueue.py
@@ -2,8 +2,8 @@
 
 import math
 
+from lavendermast.admission import MAX_RETRY_AFTER_S, RoomQueue
 from lavendermast.clock import ManualClock
-from lavendermast.roomqueue import MAX_RETRY_AFTER_S, RoomQueue
 from lavendermast.selection import RoomForecast
 
 
