Count bytes between VMs and to servers by scope

Operators could not tell traffic inside a zone from traffic between regions, which is paid by volume: the counters of peer bytes knew direction and kind only, and bytes of requests to servers were not counted at all.

The transport now counts each message by the scope of the other VM (zone, region, other or unknown), found by name or peer address; Upstream counts the bytes of all attempts by the scope of the server, also of failed ones and of long bodies.

--- a/bench/faulty_daemon.py
+++ b/bench/faulty_daemon.py
@@ -69,7 +69,7 @@
 
     def _handle_frame(self, frame, address):
         if FAULT_FILE.is_blocked("drop_from", address):
-            return None
+            return None, None
         return super()._handle_frame(frame, address)
 
 
--- a/bench/simulatedfleet.py
+++ b/bench/simulatedfleet.py
@@ -217,14 +217,14 @@
         self.boots += 1
         self.running = True
         self.touch()
-        self.network = SimulatedTransport(self, fleet)
+        self.network = fleet.transport_class(self, fleet)
         self.catalog = Catalog(decode, self.clock, ignore, lapse_s=2.0)
         settings = types.SimpleNamespace(
             vm=self.name,
             zone=self.name[0],
             peer_address=self.name,
             seeds=("a1", "c1", "e1"),
-            cpu_share=0.86,
+            cpu_share=fleet.get_cores(self.name),
             cpu_speed=1,
         )
         self.zone_fleet = ZoneFleet(
@@ -307,6 +307,8 @@
 class SimulatedFleet:
     """VMs in all zones, and the cut links between them."""
 
+    transport_class = SimulatedTransport
+
     def __init__(self, zones=ZONES, vms_per_zone=VMS_PER_ZONE):
         self.store = Store()
         self.cuts = []
@@ -329,6 +331,10 @@
         same = ZONES.get(source[0]) == ZONES.get(target[0])
         return NEAR_DELAY_S if same else FAR_DELAY_S
 
+    def get_cores(self, name):
+        """Return the cores of a VM."""
+        return 0.86
+
     def deliver(self, address, envelope):
         """Pass a message to its receiver; one that is frozen handles it later."""
         vm = self.vms[address]
--- a/src/lavendermast/connections.py
+++ b/src/lavendermast/connections.py
@@ -24,13 +24,16 @@
 class ServerConnection(HTTPConnection):
     """A urllib3 connection with green sockets and strict response parsing."""
 
-    response_class = ServerResponse
+    #: Class of the responses, or a function with the same arguments.
+    server_response_class = ServerResponse
 
     def __init__(self, host, port):
         super().__init__(host, port)
         self.idle_since = 0.0
         self.keep_alive_s = None  # the server's Keep-Alive timeout, if it sent one
         self.sent = False
+        self._sent_bytes = 0
+        self._response = None
         self._pieces = []
         self._body = memoryview(b"")
 
@@ -61,6 +64,7 @@
 
     def exchange(self):
         """Send the prepared request and return the response after reading its head."""
+        self._response = None
         first, rest = self._body[:FIRST_BODY_BYTES], self._body[FIRST_BODY_BYTES:]
         data = b"".join([*self._pieces, first])
         self._pieces.clear()
@@ -76,9 +80,26 @@
         if rest:
             # A slice of a memoryview is no copy.
             self.sock.sendall(rest)
+        self._sent_bytes += len(data) + len(rest)
         # Skips urllib3's getresponse, which wraps the standard response class.
         return super(HTTPConnection, self).getresponse()
 
+    def take_traffic(self):
+        """Return the bytes sent and received since the last call."""
+        sent, self._sent_bytes = self._sent_bytes, 0
+        response = self._response
+        if response is None:
+            return sent, 0
+        received, response.received_bytes = response.received_bytes, 0
+        if response.finished:
+            self._response = None  # its buffer is not kept while the connection is idle
+        return sent, received
+
+    def response_class(self, sock, method=None):
+        """Return a response that is kept, to count its bytes also when it fails."""
+        self._response = self.server_response_class(sock, method=method)
+        return self._response
+
     def has_no_input(self):
         """Return whether the server neither closed the connection nor sent data."""
         poller = _select.poll()
--- a/src/lavendermast/entrymetrics.py
+++ b/src/lavendermast/entrymetrics.py
@@ -47,10 +47,21 @@
     )
     registry.add_counter(
         "lavendermast_entry_peer_bytes_total",
-        "Bytes exchanged with other VMs by direction and kind.",
+        "Bytes exchanged with other VMs by direction, kind and scope: zone, region, "
+        "other regions, or unknown for VMs that are not known yet.",
         lambda: [
-            ({"direction": direction, "kind": kind}, count)
-            for (direction, kind), count in node.network.counts.bytes.items()
+            ({"direction": direction, "kind": kind, "scope": scope}, count)
+            for (direction, kind, scope), count in (
+                node.network.counts.scoped_bytes.items()
+            )
+        ],
+    )
+    registry.add_counter(
+        "lavendermast_entry_server_bytes_total",
+        "Bytes of requests to servers and their responses, by direction and scope.",
+        lambda: [
+            ({"direction": direction, "scope": scope}, count)
+            for (direction, scope), count in node.upstream.traffic.items()
         ],
     )
     registry.add_counter(
--- a/src/lavendermast/entrynode.py
+++ b/src/lavendermast/entrynode.py
@@ -108,6 +108,7 @@
             record,
             lambda: self.sync.get_store_state(),
             lambda: self._rate,
+            self._regions,
         )
         self.sync = CatalogSync(
             self.catalog, platform.source, self.fleet, self.network, self.clock, record
@@ -141,6 +142,9 @@
             CONNECT_TIMEOUT_S,
             self.descriptors,
         )
+        self.upstream.find_scope = lambda server: self.fleet.find_zone_scope(
+            server.zone
+        )
         self.notices = ServerNotices(self.catalog.get_server, self.clock, record)
         selector = ServerSelector(
             self.catalog,
--- a/src/lavendermast/framing.py
+++ b/src/lavendermast/framing.py
@@ -86,6 +86,7 @@
         self._unyielded_bytes = 0
         self._data_bytes = 0
         self._framing_bytes = 0
+        self.received_bytes = 0
         self.length = None
         self.status = 0
         self.headers = []
@@ -208,6 +209,7 @@
         self._yield_if_due()
         data = receive(self._sock, READ_BYTES)
         self._unyielded_bytes += len(data)
+        self.received_bytes += len(data)
         return data
 
     def _yield_if_due(self):
--- a/src/lavendermast/peers.py
+++ b/src/lavendermast/peers.py
@@ -29,6 +29,8 @@
 CONNECTION_TIMEOUT_S = 5.0
 RECEIVE_BUFFER_BYTES = 4 * 1024 * 1024
 BIND_ATTEMPTS = 20
+#: Scope of a VM that is not known, as that of a seed before its first heartbeat.
+UNKNOWN_SCOPE = "unknown"
 _LENGTH = struct.Struct("!I")
 _KINDS = {cls: name for name, cls in BODY_CLASSES.items()}
 
@@ -39,18 +41,21 @@
     Control traffic of one VM.
 
     ``messages`` and ``bytes`` are keyed by direction (``sent``, ``received``) and
-    message kind, ``drops`` by reason.
+    message kind, ``scoped_bytes`` also by the scope of the other VM, ``drops`` by
+    reason.
     """
 
     messages: collections.Counter = attrs.Factory(collections.Counter)
     bytes: collections.Counter = attrs.Factory(collections.Counter)
+    scoped_bytes: collections.Counter = attrs.Factory(collections.Counter)
     drops: collections.Counter = attrs.Factory(collections.Counter)
 
-    def add(self, direction, body, size):
+    def add(self, direction, body, size, scope=UNKNOWN_SCOPE):
         """Count one message."""
         key = (direction, _KINDS[type(body)])
         self.messages[key] += 1
         self.bytes[key] += size
+        self.scoped_bytes[*key, scope] += size
 
 
 class PeerTransport(abc.ABC):
@@ -59,7 +64,8 @@
 
     A handler is called as ``handler(envelope, address)``; what it returns is the reply
     to a TCP request. Datagram handlers must not block; they pass longer work to
-    :meth:`spawn`.
+    :meth:`spawn`. ``find_scope`` returns the scope of a VM by its name or peer address,
+    for the counts of bytes.
     """
 
     def __init__(self, vm):
@@ -67,6 +73,7 @@
         self.boot_id = 0
         self.counts = TrafficCounts()
         self.record_error = None
+        self.find_scope = lambda vm: UNKNOWN_SCOPE
         self._handlers = {}
         self._find_drop_reason = None
 
@@ -215,7 +222,7 @@
             except (OSError, ValueError):
                 self.counts.drops["send_error"] += 1
                 continue
-            self.counts.add("sent", body, len(frame))
+            self.counts.add("sent", body, len(frame), self.find_scope(address))
 
     def request(self, address, body, deadline):
         """Send a request over TCP and return the body of the reply."""
@@ -230,14 +237,15 @@
                 eventlet.connect(parse_address(address)) as connection,
             ):
                 write_frame(connection, frame)
-                self.counts.add("sent", body, len(frame))
+                scope = self.find_scope(address)
+                self.counts.add("sent", body, len(frame), scope)
                 reply = read_frame(connection)
             envelope = self._codec.decode(reply)
         except (OSError, ValueError, MessageError) as error:
             if is_shortage(error):
                 self._make_room()
             raise PeerError(f"{address}: {error}") from error
-        self.counts.add("received", envelope.body, len(reply))
+        self.counts.add("received", envelope.body, len(reply), scope)
         return envelope.body
 
     def _receive_datagrams(self):
@@ -273,21 +281,25 @@
 
     def _answer(self, connection, address):
         """Read one message and write the reply, if there is one."""
-        reply = self._handle_frame(read_frame(connection), address)
+        envelope, reply = self._handle_frame(read_frame(connection), address)
         if reply is None:
             return
         frame = self._codec.encode(self.make_envelope(reply, self._clock))
         write_frame(connection, frame)
-        self.counts.add("sent", reply, len(frame))
+        # A request arrives from another port than the peer address.
+        scope = self.find_scope(envelope.sender)
+        self.counts.add("sent", reply, len(frame), scope)
 
     def _handle_frame(self, frame, address):
+        """Return the envelope of a frame, ``None`` if it is invalid, and the reply."""
         try:
             envelope = self._codec.decode(frame)
         except MessageError as error:
             self.counts.drops[error.reason] += 1
-            return None
-        self.counts.add("received", envelope.body, len(frame))
-        return self.dispatch(envelope, address)
+            return None, None
+        scope = self.find_scope(envelope.sender)
+        self.counts.add("received", envelope.body, len(frame), scope)
+        return envelope, self.dispatch(envelope, address)
 
 
 def bind_sockets(host, port):
--- a/src/lavendermast/upstream.py
+++ b/src/lavendermast/upstream.py
@@ -19,6 +19,7 @@
     TruncatedResponseError,
 )
 from lavendermast.models import AttemptResult, AttemptStatus
+from lavendermast.peers import UNKNOWN_SCOPE
 from lavendermast.serverprotocol import DefaultServerProtocol
 from lavendermast.utils import parse_address
 
@@ -106,6 +107,7 @@
         if piece:
             return piece
         self.status = AttemptStatus.OK
+        self._upstream.count_traffic(self._attempt)
         self._upstream.release(self._attempt, self._response)
         raise StopIteration
 
@@ -133,6 +135,7 @@
     def _fail(self, status):
         self.status = status
         self._pieces.clear()
+        self._upstream.count_traffic(self._attempt)
         self._attempt.connection.close()
 
 
@@ -191,6 +194,8 @@
         attempt.
     :param budget: a :class:`~lavendermast.descriptors.DescriptorBudget`, or ``None``.
 
+    ``find_scope`` returns the scope of a server for the counts in ``traffic``.
+
     >>> from lavendermast.clock import SystemClock
     >>> Upstream(SystemClock(), 262144, {"stock": 7}).close_server("stock-1")
     """
@@ -213,6 +218,10 @@
         self._protocol = protocol or DefaultServerProtocol()
         self._connect_timeout_s = connect_timeout_s
         self.connections_opened = 0
+        #: Bytes of requests and responses, by direction (``sent``, ``received``) and
+        #: scope of the server.
+        self.traffic = collections.Counter()
+        self.find_scope = lambda server: UNKNOWN_SCOPE
         self._idle = collections.defaultdict(collections.deque)
         self._reduced_max_idle = {}
 
@@ -264,9 +273,20 @@
         except BaseException:
             _close_connection(attempt)
             raise
+        finally:
+            self.count_traffic(attempt)
         result.latency = self._clock.monotonic() - started
         return result
 
+    def count_traffic(self, attempt):
+        """Add the bytes of an attempt that are not counted yet."""
+        if attempt.connection is None:
+            return
+        scope = self.find_scope(attempt.server)
+        sent, received = attempt.connection.take_traffic()
+        self.traffic["sent", scope] += sent
+        self.traffic["received", scope] += received
+
     def has_connection(self, server, retryable):
         """
         Return whether an attempt would reuse an idle connection.
@@ -362,8 +382,8 @@
             if self._clock.monotonic() >= attempt.deadline:
                 _close_connection(attempt)
                 return AttemptResult(attempt.server.name, AttemptStatus.EXPIRED)
-            attempt.connection.response_class = self._protocol.get_response_class(
-                request
+            attempt.connection.server_response_class = (
+                self._protocol.get_response_class(request)
             )
             attempt.sent_at = self._clock.monotonic()
             try:
--- a/src/lavendermast/zonefleet.py
+++ b/src/lavendermast/zonefleet.py
@@ -7,6 +7,7 @@
 import attrs
 
 from lavendermast.messages_model import Presence, VmPresence
+from lavendermast.peers import UNKNOWN_SCOPE
 
 #: Interval of heartbeats within a zone.
 HEARTBEAT_INTERVAL_S = 0.4
@@ -88,10 +89,19 @@
     :param get_store_state: callable that returns what
         :meth:`CatalogSync.get_store_state` does.
     :param get_rate: callable that returns this VM's requests per second.
+    :param regions: mapping of zone to region.
     """
 
     def __init__(
-        self, settings, boot_id, network, clock, record_event, get_store_state, get_rate
+        self,
+        settings,
+        boot_id,
+        network,
+        clock,
+        record_event,
+        get_store_state,
+        get_rate,
+        regions=None,
     ):
         self.seeds = settings.seeds
         self._network = network
@@ -107,7 +117,9 @@
             "starting",
             cores=settings.cpu_share * settings.cpu_speed,
         )
+        self.regions = regions or {}
         self.vms = {}
+        self._zones_by_address = {}
         self.on_presence = []
         self._next_summary = 0.0
         self._next_seed = 0.0
@@ -117,6 +129,7 @@
         self._list_turns = 0
         self._prompt_names = set()
         network.boot_id = boot_id
+        network.find_scope = self.find_scope
         network.register(Presence, self._handle_presence)
 
     def run(self):
@@ -163,6 +176,25 @@
             self._next_seed = now + SEED_INTERVAL_S
             self._contact_seeds(all_seeds=alone)
 
+    def find_scope(self, vm):
+        """
+        Return the scope of a VM: ``zone``, ``region``, ``other`` or ``unknown``.
+
+        :param vm: name or peer address of the VM.
+        """
+        known = self.vms.get(vm)
+        zone = known.zone if known is not None else self._zones_by_address.get(vm)
+        return self.find_zone_scope(zone) if zone else UNKNOWN_SCOPE
+
+    def find_zone_scope(self, zone):
+        """Return the scope of what is in a zone: ``zone``, ``region`` or ``other``."""
+        local_zone = self.local_vm.zone
+        if zone == local_zone:
+            return "zone"
+        region = self.regions.get(zone)
+        is_near = region is not None and region == self.regions.get(local_zone)
+        return "region" if is_near else "other"
+
     def get_vm_names(self, zone=None):
         """
         Return the sorted names of a zone's live VMs, without those that are leaving.
@@ -376,6 +408,9 @@
                 self._log_change(presence.vm, presence.zone, presence.state)
             known.last_seen_at = last_seen_at
             known.state, known.boot_id = presence.state, presence.boot_id
+            if known.peer_address != presence.peer_address:
+                self._zones_by_address.pop(known.peer_address, None)
+                self._zones_by_address[presence.peer_address] = known.zone
             known.peer_address = presence.peer_address
             known.rate, known.cores = presence.rate, presence.cores
             known.interval_s = presence.interval_ms / 1000
@@ -395,6 +430,7 @@
             interval_s,
         )
         self.vms[presence.vm] = known
+        self._zones_by_address[presence.peer_address] = presence.zone
         self._log_change(presence.vm, presence.zone, presence.state)
         return known
 
@@ -403,6 +439,7 @@
             age = now - vm.last_seen_at
             if age > self._get_timeout(vm.zone, vm.interval_s):
                 del self.vms[vm.vm]
+                self._zones_by_address.pop(vm.peer_address, None)
                 self._log_change(vm.vm, vm.zone, "silent", round(age * 1000))
 
     def _get_timeout(self, zone, interval_s):
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -211,3 +211,28 @@
     second.readiness.contact_peers()
     wait_until(lambda: first.membership.get_member("vm-2") is not None)
     assert network.counts.drops["handler_error"] == 1
+
+
+def test_bytes_are_counted_by_the_scope_of_the_other_vm(start_vm):
+    """
+    Guards against bytes without a scope: a request over TCP arrives from another port
+    than the peer address, so its reply is counted by the sender's name.
+    """
+    first, _ = start_vm("vm-1")
+    second, _ = start_vm("vm-2")
+    for network in (first, second):
+        network.find_scope = lambda vm: {"vm-1": "zone", second.address: "other"}.get(
+            vm, "unknown"
+        )
+        network.set_membership(
+            types.SimpleNamespace(
+                local_member=types.SimpleNamespace(boot_id=1),
+                find_drop_reason=lambda *args: None,
+            )
+        )
+    second.register(FetchDocument, lambda envelope, address: Ping(1))
+    first.request(second.address, FetchDocument(), first._clock.monotonic() + 5)
+    sent = first.counts.scoped_bytes["sent", "fetchDocument", "other"]
+    assert sent == second.counts.scoped_bytes["received", "fetchDocument", "zone"] > 0
+    replied = first.counts.scoped_bytes["received", "ping", "other"]
+    wait_until(lambda: second.counts.scoped_bytes["sent", "ping", "zone"] == replied)
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -537,3 +537,21 @@
         upstream.send(request, server.server, request.deadline).status for _ in range(2)
     ]
     assert statuses == [AttemptStatus.SHED, AttemptStatus.OK]
+
+
+def test_bytes_of_all_attempts_are_counted_by_the_scope_of_the_server(start):
+    """Guards against bytes of failed attempts and long bodies that are not counted."""
+    long_body = b"HTTP/1.1 200 OK\r\nContent-Length: 5000\r\n\r\n" + b"x" * 5000
+    malformed = b"HTTP/9 nonsense\r\n\r\n"
+    server = start(OK_RESPONSE, long_body, malformed)
+    upstream = make_upstream(1000)
+    upstream.find_scope = lambda item: item.zone
+    assert send(upstream, server).status is AttemptStatus.OK
+    received = len(OK_RESPONSE)
+    assert upstream.traffic["received", "z"] == received
+    assert len(b"".join(send(upstream, server).stream)) == 5000
+    received += len(long_body)
+    assert upstream.traffic["received", "z"] == received
+    assert send(upstream, server).status is AttemptStatus.CUT
+    assert upstream.traffic["received", "z"] == received + len(malformed)
+    assert upstream.traffic["sent", "z"] == sum(map(len, server.received))
--- a/tests/test_zonefleet.py
+++ b/tests/test_zonefleet.py
@@ -19,7 +19,7 @@
     StoreError,
     StoreLagError,
 )
-from lavendermast.messages_model import StoredChange, StoredChanges
+from lavendermast.messages_model import StoredChange, StoredChanges, VmPresence
 from lavendermast.peers import PeerTransport
 from lavendermast.platform.documents import decode_document
 from lavendermast.zonefleet import (
@@ -547,3 +547,18 @@
     fleet.source.changes.append(StoredChange("servers/s1", 3, True, b""))
     reader.sync._apply(reader.sync._read(), "store")
     assert reader.catalog.get_server("s1") is None
+
+
+def test_scope_of_a_vm_follows_its_zone(fleet):
+    """Guards against bytes between regions that are counted as bytes of a zone."""
+    vm = fleet.vms["a1"].fleet
+    vm.regions = {"a": "north", "b": "north", "c": "south"}
+    assert vm.find_scope("b1") == "unknown"
+    run_rounds(fleet, 8)
+    far = VmPresence("c1", "c", "10.0.0.3:7000", 1, "alive")
+    vm._merge(far, fleet.clock.monotonic())
+    scopes = [vm.find_scope(name) for name in ("a2", "b1", "c1", "10.0.0.3:7000")]
+    assert scopes == ["zone", "region", "other", "other"]
+    fleet.clock.advance(100.0)
+    vm._remove_timed_out(fleet.clock.monotonic())
+    assert vm.find_scope("10.0.0.3:7000") == "unknown"
