Fetch the documents of a starting VM from a VM of its region

Each VM that started read all documents from the store, and fetched them a second time from the first seed that answered. With many VMs this was most of the traffic of a start, and the seeds' links carried it.

A VM without documents now fetches them from a ready VM of its zone, after 0.15 s also from one of another zone of its region. The first VM of a zone by name reads the store if there is none, and every VM does after 0.7 s with jitter.

--- a/bench/fleet_traffic.py
+++ b/bench/fleet_traffic.py
@@ -42,6 +42,8 @@
 SERVERS_PER_VM = 3
 LARGE_CORES, SMALL_CORES = 2.15, 0.43
 MEAN_LATENCY_S = 0.12
+#: Links of 100 and 5 Mbit/s.
+LARGE_LINK_BYTES_PER_S, SMALL_LINK_BYTES_PER_S = 12_500_000, 625_000
 #: Share of the attempts at servers of other regions.
 REMOTE_SHARE = 0.1
 #: An entry of a server in the store takes about this many bytes.
@@ -72,6 +74,7 @@
         self._count(address, body, self._measure(body))
         reply = super().request(address, body, deadline)
         size = self._measure(reply)
+        self._vm.clock.sleep(size / SMALL_LINK_BYTES_PER_S)
         self._fleet.count(address, self.vm, type(reply).__name__, size)
         return reply
 
@@ -227,7 +230,7 @@
     fleet, clock, rng = TrafficFleet(size), VirtualClock(), random.Random(seed)
     ready = {}
     for vm in fleet.vms.values():
-        eventlet.spawn_after(rng.uniform(0.0, START_SPREAD_S), _start, vm, ready)
+        eventlet.spawn_after(rng.uniform(0.0, START_SPREAD_S), start_vm, vm, ready)
     clock.sleep(SETTLE_S)
     start_bytes = fleet.bytes.copy()
     snapshots = fleet.store.snapshots
@@ -241,9 +244,14 @@
     return snapshots, ready, start_bytes, fleet.bytes
 
 
-def _start(vm, ready):
+def start_vm(vm, ready):
+    """Start a VM and record the time until it is ready."""
     started_at = vm.clock.monotonic()
     vm.start()
+    is_large = vm.fleet_links.get_cores(vm.name) == LARGE_CORES
+    vm.sync.link_bytes_per_s = (
+        LARGE_LINK_BYTES_PER_S if is_large else SMALL_LINK_BYTES_PER_S
+    )
     vm.catalog.on_config.append(
         lambda _: ready.setdefault(vm.name, vm.clock.monotonic() - started_at)
     )
--- a/bench/simulatedfleet.py
+++ b/bench/simulatedfleet.py
@@ -235,6 +235,7 @@
             ignore,
             lambda: self.sync.get_store_state(),
             lambda: 0.0,
+            ZONES,
         )
         self.catalog.on_config.append(lambda _: self.zone_fleet.set_state("alive"))
         self.source = SimulatedSource(fleet.store, self)
--- a/src/lavendermast/catalogsync.py
+++ b/src/lavendermast/catalogsync.py
@@ -2,11 +2,14 @@
 
 import abc
 import math
+import random
 
 import eventlet
 
+from lavendermast.codec import compress_changes, expand_changes
 from lavendermast.exceptions import (
     HistoryLostError,
+    MessageError,
     PeerError,
     StoreError,
     StoreLagError,
@@ -17,6 +20,9 @@
 #: Maximum duration of one watch call. Its end confirms that nothing has changed, for
 #: the whole zone; MAX_AGE_S has to be longer.
 WATCH_WAIT_S = 1.0
+#: Maximum duration of a watch call of a VM without others in its zone: nobody tells it
+#: of changes while a lost call waits for its timeout, 1.5 s later.
+LONE_WATCH_WAIT_S = 0.5
 #: Delay after a change before the next call, so that further changes share that call.
 BATCH_DELAY_S = 0.25
 #: Backoff between failed calls to the store; each delay is 1.5 times the last one.
@@ -25,6 +31,29 @@
 #: Interval at which a VM that is not the reader checks whether it has become it.
 ROLE_CHECK_INTERVAL_S = 0.2
 PEER_REQUEST_TIMEOUT_S = 1.0
+#: A VM without documents fetches them from its zone at once, and after this time also
+#: from other zones of its region. Seeds answer within two delays between regions.
+ZONE_PREFERENCE_S = 0.15
+#: Without a peer that has them, the first VM of a zone by name reads the store after
+#: this time, which the VMs of a zone that start together need to hear of each other.
+FIRST_READ_DELAY_S = 0.2
+#: A VM that has heard of no other reads the store after this time. The VMs of a fleet
+#: start within 0.3 s.
+ALONE_READ_DELAY_S = 0.4
+#: Any VM without documents reads the store after this time, give or take the jitter.
+MAX_READ_DELAY_S = 0.7
+READ_DELAY_JITTER = 0.15
+START_CHECK_INTERVAL_S = 0.05
+#: A VM refuses to send a snapshot that its link could not finish within this time after
+#: the ones before it. The VMs that it refuses ask those that have got theirs.
+MAX_SNAPSHOT_DELAY_S = 0.2
+#: Link of a VM whose settings name none.
+DEFAULT_LINK_BYTES_PER_S = 125_000_000
+#: Leaves time to try another VM before the store is read. A compressed snapshot of
+#: 50 KB takes 0.08 s on a link of 5 Mbit/s.
+FIRST_FETCH_TIMEOUT_S = 0.3
+#: VMs whose last heartbeat is younger are asked first, because others may be dead.
+FRESH_AGE_S = 0.5
 #: A watch that still delivers nothing this long after a peer had a newer state is
 #: ended, and the next VM reads.
 MAX_WATCH_LAG_S = 0.8
@@ -77,7 +106,8 @@
 
     The reader is the first live VM of the zone by name that reaches the store. The
     other VMs apply what it pushes, and fetch changes that they missed from a peer. A VM
-    without documents reads the store itself. A hub that gets changes from another zone
+    that starts fetches all documents from a VM of its region, and reads the store
+    itself if none delivers them soon. A hub that gets changes from another zone
     pushes them too, because the store may have turned away the reader of its own zone.
 
     Heartbeats tell when the store last confirmed the sender's state. A VM that heard of
@@ -103,6 +133,14 @@
         self._watch_deadline = math.inf
         self._was_lost = False
         self._late_logged = False
+        # Spreads the VMs that start together, in the same way in each simulation.
+        self._random = random.Random(f"{fleet.local_vm.vm}/{fleet.local_vm.boot_id}")
+        self._started_at = None
+        self._read_delay_s = MAX_READ_DELAY_S
+        self._failed_origins = set()
+        self._snapshot_key = self._snapshot = None
+        self._snapshots_sent_at = -math.inf
+        self.link_bytes_per_s = DEFAULT_LINK_BYTES_PER_S
         self.make_room = lambda: 0
         self.store_reachable = True
         #: Time at which the store last confirmed that this VM's state is the newest.
@@ -118,13 +156,18 @@
             self._record_late_state()
             wait_s = self._choose_wait()
             if wait_s is None:
-                self._clock.sleep(ROLE_CHECK_INTERVAL_S)
+                self._clock.sleep(
+                    ROLE_CHECK_INTERVAL_S
+                    if self._catalog.revision
+                    else START_CHECK_INTERVAL_S
+                )
                 continue
+            called_at = self._clock.monotonic()
             try:
                 changes = self._read(wait_s)
             except StoreError as error:
                 self._handle_store_failure(error)
-                self._clock.sleep(self._retry_delay_s)
+                self._clock.sleep(self._compute_retry_delay(called_at))
                 continue
             self._handle_store_success()
             is_news = self._catalog.revision != changes.to_revision or changes.whole
@@ -140,19 +183,87 @@
 
         :return: ``None`` if this VM makes none.
         """
+        if not self._catalog.revision:
+            self._fetch_first()
+            return WATCH_WAIT_S if self._is_first_read_due() else None
         if self._is_stale():
             return 0.0
-        return WATCH_WAIT_S if self.is_reader() else None
+        if not self.is_reader():
+            return None
+        return LONE_WATCH_WAIT_S if self._is_alone() else WATCH_WAIT_S
+
+    def _compute_retry_delay(self, called_at):
+        """Return the seconds until the call after one that failed."""
+        if not self._is_alone():
+            return self._retry_delay_s
+        # The time-out of the call has been delay enough where nobody else asks.
+        elapsed_s = self._clock.monotonic() - called_at
+        return max(self._retry_delay_s - elapsed_s, 0.0)
+
+    def _is_alone(self):
+        """Return whether this VM knows no other one of its zone."""
+        return self._fleet.get_vm_names() == [self._fleet.local_vm.vm]
 
     def _is_stale(self):
         """Return whether the store has not confirmed this VM's state for too long."""
         max_age_s = MAX_HUB_AGE_S if self._fleet.is_hub() else MAX_AGE_S
-        return self._get_age_s() > max_age_s
+        if self._started_at is None:
+            return self._get_age_s() > max_age_s
+        # Documents that a starting VM got from a peer are confirmed by heartbeats.
+        started_s = self._clock.monotonic() - self._started_at
+        return min(self._get_age_s(), started_s) > max_age_s
 
     def _get_age_s(self):
         """Return the seconds since the store confirmed this VM's state."""
         return self._clock.monotonic() - self.confirmed_at
 
+    def _get_start_age_s(self):
+        """Return the seconds since this VM first looked for documents."""
+        now = self._clock.monotonic()
+        if self._started_at is None:
+            self._started_at = now
+            jitter = self._random.uniform(-READ_DELAY_JITTER, READ_DELAY_JITTER)
+            self._read_delay_s = MAX_READ_DELAY_S * (1 + jitter)
+        return now - self._started_at
+
+    def _is_first_read_due(self):
+        """Return whether a VM without documents reads the store now."""
+        fleet, age_s = self._fleet, self._get_start_age_s()
+        if age_s >= self._read_delay_s:
+            return True
+        if not fleet.vms:
+            return age_s >= ALONE_READ_DELAY_S or not fleet.get_other_seeds()
+        if self._fetching or self._find_origins():
+            return False
+        is_first = fleet.get_vm_names()[0] == fleet.local_vm.vm
+        return is_first and age_s >= FIRST_READ_DELAY_S
+
+    def _find_origins(self):
+        """Return the VMs of the nearest zones that have documents for this one."""
+        vms = [
+            vm
+            for vm in self._fleet.vms.values()
+            if vm.state == "alive" and vm.vm not in self._failed_origins
+        ]
+        scopes = ["zone"]
+        if self._get_start_age_s() >= ZONE_PREFERENCE_S:
+            scopes.append("region")
+        for scope in scopes:
+            origins = [
+                vm for vm in vms if self._fleet.find_zone_scope(vm.zone) == scope
+            ]
+            if origins:
+                seen_after = self._clock.monotonic() - FRESH_AGE_S
+                fresh = [vm for vm in origins if vm.last_seen_at >= seen_after]
+                return fresh or origins
+        return []
+
+    def _fetch_first(self):
+        """Fetch the documents from a near VM that has them, if there is one."""
+        origins = self._find_origins() if not self._fetching else []
+        if origins:
+            self._start_fetch(self._random.choice(origins), whole=True)
+
     def is_reader(self):
         """Return whether this VM is currently the reader of its zone."""
         if not self._catalog.revision:
@@ -322,6 +433,9 @@
 
     def _fetch_if_behind(self, presence):
         self._take_confirmation(presence)
+        if not self._catalog.revision:
+            self._fetch_first()
+            return
         vm = self._fleet.vms.get(presence.own.vm)
         if presence.config_version > self._catalog.config_version:
             # The VM may have the version from an era that was lost in a restore.
@@ -355,21 +469,48 @@
             eventlet.spawn_n(self._fetch, vm, whole)
 
     def _fetch(self, vm, whole):
-        deadline = self._clock.monotonic() + PEER_REQUEST_TIMEOUT_S
+        is_first = not self._catalog.revision
+        timeout_s = FIRST_FETCH_TIMEOUT_S if is_first else PEER_REQUEST_TIMEOUT_S
+        deadline = self._clock.monotonic() + timeout_s
+        is_refused = False
         known_revision = 0 if whole else self._catalog.revision
         try:
             changes = self._network.request(
                 vm.peer_address,
-                FetchChanges(known_revision, self._catalog.era),
+                FetchChanges(known_revision, self._catalog.era, True),
                 deadline,
             )
             if isinstance(changes, StoredChanges):
-                self._apply(changes, vm.vm)
-        except PeerError as error:
-            self._record_event("fetch_failed", member=vm.vm, detail=str(error))
+                self._apply(expand_changes(changes), vm.vm)
+        except (PeerError, MessageError) as error:
+            is_refused = is_first and self._clock.monotonic() < deadline
+            if not is_refused:
+                self._record_event("fetch_failed", member=vm.vm, detail=str(error))
         finally:
             self._fetching = False
+        if not self._catalog.revision:
+            # One that refuses is busy with others and may be asked again.
+            if not is_refused:
+                self._failed_origins.add(vm.vm)
+        elif is_first:
+            self._record_event(
+                "documents_fetched", member=vm.vm, revision=self._catalog.revision
+            )
 
     def _handle_fetch(self, envelope, address):
-        wanted = envelope.body
-        return self._catalog.get_changes_since(wanted.revision, wanted.era)
+        wanted, catalog = envelope.body, self._catalog
+        is_start = not wanted.revision or wanted.era not in (0, catalog.era)
+        if not (wanted.accepts_compressed and is_start and catalog.revision):
+            return catalog.get_changes_since(wanted.revision, wanted.era)
+        # Encoding all documents takes milliseconds, and a zone may start at once.
+        key = (catalog.era, catalog.revision, catalog.config_version)
+        if self._snapshot_key != key:
+            self._snapshot = compress_changes(catalog.get_changes_since(0))
+            self._snapshot_key = key
+        now = self._clock.monotonic()
+        sent_at = max(self._snapshots_sent_at, now)
+        if sent_at - now > MAX_SNAPSHOT_DELAY_S:
+            return None
+        seconds = len(self._snapshot.compressed) / self.link_bytes_per_s
+        self._snapshots_sent_at = sent_at + seconds
+        return self._snapshot
--- a/src/lavendermast/codec.py
+++ b/src/lavendermast/codec.py
@@ -3,6 +3,7 @@
 import hashlib
 import hmac
 import pathlib
+import zlib
 
 import attrs
 import capnp
@@ -42,6 +43,34 @@
     return message.to_bytes_packed()
 
 
+def compress_changes(changes):
+    """Return ``StoredChanges`` that hold others in compressed form."""
+    message = _SCHEMA.StoredChanges.new_message()
+    message.from_dict(changes.to_dict())
+    compressed = zlib.compress(message.to_bytes_packed())
+    return messages_model.StoredChanges(compressed=compressed)
+
+
+def expand_changes(changes):
+    """
+    Return ``StoredChanges`` that may be in compressed form.
+
+    :raises MessageError: when they are malformed or too large.
+    """
+    if not changes.compressed:
+        return changes
+    try:
+        expander = zlib.decompressobj()
+        # A small frame must not declare a value that exhausts memory.
+        payload = expander.decompress(changes.compressed, MAX_MESSAGE_BYTES)
+        if not expander.eof:
+            raise MessageError("too_large", f"over {len(payload)} bytes")
+        reader = _SCHEMA.StoredChanges.from_bytes_packed(payload)
+        return messages_model.StoredChanges.from_reader(reader)
+    except (capnp.KjException, ValueError, zlib.error) as error:
+        raise MessageError("malformed", str(error)) from error
+
+
 def measure_body(body, sender=""):
     """Return the largest size that a frame with this body and sender can have."""
     widest = 2**64 - 2
--- a/src/lavendermast/entrynode.py
+++ b/src/lavendermast/entrynode.py
@@ -114,6 +114,8 @@
             self.catalog, platform.source, self.fleet, self.network, self.clock, record
         )
         self.sync.make_room = self.descriptors.make_room
+        if settings.link_mbps:
+            self.sync.link_bytes_per_s = settings.link_mbps * 125_000
         self.rate_limits = RateLimits(
             self.clock,
             record,
--- a/src/lavendermast/messages_model.py
+++ b/src/lavendermast/messages_model.py
@@ -786,6 +786,7 @@
     whole: bool = False
     changes: tuple[StoredChange, ...] = ()
     era: int = 0
+    compressed: bytes = b""
 
     def to_dict(self):
         """Return the fields as pycapnp accepts them."""
@@ -795,6 +796,7 @@
             "whole": self.whole,
             "changes": [item.to_dict() for item in self.changes],
             "era": self.era,
+            "compressed": self.compressed,
         }
 
     @classmethod
@@ -806,6 +808,7 @@
             whole=reader.whole,
             changes=tuple(StoredChange.from_reader(item) for item in reader.changes),
             era=reader.era,
+            compressed=bytes(reader.compressed),
         )
 
 
@@ -815,12 +818,14 @@
 
     revision: int = 0
     era: int = 0
+    accepts_compressed: bool = False
 
     def to_dict(self):
         """Return the fields as pycapnp accepts them."""
         return {
             "revision": self.revision,
             "era": self.era,
+            "acceptsCompressed": self.accepts_compressed,
         }
 
     @classmethod
@@ -829,6 +834,7 @@
         return cls(
             revision=reader.revision,
             era=reader.era,
+            accepts_compressed=reader.acceptsCompressed,
         )
 
 
--- a/src/lavendermast/schema/messages.capnp
+++ b/src/lavendermast/schema/messages.capnp
@@ -245,18 +245,22 @@
 
 # Changes that lead from one revision to another. If whole is set, they are the complete
 # state, and documents that are not in it do not exist. Revisions of different eras of
-# the store do not compare; era 0 is unknown.
+# the store do not compare; era 0 is unknown. If compressed is set, it holds the fields
+# above: a packed StoredChanges compressed with zlib.
 struct StoredChanges {
   fromRevision @0 :UInt64;
   toRevision @1 :UInt64;
   whole @2 :Bool;
   changes @3 :List(StoredChange);
   era @4 :UInt64;
+  compressed @5 :Data;
 }
 
+# Older builds do not accept compressed changes.
 struct FetchChanges {
   revision @0 :UInt64;
   era @1 :UInt64;
+  acceptsCompressed @2 :Bool;
 }
 
 # Asks a hub of the zone how old the state of the store is that it knows. sentMs is the
--- a/src/lavendermast/zonefleet.py
+++ b/src/lavendermast/zonefleet.py
@@ -39,6 +39,10 @@
 MAX_VMS_PER_DATAGRAM = 10
 #: Interval at which one seed is contacted, so that a partitioned fleet reunites.
 SEED_INTERVAL_S = 5.0
+#: A VM that has just started and heard of no other contacts the seeds at this interval,
+#: because the seeds of a fleet that starts are not up at once.
+START_INTERVAL_S = 0.1
+MAX_START_ROUNDS = 10
 #: Requests per second and core above which one more VM becomes active; about a tenth
 #: of what a VM can forward, since load spikes build up within a second.
 TARGET_RATE_PER_CORE = 30.0
@@ -136,7 +140,10 @@
         """Send heartbeats until the task is killed."""
         while True:
             self.send_heartbeats()
-            self._clock.sleep(HEARTBEAT_INTERVAL_S)
+            is_searching = not self.vms and self._rounds <= MAX_START_ROUNDS
+            self._clock.sleep(
+                START_INTERVAL_S if is_searching else HEARTBEAT_INTERVAL_S
+            )
 
     def set_state(self, state):
         """Set the state of this VM and send it to the zone immediately."""
@@ -346,8 +353,12 @@
                 addresses.append(self.vms[name].peer_address)
         self._send(addresses, others)
 
+    def get_other_seeds(self):
+        """Return the addresses of the seeds without that of this VM."""
+        return [s for s in self.seeds if s != self.local_vm.peer_address]
+
     def _contact_seeds(self, all_seeds):
-        seeds = [s for s in self.seeds if s != self.local_vm.peer_address]
+        seeds = self.get_other_seeds()
         if not seeds:
             return
         self._seed_index += 1
--- a/tests/test_propagation.py
+++ b/tests/test_propagation.py
@@ -2,11 +2,14 @@
 
 import random
 
+import eventlet
 import pytest
 
+from bench.fleet_traffic import TrafficFleet, start_vm
 from bench.propagation import run_seed
 from bench.simulatedfleet import SimulatedFleet, VirtualClock, run_virtually
 from bench.soakchecks import CONFIG_PROPAGATION_S
+from lavendermast.catalogsync import MAX_READ_DELAY_S, READ_DELAY_JITTER
 
 SECONDS = 30.0
 
@@ -27,6 +30,32 @@
     assert findings == []
 
 
+def start_fleet():
+    """Return the store snapshots that a starting fleet reads and the times to start."""
+    fleet, clock = TrafficFleet(33), VirtualClock()
+    rng, ready = random.Random(1), {}
+    for vm in fleet.vms.values():
+        eventlet.spawn_after(rng.uniform(0.0, 0.3), start_vm, vm, ready)
+    clock.sleep(3.0)
+    first_times, reads = dict(ready), fleet.store.snapshots
+    vm = fleet.vms["b3"]
+    vm.kill()
+    ready.clear()
+    start_vm(vm, ready)
+    clock.sleep(3.0)
+    return first_times, reads, ready, fleet.store.snapshots - reads
+
+
+def test_starting_fleet_reads_the_store_a_few_times_and_is_ready_soon():
+    """Guards against a snapshot for each VM, and against VMs that wait for others."""
+    first_times, reads, ready, later_reads = run_virtually(start_fleet)
+    assert len(first_times) == 33
+    assert reads <= 12
+    assert max(first_times.values()) < MAX_READ_DELAY_S * (1 + READ_DELAY_JITTER) + 0.1
+    assert ready["b3"] < 0.1
+    assert later_reads == 0
+
+
 def follow_after_silence(size, silence_s, phase_s):
     """Return the time from the end of a silence until all VMs follow the store."""
     fleet, clock = SimulatedFleet(*size), VirtualClock()
--- a/tests/test_zonefleet.py
+++ b/tests/test_zonefleet.py
@@ -1,25 +1,37 @@
 """Tests for membership through zone hubs, on an in-memory network."""
 
 import types
+import zlib
 
 import attrs
 import eventlet
 import pytest
 
+from lavendermast import catalogsync
 from lavendermast.catalog import Catalog
 from lavendermast.catalogsync import (
+    FIRST_READ_DELAY_S,
+    MAX_READ_DELAY_S,
     MAX_WATCH_LAG_S,
+    READ_DELAY_JITTER,
     CatalogSync,
     DocumentSource,
 )
 from lavendermast.clock import ManualClock, SystemClock
+from lavendermast.codec import compress_changes, expand_changes
 from lavendermast.exceptions import (
     HistoryLostError,
+    MessageError,
     PeerError,
     StoreError,
     StoreLagError,
 )
-from lavendermast.messages_model import StoredChange, StoredChanges, VmPresence
+from lavendermast.messages_model import (
+    FetchChanges,
+    StoredChange,
+    StoredChanges,
+    VmPresence,
+)
 from lavendermast.peers import PeerTransport
 from lavendermast.platform.documents import decode_document
 from lavendermast.zonefleet import (
@@ -562,3 +574,86 @@
     fleet.clock.advance(100.0)
     vm._remove_timed_out(fleet.clock.monotonic())
     assert vm.find_scope("10.0.0.3:7000") == "unknown"
+
+
+def test_starting_vm_gets_its_documents_from_its_zone(fleet):
+    """Guards against a snapshot of the store for each VM that starts."""
+    read_store(fleet)
+    run_rounds(fleet, 8)
+    starting = make_vm("a7", fleet.network, fleet.clock, fleet.source)
+    reads = fleet.source.reads
+    assert starting.sync._choose_wait() is None
+    starting.fleet.send_heartbeats()
+    eventlet.sleep(0)
+    assert starting.catalog.revision == 2
+    assert starting.catalog.get_server("s1") is not None
+    assert fleet.source.reads == reads
+    assert "documents_fetched" in [event for event, _ in starting.events]
+
+
+def test_starting_vm_reads_the_store_when_no_peer_delivers(fleet):
+    """Guards against a VM that never starts because its peers do not answer."""
+    read_store(fleet)
+    run_rounds(fleet, 8)
+    starting = make_vm("a7", fleet.network, fleet.clock, fleet.source)
+    assert starting.sync._choose_wait() is None
+    for vm in fleet.vms.values():
+        vm.network = fleet.network.transports[vm.name]
+        vm.network.register(FetchChanges, lambda envelope, address: None)
+    starting.fleet.send_heartbeats()
+    waits = []
+    for _ in range(20):
+        eventlet.sleep(0)
+        waits.append(starting.sync._choose_wait())
+        fleet.clock.advance(0.05)
+    assert waits[0] is None
+    assert waits[-1] is not None
+    assert MAX_READ_DELAY_S * (1 + READ_DELAY_JITTER) < 20 * 0.05
+
+
+def test_only_the_first_vm_of_a_zone_reads_when_all_start(fleet):
+    """Guards against a fleet that reads as many snapshots as it has VMs."""
+    for vm in fleet.vms.values():
+        vm.fleet.local_vm = attrs.evolve(vm.fleet.local_vm, state="starting")
+    for _ in range(3):
+        for vm in fleet.vms.values():
+            vm.fleet.send_heartbeats()
+        fleet.clock.advance(FIRST_READ_DELAY_S / 2)
+    readers = [
+        name for name, vm in fleet.vms.items() if vm.sync._choose_wait() is not None
+    ]
+    assert readers == ["a1", "b1"]
+
+
+def test_snapshot_is_encoded_once_for_many_peers(fleet, monkeypatch):
+    """Guards against milliseconds of encoding for each VM of a zone that starts."""
+    encoded = []
+
+    def compress(changes):
+        encoded.append(changes.to_revision)
+        return compress_changes(changes)
+
+    monkeypatch.setattr(catalogsync, "compress_changes", compress)
+    read_store(fleet)
+    sync = fleet.vms["a1"].sync
+    envelope = types.SimpleNamespace(body=FetchChanges(0, 0, True))
+    replies = [sync._handle_fetch(envelope, "") for _ in range(3)]
+    assert encoded == [2]
+    assert expand_changes(replies[0]) == sync._catalog.get_changes_since(0)
+    fleet.source.changes.append(StoredChange("servers/s1", 3, True, b""))
+    sync._apply(sync._read(), "store")
+    assert expand_changes(sync._handle_fetch(envelope, "")).to_revision == 3
+    sync.link_bytes_per_s = 100.0
+    assert sync._handle_fetch(envelope, "") is not None
+    # A busy link would keep all of them waiting.
+    assert sync._handle_fetch(envelope, "") is None
+    older = types.SimpleNamespace(body=FetchChanges(0, 0))
+    assert sync._handle_fetch(older, "").whole
+
+
+def test_compressed_changes_are_bounded():
+    """Guards against a small frame that exhausts the memory of a starting VM."""
+    bomb = zlib.compress(bytes(5 * 1024 * 1024))
+    for content in (bomb, b"noise"):
+        with pytest.raises(MessageError):
+            expand_changes(StoredChanges(compressed=content))
