--- a/src/lavendermast/entrynode.py
+++ b/src/lavendermast/entrynode.py
@@ -109,11 +109,14 @@
             record,
             lambda: self.sync.get_store_state(),
             lambda: self._rate,
+            self._regions,
         )
         self.sync = CatalogSync(
             self.catalog, platform.source, self.fleet, self.network, self.clock, record
         )
         self.sync.make_room = self.descriptors.make_room
+        if settings.link_mbps:
+            self.sync.link_bytes_per_s = settings.link_mbps * 125_000
         self.rate_limits = RateLimits(
             self.clock,
             record,
@@ -142,6 +145,9 @@
             CONNECT_TIMEOUT_S,
             self.descriptors,
         )
+        self.upstream.find_scope = lambda server: self.fleet.find_zone_scope(
+            server.zone
+        )
         self.notices = ServerNotices(self.catalog.get_server, self.clock, record)
         selector = ServerSelector(
             self.catalog,
--- a/src/lavendermast/zonefleet.py
+++ b/src/lavendermast/zonefleet.py
@@ -7,6 +7,7 @@
 import attrs
 
 from lavendermast.messages_model import Presence, VmPresence
+from lavendermast.peers import UNKNOWN_SCOPE
 
 #: Interval of heartbeats within a zone.
 HEARTBEAT_INTERVAL_S = 0.4
@@ -38,6 +39,10 @@
 MAX_VMS_PER_DATAGRAM = 10
 #: Interval at which one seed is contacted, so that a partitioned fleet reunites.
 SEED_INTERVAL_S = 5.0
+#: A VM that has just started and heard of no other contacts the seeds at this interval,
+#: because the seeds of a fleet that starts are not up at once.
+START_INTERVAL_S = 0.1
+MAX_START_ROUNDS = 10
 #: Requests per second and core above which one more VM becomes active; about a tenth
 #: of what a VM can forward, since load spikes build up within a second.
 TARGET_RATE_PER_CORE = 30.0
@@ -88,10 +93,19 @@
     :param get_store_state: callable that returns what
         :meth:`CatalogSync.get_store_state` does.
     :param get_rate: callable that returns this VM's requests per second.
+    :param regions: mapping of zone to region.
     """
 
     def __init__(
-        self, settings, boot_id, network, clock, record_event, get_store_state, get_rate
+        self,
+        settings,
+        boot_id,
+        network,
+        clock,
+        record_event,
+        get_store_state,
+        get_rate,
+        regions=None,
     ):
         self.seeds = settings.seeds
         self._network = network
@@ -107,7 +121,9 @@
             "starting",
             cores=settings.cpu_share * settings.cpu_speed,
         )
+        self.regions = regions or {}
         self.vms = {}
+        self._zones_by_address = {}
         self.on_presence = []
         self._next_summary = 0.0
         self._next_seed = 0.0
@@ -117,13 +133,17 @@
         self._list_turns = 0
         self._prompt_names = set()
         network.boot_id = boot_id
+        network.find_scope = self.find_scope
         network.register(Presence, self._handle_presence)
 
     def run(self):
         """Send heartbeats until the task is killed."""
         while True:
             self.send_heartbeats()
-            self._clock.sleep(HEARTBEAT_INTERVAL_S)
+            is_searching = not self.vms and self._rounds <= MAX_START_ROUNDS
+            self._clock.sleep(
+                START_INTERVAL_S if is_searching else HEARTBEAT_INTERVAL_S
+            )
 
     def set_state(self, state):
         """Set the state of this VM and send it to the zone immediately."""
@@ -163,6 +183,25 @@
             self._next_seed = now + SEED_INTERVAL_S
             self._contact_seeds(all_seeds=alone)
 
+    def find_scope(self, vm):
+        """
+        Return the scope of a VM: ``zone``, ``region``, ``other`` or ``unknown``.
+
+        :param vm: name or peer address of the VM.
+        """
+        known = self.vms.get(vm)
+        zone = known.zone if known is not None else self._zones_by_address.get(vm)
+        return self.find_zone_scope(zone) if zone else UNKNOWN_SCOPE
+
+    def find_zone_scope(self, zone):
+        """Return the scope of what is in a zone: ``zone``, ``region`` or ``other``."""
+        local_zone = self.local_vm.zone
+        if zone == local_zone:
+            return "zone"
+        region = self.regions.get(zone)
+        is_near = region is not None and region == self.regions.get(local_zone)
+        return "region" if is_near else "other"
+
     def get_vm_names(self, zone=None):
         """
         Return the sorted names of a zone's live VMs, without those that are leaving.
@@ -314,8 +353,12 @@
                 addresses.append(self.vms[name].peer_address)
         self._send(addresses, others)
 
+    def get_other_seeds(self):
+        """Return the addresses of the seeds without that of this VM."""
+        return [s for s in self.seeds if s != self.local_vm.peer_address]
+
     def _contact_seeds(self, all_seeds):
-        seeds = [s for s in self.seeds if s != self.local_vm.peer_address]
+        seeds = self.get_other_seeds()
         if not seeds:
             return
         self._seed_index += 1
@@ -376,6 +419,9 @@
                 self._log_change(presence.vm, presence.zone, presence.state)
             known.last_seen_at = last_seen_at
             known.state, known.boot_id = presence.state, presence.boot_id
+            if known.peer_address != presence.peer_address:
+                self._zones_by_address.pop(known.peer_address, None)
+                self._zones_by_address[presence.peer_address] = known.zone
             known.peer_address = presence.peer_address
             known.rate, known.cores = presence.rate, presence.cores
             known.interval_s = presence.interval_ms / 1000
@@ -395,6 +441,7 @@
             interval_s,
         )
         self.vms[presence.vm] = known
+        self._zones_by_address[presence.peer_address] = presence.zone
         self._log_change(presence.vm, presence.zone, presence.state)
         return known
 
@@ -403,6 +450,7 @@
             age = now - vm.last_seen_at
             if age > self._get_timeout(vm.zone, vm.interval_s):
                 del self.vms[vm.vm]
+                self._zones_by_address.pop(vm.peer_address, None)
                 self._log_change(vm.vm, vm.zone, "silent", round(age * 1000))
 
     def _get_timeout(self, zone, interval_s):
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -581,3 +581,21 @@
     server = start(answer_and_close(data) if is_closed else data)
     result = upstream.send(make_request(), server.server, clock.monotonic() + 0.2)
     assert (result.status, result.ran) == (AttemptStatus.SHED, False)
+
+
+def test_bytes_of_all_attempts_are_counted_by_the_scope_of_the_server(start):
+    """Guards against bytes of failed attempts and long bodies that are not counted."""
+    long_body = b"HTTP/1.1 200 OK\r\nContent-Length: 5000\r\n\r\n" + b"x" * 5000
+    malformed = b"HTTP/9 nonsense\r\n\r\n"
+    server = start(OK_RESPONSE, long_body, malformed)
+    upstream = make_upstream(1000)
+    upstream.find_scope = lambda item: item.zone
+    assert send(upstream, server).status is AttemptStatus.OK
+    received = len(OK_RESPONSE)
+    assert upstream.traffic["received", "z"] == received
+    assert len(b"".join(send(upstream, server).stream)) == 5000
+    received += len(long_body)
+    assert upstream.traffic["received", "z"] == received
+    assert send(upstream, server).status is AttemptStatus.CUT
+    assert upstream.traffic["received", "z"] == received + len(malformed)
+    assert upstream.traffic["sent", "z"] == sum(map(len, server.received))
