Read long responses ahead of slow callers, within the memory of bodies

Cause: a streamed response was read from its server only as fast as the caller read it, so that a server that aborts unread responses cut it, and the pieces that were held counted against no bound. The first 64 KB of a request's body were held twice until the server answered.

What arrived is delivered before an error closes the connection.

--- a/src/lavendermast/callerframing.py
+++ b/src/lavendermast/callerframing.py
@@ -23,8 +23,8 @@
 #: Extensions in use take about 90 bytes for each chunk of 64 KB.
 MAX_EXTENSION_BYTES = 65_536
 #: Bytes of a body that are read after the response, so that a caller that sends its
-#: whole body first gets the response: the default of ``max_body_bytes``.
-MAX_DISCARDED_BYTES = 64_000_000
+#: whole body first gets the response: the largest ``max_body_bytes``.
+MAX_DISCARDED_BYTES = 64 * 1024 * 1024
 #: Longest time for that: the default of ``idle_timeout_ms``, because the caller has its
 #: response and the connection waits for the next request.
 DISCARD_TIMEOUT_S = 15.0
--- a/src/lavendermast/callerprotocol.py
+++ b/src/lavendermast/callerprotocol.py
@@ -10,6 +10,9 @@
 #: Requests of a connection without a turn for other tasks. A read that finds data and a
 #: write that finds room do not yield, so requests without end would stop other tasks.
 REQUESTS_PER_TURN = 8
+#: Time to send what is left in the buffer when a connection ends. A caller that has not
+#: read for ``SOCKET_TIMEOUT_S`` would otherwise be waited for twice more.
+FINISH_TIMEOUT_S = 1.0
 _REFUSAL = b"HTTP/1.1 %s\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
 
 
@@ -92,6 +95,11 @@
         self._cancel_head_timeout()
         super().handle_one_response()
 
+    def finish(self):
+        """Close the connection."""
+        self.connection.settimeout(FINISH_TIMEOUT_S)
+        super().finish()
+
     def log_message(self, text, *args):
         """Log nothing; the library writes what callers send to standard error."""
 
--- a/src/lavendermast/connections.py
+++ b/src/lavendermast/connections.py
@@ -73,6 +73,8 @@
         self.sent = True
         if count < len(data):
             self.sock.sendall(data[count:])
+        # The copy of the first part is not held while a server reads the rest slowly.
+        del data
         if rest:
             # A slice of a memoryview is no copy.
             self.sock.sendall(rest)
--- a/src/lavendermast/framing.py
+++ b/src/lavendermast/framing.py
@@ -92,6 +92,8 @@
         self._unyielded_bytes = 0
         self._data_bytes = 0
         self._framing_bytes = 0
+        #: Bytes of a read; less while no memory is left.
+        self.read_bytes = READ_BYTES
         self.length = None
         self.status = 0
         self.headers = []
@@ -212,7 +214,7 @@
     def _receive_bytes(self):
         """Return the next bytes of the connection, empty when the server closed it."""
         self._yield_if_due()
-        data = receive(self._sock, READ_BYTES)
+        data = receive(self._sock, self.read_bytes)
         self._unyielded_bytes += len(data)
         return data
 
--- a/src/lavendermast/memory.py
+++ b/src/lavendermast/memory.py
@@ -58,13 +58,32 @@
         """
         if self._released:
             return False
-        if self._budget.used_bytes + count > self._budget.max_bytes:
-            self._budget.refusals += 1
+        if self.grow_within(count, 1.0):
+            return True
+        self._budget.refusals += 1
+        return False
+
+    def grow_within(self, count, share):
+        """
+        Reserve further bytes that the request can do without.
+
+        :param share: part of the memory of all bodies that may be in use afterwards.
+        :return: whether that many were left; see :meth:`grow`.
+        """
+        used_bytes = self._budget.used_bytes + count
+        if self._released or used_bytes > self._budget.max_bytes * share:
             return False
-        self._budget.used_bytes += count
+        self._budget.used_bytes = used_bytes
         self._bytes += count
         return True
 
+    def shrink(self, count):
+        """Return bytes that are no longer held; none are once the request has ended."""
+        if self._released:
+            return
+        self._budget.used_bytes -= count
+        self._bytes -= count
+
     def release(self):
         """Return all bytes for good."""
         self._released = True
--- a/src/lavendermast/upstream.py
+++ b/src/lavendermast/upstream.py
@@ -19,6 +19,7 @@
     TruncatedResponseError,
 )
 from lavendermast.models import AttemptResult, AttemptStatus
+from lavendermast.readahead import ReadAhead
 from lavendermast.serverprotocol import DefaultServerProtocol
 from lavendermast.utils import parse_address
 
@@ -79,15 +80,20 @@
     """
     Iterates over a long response body until the attempt's deadline.
 
-    Raises :class:`TruncatedResponseError` or :class:`FramingError` when the body is
-    incomplete. ``status`` is ``None`` until the body has ended.
+    It is read ahead of the caller within the memory of the request. Raises
+    :class:`TruncatedResponseError` or :class:`FramingError` when the body is
+    incomplete. ``status`` is ``None`` until the server's body has ended.
+
+    :param pieces: what was read before, for which ``reserved_bytes`` are reserved.
     """
 
-    def __init__(self, upstream, attempt, response, pieces):
+    def __init__(
+        self, upstream, attempt, response, pieces, reservation, reserved_bytes
+    ):
         self._upstream = upstream
         self._attempt = attempt
         self._response = response
-        self._pieces = pieces
+        self._ahead = ReadAhead(self._read, reservation, pieces, reserved_bytes)
         self.length = response.length
         self.status = None
 
@@ -95,29 +101,24 @@
         return self
 
     def __next__(self):
-        if self._pieces:
-            return self._pieces.popleft()
-        if self.status is not None:
+        piece = self._ahead.get()
+        if not piece:
             raise StopIteration
-        # A read that finds data does not yield to the hub, so a fast server would
-        # delay all other requests.
-        eventlet.sleep(0)
-        piece = self._read()
-        if piece:
-            return piece
-        self.status = AttemptStatus.OK
-        self._upstream.release(self._attempt, self._response)
-        raise StopIteration
+        return piece
 
     def close(self):
         """Close the connection if the body has not ended yet."""
-        if self.status is None:
+        # The connection is closed after the task that reads from it has ended.
+        is_open = self.status is None
+        self._ahead.close()
+        if is_open:
             self._fail(AttemptStatus.CANCELLED)
 
-    def _read(self):
+    def _read(self, size):
+        self._response.read_bytes = size
         try:
             with self._attempt:
-                return self._response.read_piece()
+                piece = self._response.read_piece()
         except FramingError:
             self._fail(AttemptStatus.CUT)
             raise
@@ -129,10 +130,13 @@
             if isinstance(error, OSError):
                 raise TruncatedResponseError(str(error)) from error
             raise
+        if not piece:
+            self.status = AttemptStatus.OK
+            self._upstream.release(self._attempt, self._response)
+        return piece
 
     def _fail(self, status):
         self.status = status
-        self._pieces.clear()
         self._attempt.connection.close()
 
 
@@ -434,14 +438,17 @@
             attempt.connection.close()
             return result
         if response.length is not None and response.length > self._buffer_bytes:
-            result.stream = BodyStream(self, attempt, response, pieces)
+            result.stream = BodyStream(self, attempt, response, pieces, reservation, 0)
         else:
             while piece := response.read_piece():
                 pieces.append(piece)
                 size += len(piece)
                 has_memory = reservation is None or reservation.grow(len(piece))
                 if size > self._buffer_bytes or not has_memory:
-                    result.stream = BodyStream(self, attempt, response, pieces)
+                    reserved_bytes = size if has_memory else size - len(piece)
+                    result.stream = BodyStream(
+                        self, attempt, response, pieces, reservation, reserved_bytes
+                    )
                     break
         if result.stream is None:
             result.body = pieces[0] if len(pieces) == 1 else b"".join(pieces)
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -34,9 +34,8 @@
         store = PlatformStore()
         listening = eventlet.listen(("127.0.0.1", 0))
         store_port = listening.getsockname()[1]
-        self._log = open(os.devnull, "w")
         self._task = eventlet.spawn(
-            eventlet.wsgi.server, listening, store, log=self._log
+            eventlet.wsgi.server, listening, store, log_output=False
         )
         caller, peer, self.admin_address = take_addresses(3)
         self.caller_address = caller
@@ -83,7 +82,6 @@
         self.process.kill()
         self.process.wait()
         self._task.kill()
-        self._log.close()
 
 
 def make_vm(name, kind, service, address, peer_address):
