--- a/src/lavendermast/connections.py
+++ b/src/lavendermast/connections.py
@@ -77,10 +77,12 @@
         self.sent = True
         if count < len(data):
             self.sock.sendall(data[count:])
+        self._sent_bytes += len(data) + len(rest)
+        # The copy of the first part is not held while a server reads the rest slowly.
+        del data
         if rest:
             # A slice of a memoryview is no copy.
             self.sock.sendall(rest)
-        self._sent_bytes += len(data) + len(rest)
         # Skips urllib3's getresponse, which wraps the standard response class.
         return super(HTTPConnection, self).getresponse()
 
