--- a/src/lavendermast/durations.py
+++ b/src/lavendermast/durations.py
@@ -10,6 +10,9 @@
 PRIOR_SHARE = 0.2
 #: Counts are halved above this total, so that a change shows within seconds.
 MAX_COUNT = 400.0
+#: Share of the responses that take no longer than the typical work time. A request that
+#: starts that long before its deadline is answered in time with this probability.
+TYPICAL_SHARE = 0.9
 #: Lower bound of ``compute_survival``: no duration is impossible on a healthy server,
 #: because long requests have a long tail.
 TAIL_SHARE = 0.02
@@ -29,6 +32,8 @@
     ...     durations.add(0.2)
     >>> durations.compute_survival(0.1) > 0.9 > 0.1 > durations.compute_survival(0.9)
     True
+    >>> 0.15 < durations.compute_typical_s() < 0.25
+    True
     """
 
     def __init__(self, goal_s):
@@ -51,6 +56,17 @@
             self._total /= 2
         self._survival = None
 
+    def compute_typical_s(self):
+        """Return the time within which ``TYPICAL_SHARE`` of the responses arrive."""
+        left = self._total * TYPICAL_SHARE
+        for index, count in enumerate(self._counts):
+            if left <= count:
+                lower = BUCKET_BOUNDS_S[index - 1] if index else 0.0
+                last = min(index, len(BUCKET_BOUNDS_S) - 1)
+                return lower + (BUCKET_BOUNDS_S[last] - lower) * left / count
+            left -= count
+        return BUCKET_BOUNDS_S[-1]
+
     def compute_survival(self, seconds):
         """
         Return the share of healthy responses that take longer.
--- a/src/lavendermast/evidenceregistry.py
+++ b/src/lavendermast/evidenceregistry.py
@@ -92,7 +92,8 @@
     :param rate_limits: a :class:`~lavendermast.ratelimits.RateLimits`, which counts
         all attempts.
 
-    ``on_report_queued`` is called when a report is added for :meth:`take_reports`.
+    ``on_report_queued`` is called when a report is added for :meth:`take_reports`,
+    ``on_start`` and ``on_end`` for each attempt; its sender is empty for this VM's own.
     """
 
     def __init__(self, clock, find_route, rate_limits):
@@ -111,6 +112,8 @@
         self._copies = collections.deque()
         self._remote_attempts = collections.OrderedDict()
         self.on_report_queued = lambda: None
+        self.on_start = lambda server_name, sender: None
+        self.on_end = lambda server_name, sender, seconds, was_refused: None
 
     def get(self, server_name):
         """Return the evidence about a server."""
@@ -147,6 +150,7 @@
         )
         self._local_attempts[attempt] = local
         self._queue_report(local)
+        self.on_start(server_name, "")
         return attempt
 
     def finish(self, server_name, route, attempt, result, outcome):
@@ -160,11 +164,15 @@
             self._rate_limits.observe(
                 server_name, result.rate_limit, result.head_at, "response"
             )
-        if result.status in _NEUTRAL_STATUSES:
+        was_refused = result.status in _NEUTRAL_STATUSES
+        if was_refused:
             local.refused = True
             self._remove(evidence, attempt)
+        else:
+            evidence.finish(attempt, now, outcome)
+        self.on_end(server_name, "", now - attempt.started, was_refused)
+        if was_refused:
             return
-        evidence.finish(attempt, now, outcome)
         if outcome is AttemptOutcome.SUCCEEDED:
             self.get_durations(route).add(now - attempt.started)
             size = len(result.body)
@@ -263,10 +271,12 @@
             # more than once, and the rate limit is charged only once.
             remote = self._remote_attempts[key] = _RemoteAttempt(started)
             self._rate_limits.count_start(report.server, started)
+            self.on_start(report.server, key[0])
         if report.phase == "refused":
             if remote.attempt is not None:
                 self._remove(remote.evidence, remote.attempt)
                 remote.attempt = None
+                self.on_end(report.server, key[0], 0.0, True)
             remote.refused = True
         if remote.refused:
             return
@@ -278,6 +288,7 @@
         outcome = AttemptOutcome(report.phase)
         ended = attempt.started + report.duration_ms / 1000
         remote.evidence.finish(attempt, ended, outcome)
+        self.on_end(report.server, key[0], report.duration_ms / 1000, False)
         if outcome is AttemptOutcome.SUCCEEDED:
             attempt.durations.add(report.duration_ms / 1000)
 
--- a/src/lavendermast/selection.py
+++ b/src/lavendermast/selection.py
@@ -34,6 +34,13 @@
 #: Maximum random cost, so that servers of equal cost share the requests.
 MAX_RANDOM_COST = 0.01
 
+#: Among servers with free slots, those that cost up to this much more than the
+#: cheapest one are used too, the cheaper one of two random ones each time. VMs see each
+#: other's attempts 50 to 100 ms late and would all choose the cheapest one: the busiest
+#: server got 2.3 times the mean. It covers a server with half of its slots in use, but
+#: not traffic between zones for downloads.
+SPREAD_COST = 0.05
+
 #: While limited servers take no more requests, others take them only up to this many
 #: requests in flight per slot, and if they are not doubtful. A caller that returns
 #: later is better served than one that waits in a queue.
@@ -145,6 +152,31 @@
     interval_s: float
 
 
+@attrs.frozen
+class FreeSlots:
+    """
+    Slots of a service's servers that are likely to be healthy.
+
+    :param near: free slots of this region.
+    :param far: free slots of the other regions.
+    :param servers: listed servers of all regions that are not leaving.
+    :param in_flight: attempts in flight in this region.
+    :param slots_per_server: mean number of slots of a server.
+    :param delay_s: seconds until a server may get a request by its rate limit or pause,
+        0.0 if one may now.
+    :param max_rate: requests per second that this VM may send by the rate limits;
+        infinite if a server has none.
+    """
+
+    near: int
+    far: int
+    servers: int
+    in_flight: int
+    slots_per_server: float
+    delay_s: float = 0.0
+    max_rate: float = math.inf
+
+
 def _choose_by_key(candidates, key):
     """Return the candidate that a key selects among those that are not doubtful."""
     by_name = {c.listed.server.name: c for c in candidates if not c.is_doubtful}
@@ -208,6 +240,7 @@
         is_first=False,
         retryable=True,
         spread_key="",
+        allowance=None,
     ):
         """
         Return the best ``Candidate``, or ``None`` if no live server may get a request.
@@ -220,6 +253,9 @@
         :param retryable: whether the request may run twice.
         :param spread_key: if not empty, the server is chosen by it and not by cost, so
             that requests with different keys go to different servers.
+        :param allowance: if not ``None``, only servers with fewer requests in flight
+            than their slots and this number are used, and of those that cost about the
+            same one with less load, but not always the one with least.
         """
         now = self._clock.monotonic()
         first_choice_at = self._first_choice_at.setdefault(service, now)
@@ -246,9 +282,9 @@
             due = self._find_trial(in_region, now, first_choice_at, trial)
             if due is not None:
                 return due
-        if not usable:
+        chosen = self._choose_by_cost(usable, allowance, now)
+        if chosen is None:
             return None
-        chosen = min(usable, key=get_cost)
         chosen.awaits_evidence = self._awaits_evidence(chosen, in_region)
         return chosen
 
@@ -266,6 +302,58 @@
             return usable
         return [c for c in usable if c.fill < MAX_OVERFLOW_FILL and not c.is_doubtful]
 
+    def _choose_by_cost(self, usable, allowance, now):
+        if allowance is None:
+            return min(usable, key=get_cost, default=None)
+        usable = [c for c in usable if self._count_free(c.listed, allowance, now)]
+        if not usable:
+            return None
+        limit = min(map(get_cost, usable)) + SPREAD_COST
+        cheap = [c for c in usable if c.cost <= limit]
+        return min(self._random.sample(cheap, min(len(cheap), 2)), key=get_cost)
+
+    def count_free_slots(self, service, allowance):
+        """
+        Return the ``FreeSlots`` of a service.
+
+        :param allowance: requests that a server may have in flight beyond its slots.
+        """
+        now = self._clock.monotonic()
+        live = [s for s in self._catalog.get_servers(service) if self._is_live(s)]
+        healthy = [s for s in live if not self._is_doubtful(s, now)] or live
+        with_room = [s for s in healthy if self._has_room(s)]
+        delay_s, max_rate = 0.0, math.inf
+        forecast = None if with_room else self.forecast_room(service)
+        if forecast is not None:
+            delay_s, max_rate = forecast.delay_s, 1.0 / forecast.interval_s
+        free = {True: 0, False: 0}
+        for listed in with_room:
+            is_near = listed.server.region == self._region
+            free[is_near] += self._count_free(listed, allowance, now)
+        in_flight = sum(
+            self._get_evidence(s.server.name).count_pending(now)
+            for s in healthy
+            if s.server.region == self._region
+        )
+        slots = sum(s.slots for s in live) / max(len(live), 1)
+        return FreeSlots(
+            free[True], free[False], len(live), in_flight, slots, delay_s, max_rate
+        )
+
+    def _is_doubtful(self, listed, now):
+        evidence = self._get_evidence(listed.server.name)
+        return is_doubtful(evidence.compute_sick_probability(now))
+
+    def _count_free(self, listed, allowance, now):
+        """Return how many requests a server may get now."""
+        name = listed.server.name
+        evidence = self._get_evidence(name)
+        if now < evidence.full_until:
+            return 0
+        free = max(listed.slots + allowance - evidence.count_pending(now), 0)
+        is_limited = not math.isinf(self._rate_limits.get_rate(name))
+        return min(free, 1) if is_limited else free
+
     def _split_by_room(self, candidates):
         """Return the candidates below their rate limits, and the others."""
         usable, at_limit = [], []
--- a/src/lavendermast/suspicion.py
+++ b/src/lavendermast/suspicion.py
@@ -88,6 +88,7 @@
         self.pending = 0
         self.last_started = 0.0
         self.busy_until = 0.0
+        self.full_until = 0.0  # a server that shed a request has no free slot
         self.reported_at = 0.0
         self.reported_pending = 0
         self._cached = (0.0, PRIOR_SICK_PROBABILITY)
