Admit requests of entry VMs by rank while accounts are in force

Change: AttemptRunner opens a pass for each request. While the configuration has accounts, the pass waits for a slot before the first attempt and before retries; retries need budget first, of which ranks below the highest leave half; hedges need a free slot. Without accounts the pass is open and nothing changes.

Measured: 5 new tests in test_attempts.py; the tests of the touched files pass.

--- a/src/lavendermast/attempts.py
+++ b/src/lavendermast/attempts.py
@@ -6,7 +6,7 @@
 import eventlet
 from eventlet.queue import Empty
 
-from lavendermast.admission import MAX_RETRY_AFTER_S, RoomQueue
+from lavendermast.admission import MAX_RETRY_AFTER_S, OpenPass, RoomQueue
 from lavendermast.attemptstate import RequestState, RunningAttempt, classify_attempt
 from lavendermast.crashes import ServerRun
 from lavendermast.denials import RETRY_AFTER_S, Denial
@@ -60,6 +60,8 @@
     :param crashes: ``CrashSharing`` that tells which requests crash servers.
     :param denials: ``DenialRules`` for attempts.
     :param get_budget: function from a service to its ``WindowedRetryBudget``.
+    :param open_pass: function of request, route and service that returns the pass by
+        which the request is admitted; see ``Admission.open``.
     """
 
     def __init__(
@@ -73,6 +75,7 @@
         get_budget,
         clock,
         record_event,
+        open_pass=lambda request, route, service: OpenPass(),
     ):
         self._upstream = upstream
         self._selector = selector
@@ -83,6 +86,7 @@
         self._get_budget = get_budget
         self._clock = clock
         self._record_event = record_event
+        self._open_pass = open_pass
         self.attempt_counts = {}
         self._room_queues = collections.defaultdict(lambda: RoomQueue(clock))
 
@@ -93,15 +97,21 @@
         :param caller_cancellation: ``Cancellation`` that is requested when the caller
             disconnects.
         """
-        state = RequestState(request, route, service)
         self._get_budget(service).add_request()
-        try:
-            return self._run_until_reply(state, caller_cancellation)
-        finally:
-            for running in list(state.running.values()):
-                running.cancellation.cancel()
+        with self._open_pass(request, route, service) as admission:
+            state = RequestState(request, route, service, admission)
+            try:
+                return self._run_until_reply(state, caller_cancellation)
+            finally:
+                for running in list(state.running.values()):
+                    running.cancellation.cancel()
 
     def _run_until_reply(self, state, caller_cancellation):
+        def should_stop():
+            return caller_cancellation.requested or self._is_denied(state, "first")
+
+        if not state.admission.acquire(should_stop):
+            return self._make_failure_reply(state, None)
         self._start_attempt(state, "first")
         may_hedge = state.route.idempotent and state.route.max_attempts > 1
         interval = HEDGE_CHECK_INTERVAL_S if may_hedge else NO_HEDGE_CHECK_INTERVAL_S
@@ -113,7 +123,7 @@
             if left <= 0:
                 return self._make_failure_reply(state, AttemptStatus.TIMEOUT)
             if not state.running:
-                if not self._start_next_attempt(state, left):
+                if not self._start_next_attempt(state, left, should_stop):
                     return self._make_failure_reply(state, None)
                 continue
             try:
@@ -125,7 +135,7 @@
             if reply is not None:
                 return reply
 
-    def _start_next_attempt(self, state, left):
+    def _start_next_attempt(self, state, left, should_stop):
         """
         Start another attempt, or wait for a server, when no attempt is running.
 
@@ -140,7 +150,7 @@
             # EVIDENCE_WAIT_SHARE of the latency goal.
             if state.awaits_evidence:
                 self._clock.sleep(min(SERVER_POLL_INTERVAL_S, left))
-            elif not self._wait_for_server(state, left):
+            elif not self._wait_for_server(state, left, should_stop):
                 return False
             self._start_attempt(state, "first")
             return True
@@ -151,14 +161,46 @@
             or state.not_run_attempts >= MAX_NOT_RUN_ATTEMPTS
         ):
             return False
-        return left >= MIN_ATTEMPT_S and self._start_attempt(state, "retry")
+        if left < MIN_ATTEMPT_S or not self._acquire_retry(state, should_stop):
+            return False
+        if self._start_attempt(state, "retry"):
+            return True
+        # Others took the slots in the meantime.
+        return self._can_wait_again(state) and state.admission.acquire_again(
+            should_stop
+        )
+
+    def _acquire_retry(self, state, should_stop):
+        """
+        Wait for a slot for another attempt.
 
-    def _wait_for_server(self, state, left):
+        A request that a server turned away does not wait if the budget for further
+        attempts is spent: the fleet makes none until requests have ended.
+        """
+        if not state.admission.is_limited:
+            return True
+        if state.has_arrived and not self._has_budget(state):
+            self._record_denial(state, "retry", cause="budget")
+            return False
+        return state.admission.acquire(should_stop)
+
+    def _has_budget(self, state):
+        kept_share = state.admission.kept_budget_share
+        return self._get_budget(state.service).can_spend(kept_share)
+
+    def _can_wait_again(self, state):
+        """Return whether an attempt was only not made for lack of a free server."""
+        is_limited = state.admission.is_limited and state.admission.has_servers
+        return is_limited and state.denial is None and self._has_budget(state)
+
+    def _wait_for_server(self, state, left, should_stop):
         """
         Wait until a server is listed or a limited one may get a request.
 
         :return: ``False`` at once if that takes too long.
         """
+        if state.admission.is_limited and state.admission.has_servers:
+            return state.admission.acquire_again(should_stop)
         waited = self._clock.monotonic() - state.request.arrived_at
         forecast = self._selector.forecast_room(state.service)
         if forecast is None:
@@ -171,7 +213,8 @@
 
     def _spend_budget(self, state, reason):
         """Spend budget for an attempt; return whether there was any."""
-        if self._get_budget(state.service).spend():
+        kept_share = state.admission.kept_budget_share
+        if self._get_budget(state.service).spend(kept_share):
             return True
         self._record_denial(state, reason, cause="budget")
         return False
@@ -179,6 +222,8 @@
     def _consider_hedge(self, state):
         if not state.running or not state.may_run_again:
             return
+        if not state.admission.may_hedge():
+            return
         now = self._clock.monotonic()
         durations = self._evidence.get_durations(state.route)
         for running in state.running.values():
@@ -209,11 +254,15 @@
             is_first=reason == "first",
             retryable=state.request.retryable,
             spread_key=self._crashes.get_spread_key(state.request),
+            allowance=state.admission.allowance,
         )
         if candidate is None and state.excluded and not state.running:
             state.excluded.clear()
             candidate = self._selector.choose(
-                state.service, size, retryable=state.request.retryable
+                state.service,
+                size,
+                retryable=state.request.retryable,
+                allowance=state.admission.allowance,
             )
         state.awaits_evidence = False
         if candidate is None:
@@ -237,6 +286,7 @@
             self._evidence.start(server.name, route),
         )
         state.running[running.number] = running
+        state.admission.set_started()
         self._record(
             state,
             "decision",
@@ -454,6 +504,10 @@
         reason = "deadline" if state.attempts else "no-server"
         if state.failure is not None:
             reason = state.failure.status.value
+        if state.admission.is_limited and state.admission.has_servers:
+            if not state.attempts:
+                reason = "no-capacity"
+            return reason, state.admission.plan_return()
         forecast = self._selector.forecast_room(state.service)
         if forecast is None:
             return reason, RETRY_AFTER_S
--- a/src/lavendermast/attemptstate.py
+++ b/src/lavendermast/attemptstate.py
@@ -3,6 +3,7 @@
 import attrs
 from eventlet.queue import LightQueue
 
+from lavendermast.admission import OpenPass
 from lavendermast.crashes import ServerRun
 from lavendermast.denials import Denial
 from lavendermast.models import AttemptResult, AttemptStatus
@@ -52,6 +53,7 @@
     request: object
     route: object
     service: str
+    admission: OpenPass = attrs.Factory(OpenPass)
     results: LightQueue = attrs.Factory(LightQueue)
     running: dict = attrs.Factory(dict)
     excluded: set = attrs.Factory(set)
--- a/src/lavendermast/entrymetrics.py
+++ b/src/lavendermast/entrymetrics.py
@@ -129,6 +129,27 @@
         "Requests that were in flight when servers crashed, and those that are held.",
         lambda: _count_suspects(node.crash_tracker),
     )
+    node.admission.waits = registry.add_histogram(
+        "lavendermast_entry_admission_wait_seconds",
+        "Time for which requests waited for a slot, without those that did not wait.",
+        LATENCY_BUCKETS_S,
+    )
+    registry.add_gauge(
+        "lavendermast_entry_admission_waiting",
+        "Requests that wait for a slot, by service.",
+        lambda: [
+            ({"service": service}, count)
+            for service, count in node.admission.count_waiting().items()
+        ],
+    )
+    registry.add_counter(
+        "lavendermast_entry_admission_refusals_total",
+        "Requests refused because no slot gets free in time, by service.",
+        lambda: [
+            ({"service": service}, count)
+            for service, count in node.admission.count_refusals().items()
+        ],
+    )
     registry.add_gauge(
         "lavendermast_entry_vms",
         "Live VMs that this one knows, without itself.",
--- a/src/lavendermast/entrynode.py
+++ b/src/lavendermast/entrynode.py
@@ -5,6 +5,7 @@
 
 import eventlet
 
+from lavendermast.admission import Admission
 from lavendermast.attempts import AttemptRunner
 from lavendermast.catalog import Catalog
 from lavendermast.catalogsync import CatalogSync
@@ -90,6 +91,7 @@
         self._routes = {}
         self._rate = 0.0
         self._rate_share = 1.0
+        self._demand_share = None
         self._counted_requests = 0
         self._regions = {item.zone: item.region for item in settings.zones}
         boot_id = int(self.clock.time() * 1000)
@@ -164,6 +166,16 @@
             self.clock,
             record,
         )
+        self.admission = Admission(
+            self._has_accounts,
+            selector,
+            self.evidence,
+            self._find_service,
+            self.clock,
+            record,
+            lambda: self._demand_share,
+            lambda: self._rate_share,
+        )
         self.runner = AttemptRunner(
             self.upstream,
             selector,
@@ -174,6 +186,7 @@
             self._get_budget,
             self.clock,
             record,
+            self.admission.open,
         )
         self.application = EntryApplication(
             platform.header_names, self, self.runner, self.memory, self.clock, record
@@ -293,6 +306,22 @@
             return 1.0
         return INACTIVE_SHARE / (inactive * self._count_region_zones())
 
+    def _compute_demand_share(self):
+        """Return this VM's share of the region's arrivals, ``None`` without any."""
+        zones = [z for z, r in self._regions.items() if r == self.settings.region]
+        vms = [vm for zone in zones for vm in self.fleet.get_active(zone)]
+        others = sum(vm.rate for vm in vms if vm is not self.fleet.local_vm)
+        total = others + self._rate
+        return self._rate / total if total else None
+
+    def _has_accounts(self):
+        return self.config is not None and self.config.accounts is not None
+
+    def _find_service(self, server_name):
+        """Return the service of a listed server, or ``None``."""
+        listed = self.catalog.get_server(server_name)
+        return listed.server.service if listed is not None else None
+
     def _find_route(self, name):
         return self._routes.get(name)
 
@@ -382,6 +411,7 @@
             self._counted_requests = started_requests
             self._update_budgets()
             self._rate_share = self._compute_rate_share()
+            self._demand_share = self._compute_demand_share()
 
     def _update_budgets(self):
         """Adjust the retry budgets to the settings and the number of active VMs."""
--- a/src/lavendermast/retries.py
+++ b/src/lavendermast/retries.py
@@ -141,17 +141,21 @@
         """Count a request of a caller; retries are not counted."""
         self._left = min(self._capacity, self._left + self._share)
 
-    def can_spend(self):
-        """Refill the budget and return whether an attempt is available."""
+    def can_spend(self, kept_share=0.0):
+        """
+        Refill the budget and return whether an attempt is available.
+
+        :param kept_share: part of what may be saved that has to be left for others.
+        """
         now = self._clock.monotonic()
         refill = (now - self._refilled_at) * self._rate
         self._left = min(self._capacity, self._left + refill)
         self._refilled_at = now
-        return self._left >= 1.0
+        return self._left >= 1.0 + kept_share * (self._capacity - 1.0)
 
-    def spend(self):
-        """Take one attempt; return whether there was one."""
-        if not self.can_spend():
+    def spend(self, kept_share=0.0):
+        """Take one attempt; return whether there was one, see :meth:`can_spend`."""
+        if not self.can_spend(kept_share):
             return False
         self._left -= 1.0
         return True
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -6,6 +6,7 @@
 import eventlet
 import pytest
 
+from lavendermast.admission import Admission
 from lavendermast.attempts import AttemptRunner
 from lavendermast.attemptstate import classify_attempt
 from lavendermast.catalog import ListedServer
@@ -89,6 +90,7 @@
     prepare=lambda registry: None,
     crashes_before=0,
     is_refusing=False,
+    has_admission=False,
 ):
     """
     Run a request; return the reply, the upstream, the logged events and the seconds.
@@ -98,6 +100,7 @@
     :param prepare: called with the ``EvidenceRegistry`` before the request.
     :param crashes_before: crashes of servers in which the request was in flight before.
     :param is_refusing: whether the VM is about to stop.
+    :param has_admission: whether requests are admitted by rank.
     """
     clock = SystemClock()
     events = []
@@ -131,6 +134,18 @@
     )
     crashes = CrashSharing(tracker, sharing, upstream, network, clock, None)
     budget = WindowedRetryBudget(0.2 if slack else 0.0, slack, 10.0, clock)
+
+    def record_event(event, **fields):
+        events.append((event, fields))
+
+    admission = Admission(
+        lambda: has_admission,
+        selector,
+        registry,
+        lambda name: "stock",
+        clock,
+        record_event,
+    )
     runner = AttemptRunner(
         upstream,
         selector,
@@ -140,7 +155,8 @@
         DenialRules(crashes, lambda: is_refusing),
         lambda service: budget,
         clock,
-        lambda event, **fields: events.append((event, fields)),
+        record_event,
+        admission.open,
     )
     now = clock.monotonic()
     request = CallerRequest(
@@ -439,3 +455,61 @@
     assert (reply.status, reply.outcome) == (503, Outcome.NOT_RUN)
     eventlet.sleep(0.05)
     assert upstream.sent == []
+
+
+def run_on_full_servers(script, response_s, **kwargs):
+    """Run a request while all slots are in use; one gets free after a time."""
+
+    def prepare(registry):
+        route = make_route()
+        attempts = [registry.start(n, route) for n in ("s1", "s2") for _ in range(7)]
+        eventlet.spawn_after(
+            response_s,
+            registry.finish,
+            "s1",
+            route,
+            attempts[0],
+            AttemptResult("s1", OK),
+            AttemptOutcome.SUCCEEDED,
+        )
+
+    return run(
+        script,
+        make_route(),
+        servers=("s1", "s2"),
+        prepare=prepare,
+        has_admission=True,
+        **kwargs,
+    )
+
+
+def test_request_waits_for_a_slot_in_the_vm():
+    """Guards against requests that queue or are shed at full servers."""
+    reply, upstream, events, _ = run_on_full_servers([(0.0, OK)], 0.05)
+    assert (reply.status, upstream.sent) == (200, ["s1"])
+    assert [event for event, _ in events][:2] == ["admission", "decision"]
+    assert events[0][1]["decision"] == "granted"
+
+
+def test_request_that_gets_no_slot_in_time_is_refused():
+    """Guards against a wait until the deadline, and a late ``Retry-After``."""
+    reply, upstream, events, seconds = run_on_full_servers([], 5.0)
+    assert (reply.status, reply.reason) == (503, "no-capacity")
+    assert (upstream.sent, events[0][1]["decision"]) == ([], "refused")
+    assert 0.05 <= reply.retry_after <= (1.0 - seconds) / 3
+
+
+@pytest.mark.parametrize(("slack", "status", "sent"), [(10, 200, 2), (0, 503, 1)])
+def test_shed_request_goes_to_another_server_while_budget_lasts(slack, status, sent):
+    """Guards against shed requests that are held, or sent again beyond the budget."""
+    script = [(0.0, SHED), (0.0, OK)]
+    reply, upstream, *_ = run(script, make_route(), slack=slack, has_admission=True)
+    assert (reply.status, len(upstream.sent)) == (status, sent)
+    if status == 503:
+        assert (reply.outcome, reply.reason) == (Outcome.NOT_RUN, "shed")
+
+
+def test_request_without_listed_servers_does_not_wait_for_slots():
+    """Guards against a wait for slots of servers that do not exist."""
+    reply, *_ = run([], make_route(), servers=(), has_admission=True)
+    assert (reply.status, reply.reason) == (503, "no-server")
