Send reports, summaries and lists between VMs with fewer bytes

The representative of a region relayed the summaries of all servers of other regions to all active VMs of its own every 0.5 s, names were most of the bytes of reports, each end of an attempt was reported beside two reports of its start, and seeds answered each VM of the fleet with a complete list every 5 s.

Reports and summaries now hold each name once, without the prefix that it shares with the one before it; messages of older builds are still read, but older builds do not read the new form. The report of an end replaces the pending ones of its start. Summaries send what differs from what receivers assume by now, and everything after 1.4 s; the parts go to different active VMs of a region, which relay them. Seeds send a short reply to a VM that knows the others. Zones of more than 40 VMs have a hub for each ten VMs to share the sending of lists, and lists of idle VMs are rarer in zones above 32 VMs.

A sick server is in the next summary as before, and reports leave at the same intervals.

--- a/src/lavendermast/evidenceregistry.py
+++ b/src/lavendermast/evidenceregistry.py
@@ -14,7 +14,7 @@
 #: Each report is sent twice, since datagrams may be lost. The copy goes with the next
 #: batch, or alone after this time.
 COPY_DELAY_S = 0.25
-MAX_REPORTS_PER_BATCH = 20
+MAX_REPORTS_PER_BATCH = 40
 #: Weight of one response in the moving average of response sizes.
 SIZE_WEIGHT = 0.05
 DEFAULT_DOWNLOAD_BYTES = 90_000
@@ -62,6 +62,7 @@
     refused: bool = False
     rate_limit: float = 0.0
     head_at: float = 0.0
+    has_ended: bool = False
 
     def make_report(self, now):
         """Return the message for a batch that is sent now."""
@@ -153,6 +154,7 @@
         """Record the outcome of an attempt of this VM."""
         now = self._clock.monotonic()
         local = self._local_attempts.pop(attempt)
+        local.has_ended = True
         self._queue_report(local)
         evidence = local.evidence
         if result.rate_limit is not None:
@@ -172,7 +174,7 @@
             self._response_bytes[route.name] = mean + (size - mean) * SIZE_WEIGHT
 
     def _queue_report(self, local):
-        self._outbox.append(local)
+        self._outbox.append((local, local.has_ended))
         self.on_report_queued()
 
     @property
@@ -181,21 +183,28 @@
         return bool(self._outbox or self._copies)
 
     def take_reports(self):
-        """Remove the reports to send now from the queue and return them."""
+        """
+        Remove the reports to send now from the queue and return them.
+
+        The report of the end of an attempt replaces those of its start.
+        """
         now = self._clock.monotonic()
-        first = [
-            self._outbox.popleft()
-            for _ in range(min(len(self._outbox), MAX_REPORTS_PER_BATCH))
-        ]
-        attempts = {local.number: local for local in first}
+        first = []
+        while self._outbox and len(first) < MAX_REPORTS_PER_BATCH:
+            local, has_ended = self._outbox.popleft()
+            if has_ended is local.has_ended:
+                first.append(local)
+        attempts = list(first)
         while self._copies and len(attempts) < MAX_REPORTS_PER_BATCH:
-            due, local = self._copies[0]
-            if not attempts and now < due:
-                break
+            due, local, has_ended = self._copies[0]
+            if has_ended is local.has_ended:
+                if not attempts and now < due:
+                    break
+                attempts.append(local)
             self._copies.popleft()
-            attempts[local.number] = local
-        self._copies.extend((now + COPY_DELAY_S, local) for local in first)
-        return tuple(local.make_report(now) for local in attempts.values())
+        due = now + COPY_DELAY_S
+        self._copies.extend((due, local, local.has_ended) for local in first)
+        return tuple(local.make_report(now) for local in attempts)
 
     def apply_reports(self, sender, boot_id, reports):
         """
--- a/src/lavendermast/evidencesharing.py
+++ b/src/lavendermast/evidencesharing.py
@@ -1,23 +1,40 @@
 """Shares evidence on servers: attempts in a region, summaries between regions."""
 
 import itertools
+import math
 
 import attrs
 from eventlet.event import Event
 
+from lavendermast.compactreports import (
+    pack_reports,
+    pack_summaries,
+    unpack_reports,
+    unpack_summaries,
+)
 from lavendermast.messages_model import (
     AttemptReports,
     ServerSummaries,
     ServiceLosses,
 )
+from lavendermast.suspicion import decay_to_prior
 
 REPORT_INTERVAL_S = 0.05
 #: With many active VMs each one reports less often, which bounds the received traffic.
 REPORT_INTERVAL_PER_VM_S = 0.009
 #: Summaries cross paid links; detecting a sick server takes about 0.5 s anyway.
 SUMMARY_INTERVAL_S = 0.5
-#: Summaries in one datagram: each takes up to 40 of its 1,400 bytes.
-MAX_SUMMARIES = 28
+#: A summary that has not changed is repeated after this time. Receivers use the number
+#: of pending attempts in it for 2 s.
+REPEAT_INTERVAL_S = 1.4
+#: Change of the probability of being sick, against what receivers assume by now, that
+#: is sent at once. Decay alone adds 0.05 in ``REPEAT_INTERVAL_S``.
+MIN_PERMILLE_CHANGE = 80
+#: Change of the number of pending attempts that is sent at once, and as a share.
+MIN_PENDING_CHANGE = 2
+MIN_PENDING_CHANGE_SHARE = 0.5
+#: VMs of a region that take turns in relaying the parts of summaries to it.
+MAX_RELAYS = 8
 
 
 class EvidenceSharing:
@@ -40,6 +57,9 @@
         self._network = network
         self._clock = clock
         self._reports_queued = Event()
+        self._sent_summaries = {}
+        self._sent_losses = {}
+        self._turn = 0
         evidence.on_report_queued = self._signal_reports
         network.register(AttemptReports, self._handle_reports)
         network.register(ServerSummaries, self._handle_summaries)
@@ -58,7 +78,8 @@
                     self._reports_queued = Event()
                 continue
             addresses = self._fleet.get_peer_addresses(zones)
-            self._network.broadcast(addresses, AttemptReports(reports))
+            for message in pack_reports(reports):
+                self._network.broadcast(addresses, message)
             interval = max(REPORT_INTERVAL_S, REPORT_INTERVAL_PER_VM_S * len(addresses))
 
     def _signal_reports(self):
@@ -69,35 +90,97 @@
         """Send summaries to other regions while this VM represents its region."""
         while True:
             self._clock.sleep(SUMMARY_INTERVAL_S)
-            if not self.is_representative():
-                continue
-            servers = self._catalog.get_region_servers(self._settings.region)
-            names = itertools.chain.from_iterable(servers.values())
+            if self.is_representative():
+                self.send_summaries()
+            else:
+                self._sent_summaries.clear()
+                self._sent_losses.clear()
+
+    def send_summaries(self):
+        """
+        Send other regions the summaries that are due.
+
+        The parts go to different VMs of a region, because each relays what it gets to
+        all active VMs of it.
+        """
+        servers = self._catalog.get_region_servers(self._settings.region)
+        names = itertools.chain.from_iterable(servers.values())
+        parts = pack_summaries(self._choose_summaries(names))
+        losses = tuple(self._choose_losses(servers))
+        if losses and not parts:
+            parts = [{}]
+        relays = [self._find_relays(region) for region in self._get_other_regions()]
+        for part in parts:
             message = ServerSummaries(
-                relay_wanted=True,
-                summaries=tuple(self._evidence.make_summaries(names)),
-                region=self._settings.region,
-                losses=tuple(self._make_losses(servers)),
+                relay_wanted=True, region=self._settings.region, losses=losses, **part
             )
-            self._send_summaries(self.get_representative_addresses(), message)
-
-    def _make_losses(self, servers):
+            losses = ()
+            self._turn += 1
+            addresses = [
+                vms[self._turn % len(vms)].peer_address for vms in relays if vms
+            ]
+            self._network.broadcast(addresses, message)
+
+    def _choose_summaries(self, names):
+        """Return the summaries that receivers need now."""
+        now = self._clock.monotonic()
+        sent = self._sent_summaries
+        current = {
+            summary.server: summary for summary in self._evidence.make_summaries(names)
+        }
+        due = [
+            summary
+            for name, summary in current.items()
+            if name not in sent or self._is_due(summary, *sent[name], now)
+        ]
+        for name in sent.keys() - current.keys():
+            del sent[name]
+        sent.update({summary.server: (summary, now) for summary in due})
+        return due
+
+    def _is_due(self, summary, sent, sent_at, now):
+        """Return whether a summary differs enough from what receivers assume."""
+        age_s = now - sent_at
+        # Receivers know what is left of a limit for 2 s only.
+        is_limited = 0.0 < summary.rate_limit < math.inf
+        if age_s >= REPEAT_INTERVAL_S or is_limited:
+            return True
+        if bool(summary.rate_limit) != bool(sent.rate_limit):
+            return True
+        if math.isinf(summary.rate_limit) != math.isinf(sent.rate_limit):
+            return True
+        assumed = decay_to_prior(sent.sickness_permille / 1000, age_s) * 1000
+        if abs(summary.sickness_permille - assumed) >= MIN_PERMILLE_CHANGE:
+            return True
+        changed = abs(summary.pending - sent.pending)
+        least = max(MIN_PENDING_CHANGE, MIN_PENDING_CHANGE_SHARE * sent.pending)
+        return changed >= least
+
+    def _choose_losses(self, servers):
+        """Return the losses that receivers need now: lost requests always."""
         now = self._clock.monotonic()
         for service, names in servers.items():
             counted = self._loss_tracker.count_losses(service, names, now)
-            if counted.requests:
-                yield ServiceLosses(service, counted.requests, round(counted.lost))
-
-    def _send_summaries(self, addresses, message):
-        """Send summaries in parts that fit a datagram, all losses in the first part."""
-        summaries = message.summaries
-        for first in range(0, len(summaries), MAX_SUMMARIES):
-            part = attrs.evolve(
-                message,
-                summaries=summaries[first : first + MAX_SUMMARIES],
-                losses=message.losses if first == 0 else (),
-            )
-            self._network.broadcast(addresses, part)
+            if not counted.requests:
+                continue
+            losses = ServiceLosses(service, counted.requests, round(counted.lost))
+            sent, sent_at = self._sent_losses.get(service, (None, -math.inf))
+            has_lost = losses.lost or (sent is not None and sent.lost)
+            if has_lost or now - sent_at >= REPEAT_INTERVAL_S:
+                self._sent_losses[service] = losses, now
+                yield losses
+
+    def _get_other_regions(self):
+        return sorted(set(self._regions.values()) - {self._settings.region})
+
+    def _find_relays(self, region):
+        """Return the VMs of a region that relay summaries to it, largest first."""
+        vms = [
+            vm
+            for zone in self._get_zones(region)
+            for vm in self._fleet.get_active(zone)
+        ]
+        return sorted(vms, key=lambda vm: (-vm.cores, vm.vm))[:MAX_RELAYS]
 
     def _get_zones(self, region):
         return sorted(zone for zone, name in self._regions.items() if name == region)
@@ -133,8 +216,7 @@
     def get_representative_addresses(self):
         """Return the peer addresses of the representatives of all other regions."""
         representatives = [
-            self.find_representative(region)
-            for region in set(self._regions.values()) - {self._settings.region}
+            self.find_representative(region) for region in self._get_other_regions()
         ]
         return [vm.peer_address for vm in representatives if vm is not None]
 
@@ -148,12 +230,12 @@
 
     def _handle_reports(self, envelope, address):
         self._evidence.apply_reports(
-            envelope.sender, envelope.boot_id, envelope.body.attempts
+            envelope.sender, envelope.boot_id, unpack_reports(envelope.body)
         )
 
     def _handle_summaries(self, envelope, address):
         message = envelope.body
-        self._evidence.apply_summaries(message.region, message.summaries)
+        self._evidence.apply_summaries(message.region, unpack_summaries(message))
         now = self._clock.monotonic()
         for losses in message.losses:
             self._loss_tracker.apply_losses(
@@ -161,4 +243,4 @@
             )
         if message.relay_wanted:
             relayed = attrs.evolve(message, relay_wanted=False)
-            self._send_summaries(self.get_region_addresses(), relayed)
+            self._network.broadcast(self.get_region_addresses(), relayed)
--- a/src/lavendermast/messages_model.py
+++ b/src/lavendermast/messages_model.py
@@ -511,6 +511,7 @@
     reply_wanted: bool = False
     store_era: int = 0
     confirmed_age_ms: int = 0
+    known_vms: int = 0
 
     def to_dict(self):
         """Return the fields as pycapnp accepts them."""
@@ -523,6 +524,7 @@
             "replyWanted": self.reply_wanted,
             "storeEra": self.store_era,
             "confirmedAgeMs": self.confirmed_age_ms,
+            "knownVms": self.known_vms,
         }
 
     @classmethod
@@ -537,6 +539,7 @@
             reply_wanted=reader.replyWanted,
             store_era=reader.storeEra,
             confirmed_age_ms=reader.confirmedAgeMs,
+            known_vms=reader.knownVms,
         )
 
 
@@ -586,11 +589,19 @@
     """Message struct AttemptReports."""
 
     attempts: tuple[AttemptReport, ...] = ()
+    servers: str = ""
+    routes: str = ""
+    entries: bytes = b""
+    limits: bytes = b""
 
     def to_dict(self):
         """Return the fields as pycapnp accepts them."""
         return {
             "attempts": [item.to_dict() for item in self.attempts],
+            "servers": self.servers,
+            "routes": self.routes,
+            "entries": self.entries,
+            "limits": self.limits,
         }
 
     @classmethod
@@ -598,6 +609,10 @@
         """Return an instance from a pycapnp reader."""
         return cls(
             attempts=tuple(AttemptReport.from_reader(item) for item in reader.attempts),
+            servers=str(reader.servers),
+            routes=str(reader.routes),
+            entries=bytes(reader.entries),
+            limits=bytes(reader.limits),
         )
 
 
@@ -670,6 +685,9 @@
     summaries: tuple[ServerSummary, ...] = ()
     region: str = ""
     losses: tuple[ServiceLosses, ...] = ()
+    servers: str = ""
+    entries: bytes = b""
+    limits: bytes = b""
 
     def to_dict(self):
         """Return the fields as pycapnp accepts them."""
@@ -678,6 +696,9 @@
             "summaries": [item.to_dict() for item in self.summaries],
             "region": self.region,
             "losses": [item.to_dict() for item in self.losses],
+            "servers": self.servers,
+            "entries": self.entries,
+            "limits": self.limits,
         }
 
     @classmethod
@@ -690,6 +711,9 @@
             ),
             region=str(reader.region),
             losses=tuple(ServiceLosses.from_reader(item) for item in reader.losses),
+            servers=str(reader.servers),
+            entries=bytes(reader.entries),
+            limits=bytes(reader.limits),
         )
 
 
--- a/src/lavendermast/schema/messages.capnp
+++ b/src/lavendermast/schema/messages.capnp
@@ -153,7 +153,8 @@
 
 # A heartbeat with the sender's view of other VMs, its configuration version and store
 # revision. confirmedAgeMs is the time since the store last confirmed that revision, plus
-# one; older builds send 0.
+# one; older builds send 0. knownVms is the number of VMs that a VM knows that wants a
+# reply: one that knows enough gets a short one.
 struct Presence {
   own @0 :VmPresence;
   others @1 :List(VmPresence);
@@ -163,6 +164,7 @@
   replyWanted @5 :Bool;
   storeEra @6 :UInt64;
   confirmedAgeMs @7 :UInt32;
+  knownVms @8 :UInt16;
 }
 
 enum AttemptPhase {
@@ -188,8 +190,14 @@
   limitAgeMs @7 :UInt32;
 }
 
+# Older builds send attempts, newer ones the other fields, which
+# lavendermast.compactreports describes.
 struct AttemptReports {
   attempts @0 :List(AttemptReport);
+  servers @1 :Text;
+  routes @2 :Text;
+  entries @3 :Data;
+  limits @4 :Data;
 }
 
 # A region's estimate of the state of one of its servers. rateLimit is as in
@@ -210,12 +218,17 @@
   lost @2 :UInt32;
 }
 
-# The receiver passes it on to its region when relayWanted is set.
+# The receiver passes it on to its region when relayWanted is set. Older builds send
+# summaries, newer ones servers, entries and limits, which lavendermast.compactreports
+# describes.
 struct ServerSummaries {
   relayWanted @0 :Bool;
   summaries @1 :List(ServerSummary);
   region @2 :Text;
   losses @3 :List(ServiceLosses);
+  servers @4 :Text;
+  entries @5 :Data;
+  limits @6 :Data;
 }
 
 # A request that was in flight when a run of a server crashed, or, if cleared is set, that
--- a/src/lavendermast/zonefleet.py
+++ b/src/lavendermast/zonefleet.py
@@ -19,9 +19,11 @@
 #: carry heartbeats send one in this many rounds.
 IDLE_HEARTBEAT_ROUNDS = 3
 #: Hubs list these VMs to such a zone in one of this many lists only. The three hubs
-#: together then list them about every IDLE_LIST_INTERVAL_S.
+#: together then list them about every IDLE_LIST_INTERVAL_S. Beyond this number of VMs
+#: both grow with the zone, because the length of a list and its receivers do.
 IDLE_LIST_TURNS = 8
 IDLE_LIST_INTERVAL_S = 4.0
+MAX_VMS_PER_IDLE_TURNS = 32
 #: VMs that are next to become active are listed like active ones.
 STANDBY_VMS = 2
 #: Interval of summaries between zones, which cross paid links.
@@ -29,16 +31,25 @@
 #: A VM of another zone is removed after this time without an update on it: four
 #: summary intervals.
 REMOTE_ZONE_TIMEOUT_S = 6.0
-#: Interval at which each of the three hubs forwards summaries to its zone.
+#: VMs read the store themselves 2.6 s after the last heartbeat of those that read it
+#: for them; that is six rounds.
+MAX_ROUNDS_WITHOUT_READER = 6
+#: Interval at which each of the first three hubs forwards summaries to its zone.
 REMOTE_LIST_INTERVAL_S = 3.0
 #: VMs of a zone that receive the heartbeats of all others in it.
 HUBS_PER_ZONE = 3
+#: In a zone with more VMs than this for each hub there are more hubs, because they
+#: share the sending of lists. The first ``HUBS_PER_ZONE`` stand in for the reader.
+MAX_VMS_PER_HUB = 10
 #: Number of the largest VMs of a zone that are listed to other zones.
 MAX_SUMMARY_VMS = 4
 #: Each VM takes up to 110 bytes of a datagram of 1,400.
 MAX_VMS_PER_DATAGRAM = 10
 #: Interval at which one seed is contacted, so that a partitioned fleet reunites.
 SEED_INTERVAL_S = 5.0
+#: A VM that knows this share of the VMs that a seed would list gets a short reply.
+KNOWN_SHARE = 0.8
+MAX_KNOWN_VMS = 2**16 - 1
 #: A VM that has just started and heard of no other contacts the seeds at this interval,
 #: because the seeds of a fleet that starts are not up at once.
 START_INTERVAL_S = 0.1
@@ -81,9 +92,10 @@
     """
     Tracks the live VMs of the fleet.
 
-    The first VMs of a zone by name are its hubs: all VMs of the zone send heartbeats
-    to them, and the hubs take turns in sending the list of members to the zone. The
-    first hub sends summaries to other zones. All of these are ``Presence`` messages.
+    The first VMs of a zone by name are its hubs, three or more: all VMs of the zone
+    send heartbeats to them, and the hubs take turns in sending the list of members to
+    the zone. The first hub sends summaries to other zones. All of these are
+    ``Presence`` messages.
 
     In a large zone the VMs that serve no callers send fewer heartbeats and are listed
     less often, so that the cost of an idle VM does not grow with the zone.
@@ -156,7 +168,7 @@
         now = self._clock.monotonic()
         self._remove_timed_out(now)
         zone_names = self.get_vm_names()
-        hubs = zone_names[:HUBS_PER_ZONE]
+        hubs = _choose_hubs(zone_names)
         self._rounds += 1
         # The hubs take turns, so that each VM of the zone gets one list per round.
         sends_list = self.local_vm.vm in hubs and hubs.index(self.local_vm.vm) == (
@@ -170,7 +182,13 @@
             self.local_vm = attrs.evolve(
                 self.local_vm, interval_ms=round(interval_s * 1000)
             )
-            names = zone_names if sends_list else hubs
+            # All VMs of the zone need to hear in time of those that read the store for
+            # them, also where each hub sends its list rarely.
+            first_hub = zone_names[self._rounds % HUBS_PER_ZONE : HUBS_PER_ZONE][:1]
+            is_announced = len(hubs) > MAX_ROUNDS_WITHOUT_READER and (
+                self.local_vm.vm in first_hub
+            )
+            names = zone_names if sends_list or is_announced else hubs
             addresses = [
                 self.vms[name].peer_address for name in names if name in self.vms
             ]
@@ -220,7 +238,7 @@
         return sorted(names) or [self.local_vm.vm]
 
     def is_hub(self):
-        """Return whether this VM carries the heartbeats of its zone."""
+        """Return whether this VM stands in for the reader of its zone."""
         return self.local_vm.vm in self.get_vm_names()[:HUBS_PER_ZONE]
 
     def get_ready(self, zone):
@@ -277,6 +295,7 @@
             reply_wanted,
             era,
             confirmed_age_ms,
+            min(len(self.vms), MAX_KNOWN_VMS) if reply_wanted else 0,
         )
 
     def _send(self, addresses, others):
@@ -305,7 +324,10 @@
         # any more stays listed until they hear of its longer interval.
         self._prompt_names |= prompt_names
         self._list_turns += 1
-        if self._list_turns % IDLE_LIST_TURNS:
+        # Three or more hubs have about the same time between their long lists, because
+        # their turns are rarer the more they are.
+        turns = IDLE_LIST_TURNS * _get_idle_factor(len(vms)) * HUBS_PER_ZONE / len(hubs)
+        if self._list_turns % max(round(turns), 1):
             vms = [
                 vm
                 for vm in vms
@@ -319,18 +341,20 @@
         """Return VMs for a list that only the next long list repeats."""
         zone_names = self.get_vm_names()
         rarely_listed = set()
+        idle_interval_s = IDLE_LIST_INTERVAL_S * _get_idle_factor(len(zone_names))
         if self._is_large(zone_names):
-            prompt_names = self._find_prompt_names(zone_names[:HUBS_PER_ZONE])
+            prompt_names = self._find_prompt_names(_choose_hubs(zone_names))
             rarely_listed = set(zone_names) - prompt_names
         return [
-            _make_vm_presence(vm, now, IDLE_LIST_INTERVAL_S * (vm.vm in rarely_listed))
+            _make_vm_presence(vm, now, idle_interval_s * (vm.vm in rarely_listed))
             for vm in vms
         ]
 
     def _list_others(self, now, hubs):
         """Return the VMs that a hub lists to its zone in this round."""
         listed = self._list_zone(now, hubs)
-        if now >= self._next_remote_list:
+        # Other hubs hear of other zones from these only, so their lists are older.
+        if now >= self._next_remote_list and self.is_hub():
             self._next_remote_list = now + REMOTE_LIST_INTERVAL_S
             for other in self._get_other_zones():
                 vms = self._choose_remote_vms(other)
@@ -376,19 +400,31 @@
             if other.vm != self.local_vm.vm:
                 self._merge(other, now)
         if presence.reply_wanted:
-            others = self._describe_vms(self._choose_reply_vms(presence.own), now)
+            others = self._describe_vms(self._choose_reply_vms(presence), now)
             self._send([presence.own.peer_address], others)
         for handler in self.on_presence:
             handler(presence)
 
-    def _choose_reply_vms(self, requester):
-        """Return the VMs to list to a requester: all of its zone and some of others."""
-        chosen = []
+    def _choose_reply_vms(self, presence):
+        """
+        Return the VMs to list to a requester: all of its zone and some of others.
+
+        A requester that knows about as many already gets the hubs of its zone and the
+        first VM of each other zone, through which parts of a fleet find each other.
+        """
+        requester = presence.own
+        chosen, first = [], []
         for zone in {vm.zone for vm in self.vms.values()}:
+            remote_vms = self._choose_remote_vms(zone)
             if zone == requester.zone:
-                chosen += [vm for vm in self.vms.values() if vm.zone == zone]
+                zone_vms = [vm for vm in self.vms.values() if vm.zone == zone]
+                chosen += zone_vms
+                first += sorted(zone_vms, key=lambda vm: vm.vm)[:HUBS_PER_ZONE]
             else:
-                chosen += self._choose_remote_vms(zone)
+                chosen += remote_vms
+                first += remote_vms[:1]
+        if presence.known_vms >= KNOWN_SHARE * len(chosen):
+            chosen = first
         return [vm for vm in chosen if vm.vm != requester.vm]
 
     def _choose_remote_vms(self, zone):
@@ -471,6 +507,16 @@
     return vm.state != "alive", -round(vm.cores, 3), vm.vm
 
 
+def _choose_hubs(zone_names):
+    """Return the VMs of a zone that carry its heartbeats, given its sorted names."""
+    return zone_names[: max(HUBS_PER_ZONE, len(zone_names) // MAX_VMS_PER_HUB)]
+
+
+def _get_idle_factor(vms):
+    """Return by what factor idle VMs of a zone are listed less often for its size."""
+    return max(vms / MAX_VMS_PER_IDLE_TURNS, 1.0)
+
+
 def _make_vm_presence(vm, now, interval_s=0.0):
     """
     Return what this VM tells others of a VM.
--- a/tests/test_zonefleet.py
+++ b/tests/test_zonefleet.py
@@ -439,17 +439,51 @@
     assert large.network.sent - before <= 2 * HUBS_PER_ZONE + 2
 
 
-def test_large_zone_agrees_on_its_members(fleet):
+@pytest.mark.parametrize("size", [32, 80])
+def test_large_zone_agrees_on_its_members(size):
     """Guards against VMs that are dropped because they are rarely listed."""
-    fleet = make_large_zone()
-    run_rounds(fleet, 24)
+    fleet = make_large_zone(size)
+    run_rounds(fleet, 2 * size)
     for vm in fleet.vms.values():
         vm.events.clear()
-    run_rounds(fleet, 75)
-    assert [vm.events for vm in fleet.vms.values()] == [[]] * 32
+    run_rounds(fleet, 100)
+    assert [vm.events for vm in fleet.vms.values()] == [[]] * size
     for vm in fleet.vms.values():
         assert get_active(vm, "a") == ["a01", "a02"]
-        assert len(vm.fleet.get_vm_names()) == 32
+        assert len(vm.fleet.get_vm_names()) == size
+
+
+def test_seed_sends_a_long_reply_only_to_a_vm_that_needs_it():
+    """Guards against seeds whose links carry lists that everybody knows."""
+    fleet = make_large_zone()
+    run_rounds(fleet, 64)
+    seed = fleet.vms["a01"].fleet
+    heard = []
+    asking = fleet.vms["a30"].fleet
+    asking.on_presence.append(lambda presence: heard.extend(presence.others))
+    asking._contact_seeds(all_seeds=True)
+    assert {vm.vm for vm in heard} <= {"a01", "a02", "a03", "a04"}
+    heard.clear()
+    asking.vms = {"a01": asking.vms["a01"]}
+    asking._contact_seeds(all_seeds=True)
+    assert len(asking.vms) == len(seed.vms) == 31
+
+
+def test_large_zone_keeps_the_vms_of_other_zones():
+    """Guards against other zones that are forgotten between rare lists of them."""
+    clock, network, source = ManualClock(100.0), InMemoryNetwork(), FakeSource()
+    names = [f"a{n:02}" for n in range(1, 43)] + ["b1", "b2", "b3"]
+    vms = {name: make_vm(name, network, clock, source) for name in names}
+    for vm in vms.values():
+        vm.fleet.seeds = ("a01", "b1")
+    fleet = types.SimpleNamespace(clock=clock, vms=vms)
+    run_rounds(fleet, 40)
+    for vm in vms.values():
+        vm.events.clear()
+        vm.fleet._next_seed = float("inf")
+    run_rounds(fleet, 100)
+    assert [vms[name].events for name in names[:42]] == [[]] * 42
+    assert {tuple(get_active(vm, "b")) for vm in vms.values()} == {("b1", "b2")}
 
 
 def test_killed_vms_of_a_large_zone_are_replaced():
