Check the keys of client accounts and stop them in time

Cause: with accounts in the configuration any caller could use any route, and a VM that lost the store or its peers would have used removed keys for ever.

The check is made on arrival, before each attempt and before the first byte to a server. Keys and account names of callers are not passed on.

--- a/bench/propagation.py
+++ b/bench/propagation.py
@@ -126,12 +126,30 @@
         self._record("started", vms)
 
 
+def check_keys(fleet, now):
+    """Return findings of VMs that would run requests with a key that was removed."""
+    findings, acked_at = [], fleet.store.acked_at
+    for vm in fleet.vms.values():
+        version = vm.catalog.config_version if vm.running else len(acked_at)
+        if vm.frozen is not None or version >= len(acked_at) or not vm.may_run():
+            continue
+        age_ms = (now - acked_at[version]) * 1000
+        if age_ms > fleet.key_removal_ms:
+            findings.append(
+                f"KEYS: {vm.name} runs requests with the key of version {version} at "
+                f"{now:.2f} s, removed at {acked_at[version]:.2f} s"
+            )
+    return findings
+
+
 def check(fleet, clock, until):
     """Return the findings of a run: VMs in contact that are behind for too long."""
     findings = []
     while clock.monotonic() < until:
         clock.sleep(0.05)
         now = clock.monotonic()
+        if fleet.key_removal_ms:
+            findings += check_keys(fleet, now)
         due = sum(
             acked_at < now - CONFIG_PROPAGATION_S for acked_at in fleet.store.acked_at
         )
@@ -145,18 +163,22 @@
     return findings
 
 
-def run_seed(seed, seconds=60.0, series=3, kinds=None, fleet_size=None):
+def run_seed(
+    seed, seconds=60.0, series=3, kinds=None, fleet_size=None, key_removal_ms=0
+):
     """
     Run one seed in a thread of its own and return fleet and findings.
 
     :param kinds: names of the faults to inject; all without it.
     :param fleet_size: zones, as a text of their names, and VMs per zone.
+    :param key_removal_ms: setting of the VMs; 0 for no check of keys.
     """
-    return run_virtually(_run, seed, seconds, series, kinds, fleet_size or ())
+    size = fleet_size or ()
+    return run_virtually(_run, seed, seconds, series, kinds, size, key_removal_ms)
 
 
-def _run(seed, seconds, series, kinds, fleet_size):
-    fleet = SimulatedFleet(*fleet_size)
+def _run(seed, seconds, series, kinds, fleet_size, key_removal_ms):
+    fleet = SimulatedFleet(*fleet_size, key_removal_ms=key_removal_ms)
     clock = VirtualClock()
     fleet.store.put()
     rng = random.Random(f"{seed}/starts")
@@ -195,6 +217,7 @@
     parser.add_argument("--kinds", nargs="*", help="faults to inject, all by default")
     parser.add_argument("--zones", default="abcdef", help="names of the zones")
     parser.add_argument("--vms", type=int, default=7, help="VMs per zone")
+    parser.add_argument("--key-removal-ms", type=int, default=0)
     parser.add_argument("--events", action="store_true", help="print all events")
     options = parser.parse_args()
     failed = 0
@@ -204,6 +227,7 @@
             options.seconds,
             kinds=options.kinds,
             fleet_size=(options.zones, options.vms),
+            key_removal_ms=options.key_removal_ms,
         )
         failed += bool(findings)
         print(
--- a/bench/simulatedfleet.py
+++ b/bench/simulatedfleet.py
@@ -1,5 +1,6 @@
 """VMs that follow a store, on a virtual clock and an in-memory network."""
 
+import random
 import types
 
 import attrs
@@ -9,10 +10,16 @@
 from eventlet.hubs.hub import BaseHub
 
 from bench.soakchecks import CONTACT_TIMEOUT_S
+from lavendermast.accounts import (
+    Authorizer,
+    ProofKeeper,
+    StateProofs,
+    compute_read_timeouts,
+)
 from lavendermast.catalog import Catalog
 from lavendermast.catalogsync import CatalogSync, DocumentSource
 from lavendermast.clock import Clock
-from lavendermast.entrymodel import CallerLimits, ConfigDocument, EntryConfig
+from lavendermast.entrymodel import Account, CallerLimits, ConfigDocument, EntryConfig
 from lavendermast.exceptions import PeerError, StoreError
 from lavendermast.messages_model import StoredChange, StoredChanges
 from lavendermast.peers import PeerTransport
@@ -117,26 +124,29 @@
     A call that is made while the store is silent is lost even if the silence ends.
     """
 
-    def __init__(self, store, vm):
+    def __init__(self, store, vm, read_timeout_s, probe_timeout_s):
         self._store, self._vm = store, vm
+        self._read_timeout_s, self._probe_timeout_s = read_timeout_s, probe_timeout_s
         self.calls = 0
         self.era = 1
 
     def read_all(self):
         """Return the newest version."""
-        self._call(READ_TIMEOUT_S)
+        self._call(self._read_timeout_s)
         return self._receive(0, True)
 
     def watch(self, revision, wait_s):
         """Return the newest version once there is one after a revision."""
-        self._call(wait_s + READ_TIMEOUT_S)
+        timeout_s = self._read_timeout_s if wait_s else self._probe_timeout_s
+        self._call(wait_s + timeout_s)
         deadline = self._vm.clock.monotonic() + wait_s
         changed = self._store.changed
         if self._store.revision <= revision:
             with eventlet.Timeout(deadline - self._vm.clock.monotonic(), False):
                 changed.wait()
         if self._vm.store_cut or self._store.silent:
-            eventlet.sleep(deadline + READ_TIMEOUT_S - self._vm.clock.monotonic())
+            failure_at = deadline + timeout_s
+            eventlet.sleep(failure_at - self._vm.clock.monotonic())
             self._vm.wait_thawed()
             raise StoreError("no response")
         return self._receive(revision, False)
@@ -237,7 +247,9 @@
             lambda: 0.0,
         )
         self.catalog.on_config.append(lambda _: self.zone_fleet.set_state("alive"))
-        self.source = SimulatedSource(fleet.store, self)
+        removal_ms = fleet.key_removal_ms
+        timeouts = compute_read_timeouts(removal_ms, READ_TIMEOUT_S)
+        self.source = SimulatedSource(fleet.store, self, *timeouts)
         self.sync = CatalogSync(
             self.catalog,
             self.source,
@@ -246,9 +258,43 @@
             self.clock,
             self.record,
         )
+        if removal_ms:
+            self._add_authorizer(removal_ms)
         self.spawn(self.sync.run)
         self.spawn(self.zone_fleet.run)
 
+    def _add_authorizer(self, removal_ms):
+        def get_state():
+            return self.catalog.era, self.catalog.revision
+
+        proofs = StateProofs(get_state, self.clock)
+        rng = random.Random(f"{self.name}/{self.boots}")
+        keeper = ProofKeeper(
+            proofs,
+            get_state,
+            self.sync,
+            self.zone_fleet,
+            self.network,
+            self.clock,
+            rng,
+            removal_ms / 1000,
+        )
+        settings = types.SimpleNamespace(key_removal_ms=removal_ms, config_lag_ms=3000)
+        self.authorizer = Authorizer.from_settings(
+            settings, keeper, proofs, self.sync, self.clock, ignore
+        )
+        self.catalog.on_config.insert(0, self.authorizer.apply_config)
+        self.spawn(keeper.run)
+
+    def may_run(self):
+        """Return whether a request with the key of this VM's version may run."""
+        account = make_account(self.catalog.config_version)
+        credential = self.authorizer.make_credential(account.keys[0], account)
+        if not credential:
+            return False
+        request = types.SimpleNamespace(account=account, credential=credential)
+        return self.authorizer.may_run(request)
+
     def record(self, event, **fields):
         """Keep an event for the account of a finding."""
         self.fleet_links.events.append(
@@ -305,9 +351,15 @@
 
 
 class SimulatedFleet:
-    """VMs in all zones, and the cut links between them."""
+    """
+    VMs in all zones, and the cut links between them.
+
+    :param key_removal_ms: setting of the VMs; each version removes the only key of the
+        one before it.
+    """
 
-    def __init__(self, zones=ZONES, vms_per_zone=VMS_PER_ZONE):
+    def __init__(self, zones=ZONES, vms_per_zone=VMS_PER_ZONE, key_removal_ms=0):
+        self.key_removal_ms = key_removal_ms
         self.store = Store()
         self.cuts = []
         self.events = []
@@ -365,4 +417,11 @@
 
 def decode(key, content):
     """Return the document of a version."""
-    return ConfigDocument(EntryConfig(int(content), (), (), CallerLimits()))
+    version = int(content)
+    accounts = (make_account(version),)
+    return ConfigDocument(EntryConfig(version, (), (), CallerLimits(), accounts))
+
+
+def make_account(version):
+    """Return the only account of a version."""
+    return Account("a", (f"key-{version}",))
--- a/src/lavendermast/attempts.py
+++ b/src/lavendermast/attempts.py
@@ -42,6 +42,12 @@
     AttemptStatus.CONNECT_FAILED,
     AttemptStatus.EXPIRED,
     AttemptStatus.SHORTAGE,
+    AttemptStatus.DENIED,
+}
+#: Denials that an attempt finds out after the check before it.
+_DENIALS = {
+    AttemptStatus.SHORTAGE: Denial.SHORTAGE,
+    AttemptStatus.DENIED: Denial.KEYS_UNCONFIRMED,
 }
 _STATUS_CODES = {
     AttemptStatus.TIMEOUT: 504,
@@ -368,8 +374,8 @@
             state.may_have_run = True
         else:
             state.not_run_attempts += 1
-        if status is AttemptStatus.SHORTAGE:
-            state.denial = Denial.SHORTAGE
+        if status in _DENIALS:
+            state.denial = _DENIALS[status]
         if status is AttemptStatus.SHED:
             penalty_until = self._clock.monotonic() + SHED_PENALTY_S
             self._evidence.get(running.server.name).busy_until = penalty_until
--- a/src/lavendermast/catalogsync.py
+++ b/src/lavendermast/catalogsync.py
@@ -104,6 +104,15 @@
         self._was_lost = False
         self._late_logged = False
         self.make_room = lambda: 0
+        self.watch_wait_s = WATCH_WAIT_S
+        #: Added to the ages at which VMs ask the store themselves.
+        self.stale_jitter_s = 0.0
+        #: Returns whether a call is due that does not wait for news.
+        self.needs_proof = lambda: False
+        self.get_max_retry_delay = lambda: MAX_RETRY_DELAY_S
+        #: Handlers of each successful call: era, revision, and when it was sent, of
+        #: ``Clock.elapsed()``.
+        self.on_read = []
         self.store_reachable = True
         #: Time at which the store last confirmed that this VM's state is the newest.
         self.confirmed_at = -math.inf
@@ -120,17 +129,24 @@
             if wait_s is None:
                 self._clock.sleep(ROLE_CHECK_INTERVAL_S)
                 continue
+            sent_at = self._clock.elapsed()
+            known_state = (self._catalog.era, self._catalog.revision)
             try:
                 changes = self._read(wait_s)
             except StoreError as error:
                 self._handle_store_failure(error)
-                self._clock.sleep(self._retry_delay_s)
+                delay_s = min(self._retry_delay_s, self.get_max_retry_delay())
+                self._clock.sleep(delay_s)
                 continue
             self._handle_store_success()
             is_news = self._catalog.revision != changes.to_revision or changes.whole
             if is_news:
                 self._apply(changes, "store")
             self._confirm(changes.era, changes.to_revision, self._clock.monotonic())
+            # A response that is older than the known state proves nothing.
+            if (changes.era, changes.to_revision) >= known_state:
+                for handler in self.on_read:
+                    handler(changes.era, changes.to_revision, sent_at)
             if is_news:
                 self._clock.sleep(BATCH_DELAY_S)
 
@@ -140,14 +156,14 @@
 
         :return: ``None`` if this VM makes none.
         """
-        if self._is_stale():
+        if self._is_stale() or self.needs_proof():
             return 0.0
-        return WATCH_WAIT_S if self.is_reader() else None
+        return self.watch_wait_s if self.is_reader() else None
 
     def _is_stale(self):
         """Return whether the store has not confirmed this VM's state for too long."""
         max_age_s = MAX_HUB_AGE_S if self._fleet.is_hub() else MAX_AGE_S
-        return self._get_age_s() > max_age_s
+        return self._get_age_s() > max_age_s + self.stale_jitter_s
 
     def _get_age_s(self):
         """Return the seconds since the store confirmed this VM's state."""
--- a/src/lavendermast/denials.py
+++ b/src/lavendermast/denials.py
@@ -16,6 +16,7 @@
     STOPPING = "stopping"
     CRASHES = "crashes-servers"
     SHORTAGE = "shortage"
+    KEYS_UNCONFIRMED = "keys-unconfirmed"
 
 
 class DenialRules:
@@ -28,11 +29,14 @@
     :param crashes: ``CrashSharing`` that tells which requests crash servers.
     :param is_refusing: function that returns whether this VM stops so soon that it may
         not get the response of a server any more.
+    :param is_authorized: function that returns whether the key of a request is still in
+        force.
     """
 
-    def __init__(self, crashes, is_refusing):
+    def __init__(self, crashes, is_refusing, is_authorized=lambda request: True):
         self._crashes = crashes
         self._is_refusing = is_refusing
+        self._is_authorized = is_authorized
 
     def find(self, request, may_have_run, has_arrived):
         """
@@ -43,6 +47,8 @@
         """
         if self._is_refusing() and not may_have_run:
             return Denial.STOPPING
+        if not self._is_authorized(request):
+            return Denial.KEYS_UNCONFIRMED
         if has_arrived:
             may_send = self._crashes.may_retry(request)
         else:
@@ -53,6 +59,6 @@
         """Return the seconds after which a denied request may be sent again."""
         if denial is Denial.STOPPING:
             return STOPPING_RETRY_S
-        if denial is Denial.SHORTAGE:
+        if denial in (Denial.SHORTAGE, Denial.KEYS_UNCONFIRMED):
             return RETRY_AFTER_S
         return max(math.ceil(self._crashes.get_hold_s(request)), RETRY_AFTER_S)
--- a/src/lavendermast/entry.py
+++ b/src/lavendermast/entry.py
@@ -73,6 +73,8 @@
         self._record_event = record_event
         self.in_flight = 0
         self.max_in_flight = math.inf
+        #: An :class:`~lavendermast.accounts.Authorizer`; ``None`` without accounts.
+        self.authorizer = None
         self.started_requests = 0
         self.outcomes = {}
         self.latencies = None
@@ -133,6 +135,7 @@
     def _read_request(self, environ, route, arrived_at, reservation):
         limits = self._node.config.limits
         check_header_size(environ, limits.max_header_bytes)
+        account, credential = self._authorize(environ, route)
         left_s = route.timeout_s
         text = environ.get(self._header_names.time_left_variable, "")
         if text.isdigit():
@@ -142,7 +145,7 @@
             method=environ["REQUEST_METHOD"],
             path=get_raw_path(environ),
             query=environ.get("QUERY_STRING", ""),
-            headers=read_headers(environ),
+            headers=self._read_headers(environ, credential),
             body=read_body(environ, limits.max_body_bytes, reservation),
             customer="",
             deadline=arrived_at + left_s,
@@ -150,8 +153,26 @@
             arrived_at=arrived_at,
             idempotent=route.idempotent,
             reservation=reservation,
+            account=account,
+            credential=credential,
         )
 
+    def _authorize(self, environ, route):
+        """Return the account of a request, and what is needed to check it again."""
+        if self.authorizer is None:
+            return None, None
+        key = environ.get(self._header_names.key_variable, "")
+        account = self.authorizer.authorize(key, route)
+        return account, self.authorizer.make_credential(key, account)
+
+    def _read_headers(self, environ, credential):
+        """Return the header fields for the server, without those of accounts."""
+        headers = read_headers(environ)
+        if credential is None:
+            return headers
+        removed = self._header_names.account_headers
+        return [pair for pair in headers if pair[0].lower() not in removed]
+
     def _send(self, reply, route, environ, arrived_at, start_response):
         request_id = environ.get(self._header_names.request_id_variable, "")
         stream = reply.stream
--- a/src/lavendermast/entrymetrics.py
+++ b/src/lavendermast/entrymetrics.py
@@ -96,6 +96,7 @@
         "Time since the store confirmed that configuration and servers are the newest.",
         lambda: [({}, round(sync.get_confirmed_age_ms() / 1000, 3))],
     )
+    _add_account_metrics(registry, node.authorizer)
     registry.add_gauge(
         "lavendermast_entry_servers",
         "Listed servers by service.",
@@ -176,6 +177,35 @@
     return registry
 
 
+def _add_account_metrics(registry, authorizer):
+    registry.add_gauge(
+        "lavendermast_entry_accounts",
+        "Client accounts in force.",
+        lambda: [({}, authorizer.directory.count)],
+    )
+    registry.add_gauge(
+        "lavendermast_entry_keys_fenced",
+        "Whether requests with keys are refused, because the state is not proven.",
+        lambda: [({}, int(authorizer.is_fenced()))],
+    )
+    registry.add_gauge(
+        "lavendermast_entry_proven_age_seconds",
+        "Time since the state was proven to be the newest; empty before any proof.",
+        lambda: _list_known(authorizer.get_proven_age_ms()),
+    )
+    registry.add_counter(
+        "lavendermast_entry_key_refusals_total",
+        "Requests that were refused on arrival for their key, by reason.",
+        lambda: [
+            ({"reason": reason}, count) for reason, count in authorizer.refusals.items()
+        ],
+    )
+
+
+def _list_known(age_ms):
+    return [] if age_ms is None else [({}, age_ms / 1000)]
+
+
 def _count_descriptors():
     values = [({"state": "limit"}, get_descriptor_limit())]
     # The platform may not list them, and without a free one the list cannot be read.
--- a/src/lavendermast/entrynode.py
+++ b/src/lavendermast/entrynode.py
@@ -5,6 +5,7 @@
 
 import eventlet
 
+from lavendermast.accounts import Authorizer, ProofKeeper, StateProofs
 from lavendermast.attempts import AttemptRunner
 from lavendermast.catalog import Catalog
 from lavendermast.catalogsync import CatalogSync
@@ -58,6 +59,8 @@
 #: The process exits at the latest this long before the end of the grace period, so that
 #: a VM that runs slowly still exits in time.
 EXIT_MARGIN_S = 0.5
+#: VMs that directories list before those that refuse requests with keys.
+MAX_DIRECTORY_VMS = 4
 #: Time constant of the moving average of the request rate.
 RATE_TIME_CONSTANT_S = 2.0
 #: Not a secret, since the platform provides none: it only serves to detect damaged
@@ -98,7 +101,6 @@
         )
         self.network.record_error = self._record_error
         self.catalog = Catalog(platform.decode, self.clock, record, settings.lapse_s)
-        self.catalog.on_config.append(self._apply_config)
         self.catalog.on_server.append(self._apply_server)
         self.fleet = ZoneFleet(
             settings,
@@ -113,6 +115,24 @@
             self.catalog, platform.source, self.fleet, self.network, self.clock, record
         )
         self.sync.make_room = self.descriptors.make_room
+        self.proofs = StateProofs(self._get_state, self.clock)
+        self.proof_keeper = ProofKeeper(
+            self.proofs,
+            self._get_state,
+            self.sync,
+            self.fleet,
+            self.network,
+            self.clock,
+            random.Random(),
+            settings.key_removal_ms / 1000,
+        )
+        self.authorizer = Authorizer.from_settings(
+            settings, self.proof_keeper, self.proofs, self.sync, self.clock, record
+        )
+        self.fleet.is_fenced = self.authorizer.is_fenced
+        # First, because an error in a handler hides a configuration from later ones.
+        self.catalog.on_config.append(self.authorizer.apply_config)
+        self.catalog.on_config.append(self._apply_config)
         self.rate_limits = RateLimits(
             self.clock,
             record,
@@ -141,6 +161,7 @@
             CONNECT_TIMEOUT_S,
             self.descriptors,
         )
+        self.upstream.may_run = self.authorizer.may_run
         self.notices = ServerNotices(self.catalog.get_server, self.clock, record)
         selector = ServerSelector(
             self.catalog,
@@ -170,7 +191,7 @@
             self.evidence,
             self.notices,
             self.crashes,
-            DenialRules(self.crashes, lambda: self.refusing),
+            DenialRules(self.crashes, lambda: self.refusing, self.authorizer.may_run),
             self._get_budget,
             self.clock,
             record,
@@ -178,6 +199,7 @@
         self.application = EntryApplication(
             platform.header_names, self, self.runner, self.memory, self.clock, record
         )
+        self.application.authorizer = self.authorizer
         self.application.max_in_flight = self.descriptors.requests_in_flight
         self.listeners = {
             "metrics": self._make_listener(
@@ -217,6 +239,7 @@
         for run in (
             self.network.run,
             self.sync.run,
+            self.proof_keeper.run,
             self.fleet.run,
             self.sharing.run_reports,
             self.sharing.run_summaries,
@@ -293,6 +316,10 @@
             return 1.0
         return INACTIVE_SHARE / (inactive * self._count_region_zones())
 
+    def _get_state(self):
+        """Return the era and revision of this VM's copy of the store."""
+        return self.catalog.era, self.catalog.revision
+
     def _find_route(self, name):
         return self._routes.get(name)
 
@@ -346,7 +373,7 @@
 
     def _make_directory_body(self, query):
         region, zone = self.platform.read_query(query)
-        vms = self._choose_vms(region, zone)
+        vms = self._list_fenced_last(self._choose_vms(region, zone), region, zone)
         if not vms:
             return None
         port = parse_address(self.settings.caller_address)[1]
@@ -369,6 +396,19 @@
                 return vms
         return []
 
+    def _list_fenced_last(self, vms, region, zone):
+        """Return VMs with those that refuse keys after others of the region."""
+        fenced = [vm for vm in vms if vm.fenced]
+        if not fenced:
+            return vms
+        others = [vm for vm in vms if not vm.fenced]
+        zones = [zone, *(z for z, r in self._regions.items() if r == region)]
+        for near in zones:
+            if others:
+                break
+            others = [vm for vm in self.fleet.get_ready(near) if not vm.fenced]
+        return others[:MAX_DIRECTORY_VMS] + fenced
+
     def _maintain(self):
         while True:
             self.clock.sleep(MAINTENANCE_INTERVAL_S)
--- a/src/lavendermast/models.py
+++ b/src/lavendermast/models.py
@@ -33,6 +33,7 @@
     CANCELLED = "cancelled"
     MISDIRECTED = "misdirected"  # another server now has the address
     SHORTAGE = "shortage"  # nothing was sent, as this process lacks descriptors
+    DENIED = "denied"  # nothing was sent, as the request's key is not known to be valid
 
 
 #: Statuses of attempts whose request certainly did not run on the server.
@@ -44,6 +45,7 @@
         AttemptStatus.EXPIRED,
         AttemptStatus.MISDIRECTED,
         AttemptStatus.SHORTAGE,
+        AttemptStatus.DENIED,
     }
 )
 
@@ -148,6 +150,7 @@
     :param reservation: a :class:`~lavendermast.memory.Reservation` for its body and
         responses; ``None`` sets no bound.
     :param account: the client account that it belongs to, or ``None``.
+    :param credential: what ``Authorizer.make_credential`` returned for it.
     """
 
     id: str
@@ -165,6 +168,7 @@
     used_connections: list = attrs.field(factory=list, eq=False, repr=False)
     reservation: object = attrs.field(default=None, eq=False, repr=False)
     account: object = attrs.field(default=None, eq=False, repr=False)
+    credential: bytes | None = attrs.field(default=None, eq=False, repr=False)
 
     @functools.cached_property
     def fingerprint(self):
--- a/src/lavendermast/platform/adapter.py
+++ b/src/lavendermast/platform/adapter.py
@@ -4,10 +4,11 @@
 
 import attrs
 
+from lavendermast.accounts import compute_read_timeouts
 from lavendermast.entry import CallerHeaderNames
 
 from . import calls, documents
-from .store import MetadataStore
+from .store import READ_TIMEOUT_S, MetadataStore
 
 SETTINGS_VARIABLE = "LAVENDERMAST_BOOT"
 
@@ -35,7 +36,10 @@
                 calls.ACCOUNT_HEADERS,
             ),
             calls.PlatformServerProtocol(clock),
-            MetadataStore(settings.store_address),
+            MetadataStore(
+                settings.store_address,
+                *compute_read_timeouts(settings.key_removal_ms, READ_TIMEOUT_S),
+            ),
             {item.zone: item.region for item in settings.zones},
         )
 
--- a/src/lavendermast/platform/store.py
+++ b/src/lavendermast/platform/store.py
@@ -21,6 +21,8 @@
 #: Longer than a slow store takes (60 times its usual 4 ms); a later response
 #: is ignored and the call fails.
 READ_TIMEOUT_S = 1.5
+#: Calls in a row that may fail after the time of a probe.
+MAX_SHORT_PROBES = 3
 #: A response that is longer, or still arrives this long after the time for its first
 #: bytes, is given up: the store sends pages of about 1 MB.
 MAX_RESPONSE_BYTES = 16 * 1024 * 1024
@@ -35,12 +37,20 @@
     Reads and watches all documents in the store.
 
     :param address: ``ip:port`` of the store.
+    :param read_timeout_s: seconds without a byte after which a call has failed.
+    :param probe_timeout_s: the same for a call that does not wait for news, but not for
+        each fourth one after failures, since the store may be slow.
     """
 
-    def __init__(self, address):
+    def __init__(
+        self, address, read_timeout_s=READ_TIMEOUT_S, probe_timeout_s=READ_TIMEOUT_S
+    ):
         self._pool = urllib3.HTTPConnectionPool(
             *parse_address(address), maxsize=2, socket_options=STORE_SOCKET_OPTIONS
         )
+        self._read_timeout_s = read_timeout_s
+        self._probe_timeout_s = probe_timeout_s
+        self._failed_probes = 0
         self.calls = 0
         self.era = 0
 
@@ -68,15 +78,24 @@
     def watch(self, revision, wait_s):
         """Return the changes after a revision; blocks for up to ``wait_s`` seconds."""
         query = {"prefix": "", "after": revision, "wait_ms": int(wait_s * 1000)}
-        page, era = self._call("/kv-watch", query, wait_s)
+        page, era = self._call("/kv-watch", query, self._choose_timeout(wait_s))
+        self._failed_probes = 0
         changes = self._read_items(page["events"])
         return StoredChanges(revision, page["at_rev"], False, tuple(changes), era)
 
-    def _call(self, path, query, wait_s=0.0):
+    def _choose_timeout(self, wait_s):
+        """Return the time without a byte after which a watch has failed."""
+        if wait_s:
+            return wait_s + self._read_timeout_s
+        self._failed_probes += 1
+        is_long = self._failed_probes % (MAX_SHORT_PROBES + 1) == 0
+        return self._read_timeout_s if is_long else self._probe_timeout_s
+
+    def _call(self, path, query, read_timeout_s=None):
         """Return the content and the era of a response."""
         self.calls += 1
         fields = {name: str(value) for name, value in query.items() if value != ""}
-        read_timeout_s = READ_TIMEOUT_S + wait_s
+        read_timeout_s = read_timeout_s or self._read_timeout_s
         endless = StoreError(f"{path}: the response does not end")
         try:
             with limit_time(read_timeout_s + MAX_TRANSFER_S, endless):
--- a/src/lavendermast/schema/messages.capnp
+++ b/src/lavendermast/schema/messages.capnp
@@ -149,6 +149,8 @@
   cores @7 :Float32;
   # Interval at which the sender sends updates on the VM, 0 for every heartbeat.
   intervalMs @8 :UInt16;
+  # Whether the VM refuses requests with keys, because its state is not proven.
+  fenced @9 :Bool;
 }
 
 # A heartbeat with the sender's view of other VMs, its configuration version and store
--- a/src/lavendermast/upstream.py
+++ b/src/lavendermast/upstream.py
@@ -212,6 +212,8 @@
         self._max_idle_connections = dict(max_idle_connections)
         self._protocol = protocol or DefaultServerProtocol()
         self._connect_timeout_s = connect_timeout_s
+        #: Returns whether a request may still run, just before its first byte is sent.
+        self.may_run = lambda request: True
         self.connections_opened = 0
         self._idle = collections.defaultdict(collections.deque)
         self._reduced_max_idle = {}
@@ -365,6 +367,10 @@
             attempt.connection.response_class = self._protocol.get_response_class(
                 request
             )
+            # The connect may have taken long, and the process may have been frozen.
+            if not self.may_run(request):
+                _close_connection(attempt)
+                return AttemptResult(attempt.server.name, AttemptStatus.DENIED)
             attempt.sent_at = self._clock.monotonic()
             try:
                 response = attempt.connection.exchange()
--- a/src/lavendermast/zonefleet.py
+++ b/src/lavendermast/zonefleet.py
@@ -54,6 +54,7 @@
     :param interval_s: interval of the updates on it.
     :param rate: callers' requests per second.
     :param cores: CPU capacity, in cores of standard speed.
+    :param fenced: whether it refuses requests with keys.
     :param last_presence: the latest ``Presence`` received from the VM itself, ``None``
         if only other VMs reported it.
     :param last_presence_at: monotonic time at which ``last_presence`` was received.
@@ -68,6 +69,7 @@
     rate: float = 0.0
     cores: float = 1.0
     interval_s: float = 0.0
+    fenced: bool = False
     last_presence: Presence | None = None
     last_presence_at: float = 0.0
 
@@ -99,6 +101,7 @@
         self._record_event = record_event
         self._get_store_state = get_store_state
         self._get_rate = get_rate
+        self.is_fenced = lambda: False
         self.local_vm = VmPresence(
             settings.vm,
             settings.zone,
@@ -229,7 +232,9 @@
         return max(count, MIN_ACTIVE_VMS)
 
     def _make_presence(self, reply_wanted=False, others=()):
-        self.local_vm = attrs.evolve(self.local_vm, rate=self._get_rate())
+        self.local_vm = attrs.evolve(
+            self.local_vm, rate=self._get_rate(), fenced=self.is_fenced()
+        )
         *store_state, era, confirmed_age_ms = self._get_store_state()
         return Presence(
             self.local_vm,
@@ -379,6 +384,7 @@
             known.peer_address = presence.peer_address
             known.rate, known.cores = presence.rate, presence.cores
             known.interval_s = presence.interval_ms / 1000
+            known.fenced = presence.fenced
             return known
         interval_s = presence.interval_ms / 1000
         if now - last_seen_at > self._get_timeout(presence.zone, interval_s):
@@ -393,6 +399,7 @@
             presence.rate,
             presence.cores,
             interval_s,
+            presence.fenced,
         )
         self.vms[presence.vm] = known
         self._log_change(presence.vm, presence.zone, presence.state)
@@ -441,4 +448,5 @@
         vm.rate,
         vm.cores,
         round(interval_s * 1000),
+        vm.fenced,
     )
--- a/standins/entryworld.py
+++ b/standins/entryworld.py
@@ -118,9 +118,10 @@
     :param path: file for the settings of the process; its log has the suffix ``.log``.
     :param max_descriptors: limit on its file descriptors, ``None`` for that of this
         process.
+    :param more: further settings of the process.
     """
 
-    def __init__(self, path, max_descriptors=None):
+    def __init__(self, path, max_descriptors=None, **more):
         self.store = MetadataStandIn()
         self.store.start()
         self.store.put("op/config", make_config(3, READ_RULE, BOOK_RULE))
@@ -135,6 +136,7 @@
             seeds=[],
             store_address=self.store.address,
             grace_s=6,
+            **more,
         )
         path.write_text(json.dumps(settings))
         log = path.with_suffix(".log").open("wb")
--- a/standins/instance.py
+++ b/standins/instance.py
@@ -16,7 +16,8 @@
     A server whose responses carry a signature; ``mode`` selects a failure.
 
     ``arrivals`` holds request id and monotonic time of each request for it, ``runs``
-    request id, path and time of those that it ran. All its responses name
+    request id, path and time of those that it ran, ``headers`` their header lines as
+    pairs of name and value. All its responses name
     ``rate_limit``, requests per second, unless that is ``None``, and that it is leaving
     if ``leaving`` is set. ``sequence`` counts its entries for the store.
 
@@ -40,6 +41,7 @@
         self.sequence = 0
         self.born = 1000
         self.arrivals = []
+        self.headers = []
         self.runs = []
         self.crash = None
         self.crashes = 0
@@ -80,6 +82,7 @@
                 self.pauses.append((request_id, time.monotonic(), self.pause_s))
             return self._respond(start_response, 503, headers, b"")
         self.runs.append((request_id, environ["PATH_INFO"], time.monotonic()))
+        self.headers.append(environ["headers_raw"])
         if DEADLY in environ["PATH_INFO"]:
             self.crashes += 1
             eventlet.spawn_n(self.crash)
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -82,6 +82,7 @@
     prepare=lambda registry: None,
     crashes_before=0,
     is_refusing=False,
+    is_authorized=lambda request: True,
 ):
     """
     Run a request; return the reply, the upstream, the logged events and the seconds.
@@ -91,6 +92,7 @@
     :param prepare: called with the ``EvidenceRegistry`` before the request.
     :param crashes_before: crashes of servers in which the request was in flight before.
     :param is_refusing: whether the VM is about to stop.
+    :param is_authorized: tells whether the request's key is in force.
     """
     clock = SystemClock()
     events = []
@@ -130,7 +132,7 @@
         registry,
         notices,
         crashes,
-        DenialRules(crashes, lambda: is_refusing),
+        DenialRules(crashes, lambda: is_refusing, is_authorized),
         lambda service: budget,
         clock,
         lambda event, **fields: events.append((event, fields)),
@@ -395,3 +397,33 @@
     reply, upstream, *_ = run([], make_route(kind), is_refusing=True)
     assert (reply.status, reply.outcome) == (503, Outcome.NOT_RUN)
     assert (reply.reason, upstream.sent) == ("stopping", [])
+
+
+@pytest.mark.parametrize(
+    ("script", "allowed", "sent"),
+    [
+        ([(0.0, OK)], 0, 0),
+        ([(0.0, SHED), (0.0, OK)], 1, 1),
+        ([(0.0, AttemptStatus.DENIED), (0.0, OK)], 2, 1),
+    ],
+)
+def test_request_whose_key_was_removed_gets_no_attempt(script, allowed, sent):
+    """Guards against first attempts and retries with a key that is not in force."""
+    answers = iter([True] * allowed)
+    reply, upstream, _, _ = run(
+        script, make_route(), is_authorized=lambda request: next(answers, False)
+    )
+    assert (reply.status, reply.outcome) == (503, Outcome.NOT_RUN)
+    assert (reply.reason, reply.retry_after) == ("keys-unconfirmed", RETRY_AFTER_S)
+    assert len(upstream.sent) == sent
+
+
+def test_hedge_is_not_sent_with_a_key_that_was_removed():
+    """Guards against a hedge with a removed key, and against a lost first answer."""
+    answers = iter([True])
+    reply, upstream, _, _ = run(
+        [(0.8, OK), (0.0, OK)],
+        make_route(),
+        is_authorized=lambda request: next(answers, False),
+    )
+    assert (reply.status, len(upstream.sent)) == (200, 1)
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -537,3 +537,20 @@
         upstream.send(request, server.server, request.deadline).status for _ in range(2)
     ]
     assert statuses == [AttemptStatus.SHED, AttemptStatus.OK]
+
+
+def test_request_that_may_not_run_after_the_connect_reaches_no_server(start):
+    """Guards against a key that is removed while a connection is opened."""
+    upstream, server = make_upstream(), start(b"HTTP/1.1 200 OK\r\n\r\n")
+    upstream.may_run = lambda request: not server.connections
+    connect = upstream._connect
+
+    def connect_slowly(connection):
+        connect(connection)
+        eventlet.sleep(0.05)
+
+    upstream._connect = connect_slowly
+    result = send(upstream, server)
+    eventlet.sleep(0.05)
+    assert (result.status, result.ran) == (AttemptStatus.DENIED, False)
+    assert (len(server.connections), server.received) == (1, [])
