--- a/src/lavendermast/accounts/directory.py
+++ b/src/lavendermast/accounts/directory.py
@@ -26,6 +26,7 @@
     def __init__(self):
         self._hash_key = secrets.token_bytes(32)
         self._by_digest = {}
+        self._digests = {}
         self.count = 0
         #: Whether the configuration has accounts, even if the list is empty.
         self.in_force = False
@@ -55,17 +56,22 @@
         :return: one text for each account that lost a key to an earlier one; no text
             contains a key.
         """
-        by_digest, findings = {}, []
+        by_digest, digests, findings = {}, {}, []
         for account in accounts or ():
+            # Most accounts are as in the version before.
+            known = self._digests.get(account.keys)
+            if known is None:
+                known = tuple(self.compute_digest(key) for key in account.keys)
+            digests[account.keys] = known
             lost = 0
-            for key in account.keys:
-                holder = by_digest.setdefault(self.compute_digest(key), account)
+            for digest in known:
+                holder = by_digest.setdefault(digest, account)
                 lost += holder is not account
             if lost:
                 findings.append(
                     f"account {account.name}: {lost} keys of earlier accounts; ignored"
                 )
-        self._by_digest = by_digest
+        self._by_digest, self._digests = by_digest, digests
         self.count = len(accounts or ())
         self.in_force = accounts is not None
         return tuple(findings)
--- a/tests/test_accounts.py
+++ b/tests/test_accounts.py
@@ -17,6 +17,7 @@
 from lavendermast.accounts.proofkeeper import NEVER_MS, WAIT_SHARE
 from lavendermast.clock import ManualClock
 from lavendermast.entrymodel import Account
+from lavendermast.entrynode import EntryNode
 from lavendermast.exceptions import HistoryLostError, RequestError
 from lavendermast.messages_model import StateReply
 from tests.test_zonefleet import (
@@ -403,3 +404,24 @@
             assert 15.0 < fenced_s < 17.5
         elif not restarted:
             assert fenced_s < WAIT_SHARE * REMOVAL_MS / 1000
+
+
+@pytest.mark.parametrize(
+    ("fenced", "listed"),
+    [("", "a1 a2"), ("a1", "a2 a1"), ("a1 a2", "a3 a1 a2"), ("a1 a2 a3", "b1 a1 a2")],
+)
+def test_directory_lists_fenced_vms_after_others_of_the_region(fenced, listed):
+    """Guards against callers that are sent to a VM which refuses all keys."""
+    ready = {
+        zone: [
+            types.SimpleNamespace(vm=f"{zone}{n}", fenced=f"{zone}{n}" in fenced)
+            for n in range(1, count + 1)
+        ]
+        for zone, count in {"a": 3, "b": 1, "c": 2}.items()
+    }
+    node = types.SimpleNamespace(
+        _regions={"c": "south", "a": "north", "b": "north"},
+        fleet=types.SimpleNamespace(get_ready=ready.get),
+    )
+    vms = EntryNode._list_fenced_last(node, ready["a"][:2], "north", "a")
+    assert " ".join(vm.vm for vm in vms) == listed
--- a/tests/test_zonefleet.py
+++ b/tests/test_zonefleet.py
@@ -245,6 +245,18 @@
     assert sorted(senders) == ["a1", "a1", "a2", "a2", "a3", "a3"]
 
 
+def test_all_zones_learn_which_vm_refuses_keys(fleet):
+    """Guards against directories that list a fenced VM first."""
+    fleet.vms["a2"].fleet.is_fenced = lambda: True
+    run_rounds(fleet, 25)
+    for name in ("a1", "a6", "b1", "b3"):
+        fenced = [vm.vm for vm in fleet.vms[name].fleet.vms.values() if vm.fenced]
+        assert fenced == ["a2"]
+    fleet.vms["a2"].fleet.is_fenced = lambda: False
+    run_rounds(fleet, 25)
+    assert not any(vm.fenced for vm in fleet.vms["b3"].fleet.vms.values())
+
+
 def test_killed_vm_is_replaced_in_time(fleet):
     """Guards against directory responses that list a dead VM."""
     run_rounds(fleet, 8)
