--- a/src/lavendermast/catalogsync.py
+++ b/src/lavendermast/catalogsync.py
@@ -142,6 +142,15 @@
         self._snapshots_sent_at = -math.inf
         self.link_bytes_per_s = DEFAULT_LINK_BYTES_PER_S
         self.make_room = lambda: 0
+        self.watch_wait_s = WATCH_WAIT_S
+        #: Added to the ages at which VMs ask the store themselves.
+        self.stale_jitter_s = 0.0
+        #: Returns whether a call is due that does not wait for news.
+        self.needs_proof = lambda: False
+        self.get_max_retry_delay = lambda: MAX_RETRY_DELAY_S
+        #: Handlers of each successful call: era, revision, and when it was sent, of
+        #: ``Clock.elapsed()``.
+        self.on_read = []
         self.store_reachable = True
         #: Time at which the store last confirmed that this VM's state is the newest.
         self.confirmed_at = -math.inf
@@ -163,17 +172,24 @@
                 )
                 continue
             called_at = self._clock.monotonic()
+            sent_at = self._clock.elapsed()
+            known_state = (self._catalog.era, self._catalog.revision)
             try:
                 changes = self._read(wait_s)
             except StoreError as error:
                 self._handle_store_failure(error)
-                self._clock.sleep(self._compute_retry_delay(called_at))
+                delay_s = self._compute_retry_delay(called_at)
+                self._clock.sleep(min(delay_s, self.get_max_retry_delay()))
                 continue
             self._handle_store_success()
             is_news = self._catalog.revision != changes.to_revision or changes.whole
             if is_news:
                 self._apply(changes, "store")
             self._confirm(changes.era, changes.to_revision, self._clock.monotonic())
+            # A response that is older than the known state proves nothing.
+            if (changes.era, changes.to_revision) >= known_state:
+                for handler in self.on_read:
+                    handler(changes.era, changes.to_revision, sent_at)
             if is_news:
                 self._clock.sleep(BATCH_DELAY_S)
 
@@ -185,12 +201,14 @@
         """
         if not self._catalog.revision:
             self._fetch_first()
-            return WATCH_WAIT_S if self._is_first_read_due() else None
-        if self._is_stale():
+            return self.watch_wait_s if self._is_first_read_due() else None
+        if self._is_stale() or self.needs_proof():
             return 0.0
         if not self.is_reader():
             return None
-        return LONE_WATCH_WAIT_S if self._is_alone() else WATCH_WAIT_S
+        if self._is_alone():
+            return min(self.watch_wait_s, LONE_WATCH_WAIT_S)
+        return self.watch_wait_s
 
     def _compute_retry_delay(self, called_at):
         """Return the seconds until the call after one that failed."""
@@ -207,6 +225,7 @@
     def _is_stale(self):
         """Return whether the store has not confirmed this VM's state for too long."""
         max_age_s = MAX_HUB_AGE_S if self._fleet.is_hub() else MAX_AGE_S
+        max_age_s += self.stale_jitter_s
         if self._started_at is None:
             return self._get_age_s() > max_age_s
         # Documents that a starting VM got from a peer are confirmed by heartbeats.
--- a/src/lavendermast/upstream.py
+++ b/src/lavendermast/upstream.py
@@ -247,6 +247,8 @@
         self._max_idle_connections = dict(max_idle_connections)
         self._protocol = protocol or DefaultServerProtocol()
         self._connect_timeout_s = connect_timeout_s
+        #: Returns whether a request may still run, just before its first byte is sent.
+        self.may_run = lambda request: True
         self.connections_opened = 0
         #: Bytes of requests and responses, by direction (``sent``, ``received``) and
         #: scope of the server.
@@ -416,6 +418,10 @@
             attempt.connection.server_response_class = (
                 self._protocol.get_response_class(request)
             )
+            # The connect may have taken long, and the process may have been frozen.
+            if not self.may_run(request):
+                _close_connection(attempt)
+                return AttemptResult(attempt.server.name, AttemptStatus.DENIED)
             if not attempt.begin_sending():
                 _close_connection(attempt)
                 return AttemptResult(attempt.server.name, AttemptStatus.CANCELLED)
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -91,6 +91,7 @@
     crashes_before=0,
     is_refusing=False,
     has_admission=False,
+    is_authorized=lambda request: True,
 ):
     """
     Run a request; return the reply, the upstream, the logged events and the seconds.
@@ -101,6 +102,7 @@
     :param crashes_before: crashes of servers in which the request was in flight before.
     :param is_refusing: whether the VM is about to stop.
     :param has_admission: whether requests are admitted by rank.
+    :param is_authorized: tells whether the request's key is in force.
     """
     clock = SystemClock()
     events = []
@@ -152,7 +154,7 @@
         registry,
         notices,
         crashes,
-        DenialRules(crashes, lambda: is_refusing),
+        DenialRules(crashes, lambda: is_refusing, is_authorized),
         lambda service: budget,
         clock,
         record_event,
@@ -513,3 +515,33 @@
     """Guards against a wait for slots of servers that do not exist."""
     reply, *_ = run([], make_route(), servers=(), has_admission=True)
     assert (reply.status, reply.reason) == (503, "no-server")
+
+
+@pytest.mark.parametrize(
+    ("script", "allowed", "sent"),
+    [
+        ([(0.0, OK)], 0, 0),
+        ([(0.0, SHED), (0.0, OK)], 1, 1),
+        ([(0.0, AttemptStatus.DENIED), (0.0, OK)], 2, 1),
+    ],
+)
+def test_request_whose_key_was_removed_gets_no_attempt(script, allowed, sent):
+    """Guards against first attempts and retries with a key that is not in force."""
+    answers = iter([True] * allowed)
+    reply, upstream, _, _ = run(
+        script, make_route(), is_authorized=lambda request: next(answers, False)
+    )
+    assert (reply.status, reply.outcome) == (503, Outcome.NOT_RUN)
+    assert (reply.reason, reply.retry_after) == ("keys-unconfirmed", RETRY_AFTER_S)
+    assert len(upstream.sent) == sent
+
+
+def test_hedge_is_not_sent_with_a_key_that_was_removed():
+    """Guards against a hedge with a removed key, and against a lost first answer."""
+    answers = iter([True])
+    reply, upstream, _, _ = run(
+        [(0.8, OK), (0.0, OK)],
+        make_route(),
+        is_authorized=lambda request: next(answers, False),
+    )
+    assert (reply.status, len(upstream.sent)) == (200, 1)
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -599,3 +599,20 @@
     assert send(upstream, server).status is AttemptStatus.CUT
     assert upstream.traffic["received", "z"] == received + len(malformed)
     assert upstream.traffic["sent", "z"] == sum(map(len, server.received))
+
+
+def test_request_that_may_not_run_after_the_connect_reaches_no_server(start):
+    """Guards against a key that is removed while a connection is opened."""
+    upstream, server = make_upstream(), start(b"HTTP/1.1 200 OK\r\n\r\n")
+    upstream.may_run = lambda request: not server.connections
+    connect = upstream._connect
+
+    def connect_slowly(connection):
+        connect(connection)
+        eventlet.sleep(0.05)
+
+    upstream._connect = connect_slowly
+    result = send(upstream, server)
+    eventlet.sleep(0.05)
+    assert (result.status, result.ran) == (AttemptStatus.DENIED, False)
+    assert (len(server.connections), server.received) == (1, [])
