Choose the VMs that accept callers by what their links carry

VMs were ranked and counted by their cores. Where links are small, callers were directed to VMs whose links were full while others had room.

The capacity of a VM is now the lesser of cores x 30 requests/s and what half of its link carries at the mean bytes of a request, both directions, if link_mbps names a link below 1,000 Mbit/s. What a link cannot carry counts twice in the rate of a zone. The rate of a zone counts at once as it rises and decays with 3.5 s as it falls. A full link is logged and in the metrics.

--- a/src/lavendermast/entrymetrics.py
+++ b/src/lavendermast/entrymetrics.py
@@ -5,6 +5,7 @@
 from lavendermast.answers import send_response
 from lavendermast.descriptors import count_open_descriptors, get_descriptor_limit
 from lavendermast.metrics import MetricsRegistry
+from lavendermast.zonefleet import get_capacity
 
 #: Histogram bounds in seconds, from a fast refusal to the longest route timeout.
 LATENCY_BUCKETS_S = (0.05, 0.1, 0.2, 0.4, 0.8, 1.2, 2.0, 3.0, 5.0, 10.0)
@@ -64,6 +65,16 @@
             for (direction, scope), count in node.upstream.traffic.items()
         ],
     )
+    registry.add_gauge(
+        "lavendermast_entry_capacity",
+        "Requests per second that this VM is meant to serve.",
+        lambda: [({}, get_capacity(node.fleet.local_vm))],
+    )
+    registry.add_gauge(
+        "lavendermast_entry_link_use",
+        "Share of this VM's link that requests use; 0 if the link is not known.",
+        lambda: [({}, round(node.link.used_share, 3))],
+    )
     registry.add_counter(
         "lavendermast_entry_peer_drops_total",
         "Messages of other VMs that were dropped, by reason.",
--- a/src/lavendermast/entrynode.py
+++ b/src/lavendermast/entrynode.py
@@ -24,6 +24,7 @@
 from lavendermast.evidencesharing import EvidenceSharing
 from lavendermast.exceptions import SettingsError
 from lavendermast.hostroutes import HostRouter
+from lavendermast.linkcapacity import LinkCapacity
 from lavendermast.listeners import HttpListener
 from lavendermast.logs import EventLog
 from lavendermast.losstracker import LossTracker
@@ -144,6 +145,7 @@
             CONNECT_TIMEOUT_S,
             self.descriptors,
         )
+        self.link = LinkCapacity(settings.link_mbps, record)
         self.upstream.find_scope = lambda server: self.fleet.find_zone_scope(
             server.zone
         )
@@ -386,6 +388,12 @@
             rate = (started_requests - self._counted_requests) / MAINTENANCE_INTERVAL_S
             self._rate += (rate - self._rate) * share
             self._counted_requests = started_requests
+            self.link.observe(
+                started_requests,
+                sum(self.upstream.traffic.values()),
+                MAINTENANCE_INTERVAL_S,
+            )
+            self.fleet.set_link_capacity(self.link.compute_capacity())
             self._update_budgets()
             self._rate_share = self._compute_rate_share()
 
--- a/src/lavendermast/messages_model.py
+++ b/src/lavendermast/messages_model.py
@@ -468,6 +468,7 @@
     rate: float = 0.0
     cores: float = 0.0
     interval_ms: int = 0
+    capacity: float = 0.0
 
     def to_dict(self):
         """Return the fields as pycapnp accepts them."""
@@ -481,6 +482,7 @@
             "rate": self.rate,
             "cores": self.cores,
             "intervalMs": self.interval_ms,
+            "capacity": self.capacity,
         }
 
     @classmethod
@@ -496,6 +498,7 @@
             rate=reader.rate,
             cores=reader.cores,
             interval_ms=reader.intervalMs,
+            capacity=reader.capacity,
         )
 
 
--- a/src/lavendermast/schema/messages.capnp
+++ b/src/lavendermast/schema/messages.capnp
@@ -149,6 +149,8 @@
   cores @7 :Float32;
   # Interval at which the sender sends updates on the VM, 0 for every heartbeat.
   intervalMs @8 :UInt16;
+  # Requests per second that the VM carries if its link limits them; 0: see cores.
+  capacity @9 :Float32;
 }
 
 # A heartbeat with the sender's view of other VMs, its configuration version and store
--- a/src/lavendermast/zonefleet.py
+++ b/src/lavendermast/zonefleet.py
@@ -4,6 +4,8 @@
 Heartbeats go through a few hubs per zone, without a configured list of VMs.
 """
 
+import math
+
 import attrs
 
 from lavendermast.messages_model import Presence, VmPresence
@@ -57,6 +59,9 @@
 #: Requests per second and core above which one more VM becomes active; about a tenth
 #: of what a VM can forward, since load spikes build up within a second.
 TARGET_RATE_PER_CORE = 30.0
+#: Time constant with which the rate of a zone falls: callers that have moved away may
+#: be back soon, and VMs that alternate between active and inactive get them in turns.
+RATE_FALL_TIME_S = 3.5
 #: Minimum number of active VMs of a zone.
 MIN_ACTIVE_VMS = 2
 
@@ -70,6 +75,7 @@
     :param interval_s: interval of the updates on it.
     :param rate: callers' requests per second.
     :param cores: CPU capacity, in cores of standard speed.
+    :param capacity: requests per second if the link of the VM limits them, else 0.
     :param last_presence: the latest ``Presence`` received from the VM itself, ``None``
         if only other VMs reported it.
     :param last_presence_at: monotonic time at which ``last_presence`` was received.
@@ -84,6 +90,7 @@
     rate: float = 0.0
     cores: float = 1.0
     interval_s: float = 0.0
+    capacity: float = 0.0
     last_presence: Presence | None = None
     last_presence_at: float = 0.0
 
@@ -136,6 +143,7 @@
         self.regions = regions or {}
         self.vms = {}
         self._zones_by_address = {}
+        self._peak_rates = {}
         self.on_presence = []
         self._next_summary = 0.0
         self._next_seed = 0.0
@@ -163,6 +171,14 @@
         zone_vms = [vm for vm in self.vms.values() if vm.zone == self.local_vm.zone]
         self._send([vm.peer_address for vm in zone_vms], ())
 
+    def set_link_capacity(self, capacity):
+        """Set the requests per second that the link of this VM carries."""
+        is_limit = capacity < TARGET_RATE_PER_CORE * self.local_vm.cores
+        capacity = round(capacity, 1) if is_limit else 0.0
+        if capacity != self.local_vm.capacity:
+            self._record_event("capacity", requests_per_s=capacity or None)
+            self.local_vm = attrs.evolve(self.local_vm, capacity=capacity)
+
     def send_heartbeats(self):
         """Run one heartbeat round: expire VMs and send the heartbeats that are due."""
         now = self._clock.monotonic()
@@ -253,7 +269,7 @@
     def get_active(self, zone):
         """Return the VMs of a zone that callers are directed to."""
         ready = self.get_ready(zone)
-        return ready[: self._count_active(ready)]
+        return ready[: self._count_active(zone, ready)]
 
     def count_inactive(self):
         """
@@ -262,7 +278,7 @@
         A VM that is starting or leaving counts as active.
         """
         ready = self.get_ready(self.local_vm.zone)
-        inactive = ready[self._count_active(ready) :]
+        inactive = ready[self._count_active(self.local_vm.zone, ready) :]
         return len(inactive) if self.local_vm in inactive else 0
 
     def get_peer_addresses(self, region_zones):
@@ -274,17 +290,26 @@
             if vm.vm != self.local_vm.vm
         ]
 
-    def _count_active(self, ready):
+    def _count_active(self, zone, ready):
         """Return how many VMs, largest first, the request rate of the zone requires."""
-        rate = sum(vm.rate for vm in ready)
+        rate = self._hold_rate(zone, sum(_get_weighted_rate(vm) for vm in ready))
         count, capacity = 0, 0.0
         for vm in ready:
             if count >= MIN_ACTIVE_VMS and rate <= capacity:
                 break
             count += 1
-            capacity += TARGET_RATE_PER_CORE * vm.cores
+            capacity += get_capacity(vm)
         return max(count, MIN_ACTIVE_VMS)
 
+    def _hold_rate(self, zone, rate):
+        """Return the rate of a zone, which counts at once as it rises, later falls."""
+        now = self._clock.monotonic()
+        peak, moment = self._peak_rates.get(zone, (0.0, now))
+        held = peak * math.exp((moment - now) / RATE_FALL_TIME_S)
+        if rate >= held:
+            self._peak_rates[zone] = (rate, now)
+        return max(rate, held)
+
     def _make_presence(self, reply_wanted=False, others=()):
         self.local_vm = attrs.evolve(self.local_vm, rate=self._get_rate())
         *store_state, era, confirmed_age_ms = self._get_store_state()
@@ -311,7 +336,8 @@
     def _find_prompt_names(self, hubs):
         """Return the names of the zone's VMs on which others need prompt updates."""
         ready = self.get_ready(self.local_vm.zone)
-        prompt = ready[: self._count_active(ready) + STANDBY_VMS]
+        count = self._count_active(self.local_vm.zone, ready) + STANDBY_VMS
+        prompt = ready[:count]
         return {vm.vm for vm in prompt}.union(hubs)
 
     def _list_zone(self, now, hubs):
@@ -460,6 +486,7 @@
                 self._zones_by_address[presence.peer_address] = known.zone
             known.peer_address = presence.peer_address
             known.rate, known.cores = presence.rate, presence.cores
+            known.capacity = presence.capacity
             known.interval_s = presence.interval_ms / 1000
             return known
         interval_s = presence.interval_ms / 1000
@@ -475,6 +502,7 @@
             presence.rate,
             presence.cores,
             interval_s,
+            presence.capacity,
         )
         self.vms[presence.vm] = known
         self._zones_by_address[presence.peer_address] = presence.zone
@@ -504,7 +532,7 @@
     """Return a sort key: VMs that serve callers first, the largest first."""
     # Peers send 32-bit floats, the settings hold 64-bit ones; rounding makes equal
     # sizes compare equal on all VMs.
-    return vm.state != "alive", -round(vm.cores, 3), vm.vm
+    return vm.state != "alive", -round(get_capacity(vm), 1), vm.vm
 
 
 def _choose_hubs(zone_names):
@@ -517,6 +545,21 @@
     return max(vms / MAX_VMS_PER_IDLE_TURNS, 1.0)
 
 
+def get_capacity(vm):
+    """Return the requests per second that a VM is meant to serve."""
+    return vm.capacity or TARGET_RATE_PER_CORE * vm.cores
+
+
+def _get_weighted_rate(vm):
+    """
+    Return the rate of a VM, in which what its link cannot carry counts twice.
+
+    Callers spread evenly, so a VM with a full link needs others beside it although
+    larger ones have capacity left.
+    """
+    return vm.rate + max(vm.rate - vm.capacity, 0.0) if vm.capacity else vm.rate
+
+
 def _make_vm_presence(vm, now, interval_s=0.0):
     """
     Return what this VM tells others of a VM.
@@ -535,4 +578,5 @@
         vm.rate,
         vm.cores,
         round(interval_s * 1000),
+        vm.capacity,
     )
--- a/tests/test_zonefleet.py
+++ b/tests/test_zonefleet.py
@@ -691,3 +691,44 @@
     for content in (bomb, b"noise"):
         with pytest.raises(MessageError):
             expand_changes(StoredChanges(compressed=content))
+
+
+def test_vm_with_a_small_link_ranks_by_what_its_link_carries(fleet):
+    """Guards against callers on VMs whose cores are idle and whose links are full."""
+    for name, vm in fleet.vms.items():
+        if name in ("a1", "a2"):
+            vm.fleet.set_link_capacity(4.0)
+    run_rounds(fleet, 8)
+    for name in ("a1", "a6"):
+        assert get_active(fleet.vms[name], "a") == ["a3", "a4"]
+    fleet.vms["a1"].fleet.set_link_capacity(float("inf"))
+    run_rounds(fleet, 4)
+    assert get_active(fleet.vms["a6"], "a") == ["a1", "a3"]
+
+
+def test_full_link_brings_another_vm(fleet):
+    """Guards against callers who stay with a full link while larger VMs have room."""
+    for name in ("a3", "a4", "a5", "a6"):
+        fleet.vms[name].fleet.set_link_capacity(5.0)
+    for name in ("a1", "a2"):
+        fleet.vms[name].rate = 15.0
+    fleet.vms["a3"].rate = 5.0
+    run_rounds(fleet, 8)
+    assert get_active(fleet.vms["a6"], "a") == ["a1", "a2", "a3"]
+    fleet.vms["a3"].rate = 9.0
+    run_rounds(fleet, 4)
+    assert get_active(fleet.vms["a6"], "a") == ["a1", "a2", "a3", "a4", "a5"]
+
+
+def test_selection_rises_at_once_and_falls_slowly(fleet):
+    """Guards against VMs that alternate between active and inactive with each peak."""
+    run_rounds(fleet, 8)
+    sizes = []
+    for rate in (30.0, 0.0, 0.0, 30.0, 0.0, 0.0):
+        fleet.vms["a1"].rate = fleet.vms["a2"].rate = rate
+        run_rounds(fleet, 2)
+        sizes.append(len(get_active(fleet.vms["a1"], "a")))
+    assert sizes[0] == 4
+    assert min(sizes) >= 3
+    run_rounds(fleet, 10)
+    assert get_active(fleet.vms["a1"], "a") == ["a1", "a2"]
