Answer look-ups at the directory while VMs start

A VM that was starting knew no VM that was ready, or none at all, and answered look-ups with 503; after a loss of all VMs each of the three VMs that a caller asks did so. Other zones went on to name a VM that was leaving until it timed out after 6 s.

A starting VM now waits up to 0.5 s, half of a caller's patience, until it knows a VM that is ready, and then names those that are about to be. A VM that leaves tells the other zones, whose hubs pass it on. Only a VM that leaves and knows no other answers 503. Not mended by the VM that is asked: it is dead, frozen or cut off from callers.

--- a/src/lavendermast/entrynode.py
+++ b/src/lavendermast/entrynode.py
@@ -14,6 +14,7 @@
 from lavendermast.crashsharing import CrashSharing
 from lavendermast.denials import DenialRules
 from lavendermast.descriptors import DescriptorBudget
+from lavendermast.directory import Directory
 from lavendermast.entry import (
     DirectoryApplication,
     EntryApplication,
@@ -111,6 +112,7 @@
             lambda: self._rate,
             self._regions,
         )
+        self.directory = Directory(self.fleet, self._regions, self.clock)
         self.sync = CatalogSync(
             self.catalog, platform.source, self.fleet, self.network, self.clock, record
         )
@@ -354,29 +356,13 @@
 
     def _make_directory_body(self, query):
         region, zone = self.platform.read_query(query)
-        vms = self._choose_vms(region, zone)
+        vms = self.directory.resolve(region, zone)
         if not vms:
             return None
         port = parse_address(self.settings.caller_address)[1]
         addresses = [f"{parse_address(vm.peer_address)[0]}:{port}" for vm in vms]
         return self.platform.make_directory_body(addresses, self.settings.caller_hold_s)
 
-    def _choose_vms(self, region, zone):
-        """
-        Return the active VMs of the zone.
-
-        Without any, return those of all other zones of the region, else of all zones.
-        """
-        vms = self.fleet.get_active(zone)
-        if vms:
-            return vms
-        near = [z for z, r in self._regions.items() if r == region and z != zone]
-        for zones in (near, self._regions):
-            vms = [vm for z in zones for vm in self.fleet.get_active(z)]
-            if vms:
-                return vms
-        return []
-
     def _maintain(self):
         while True:
             self.clock.sleep(MAINTENANCE_INTERVAL_S)
--- a/src/lavendermast/zonefleet.py
+++ b/src/lavendermast/zonefleet.py
@@ -166,10 +166,19 @@
             )
 
     def set_state(self, state):
-        """Set the state of this VM and send it to the zone immediately."""
+        """
+        Set the state of this VM and send it to the zone immediately.
+
+        Other zones hear of a VM that leaves at once too: their summaries would go on to
+        name it until it times out.
+        """
         self.local_vm = attrs.evolve(self.local_vm, state=state)
-        zone_vms = [vm for vm in self.vms.values() if vm.zone == self.local_vm.zone]
-        self._send([vm.peer_address for vm in zone_vms], ())
+        vms = [
+            vm
+            for vm in self.vms.values()
+            if vm.zone == self.local_vm.zone or state == "leaving"
+        ]
+        self._send([vm.peer_address for vm in vms], ())
 
     def set_link_capacity(self, capacity):
         """Set the requests per second that the link of this VM carries."""
@@ -266,6 +275,11 @@
             ready.append(self.local_vm)
         return sorted(ready, key=_rank_by_capacity)
 
+    def get_starting(self, zone):
+        """Return the VMs of a zone that have no configuration yet."""
+        vms = [*self.vms.values(), self.local_vm]
+        return [vm for vm in vms if vm.zone == zone and vm.state == "starting"]
+
     def get_active(self, zone):
         """Return the VMs of a zone that callers are directed to."""
         ready = self.get_ready(zone)
@@ -385,6 +399,11 @@
             for other in self._get_other_zones():
                 vms = self._choose_remote_vms(other)
                 listed += [_make_vm_presence(vm, now) for vm in vms]
+        listed += [
+            _make_vm_presence(vm, now)
+            for vm in self.vms.values()
+            if vm.zone != self.local_vm.zone and vm.state == "leaving"
+        ]
         return listed
 
     def _get_other_zones(self):
