--- a/src/lavendermast/entrynode.py
+++ b/src/lavendermast/entrynode.py
@@ -16,6 +16,7 @@
 from lavendermast.crashsharing import CrashSharing
 from lavendermast.denials import DenialRules
 from lavendermast.descriptors import DescriptorBudget
+from lavendermast.directory import Directory
 from lavendermast.entry import (
     DirectoryApplication,
     EntryApplication,
@@ -26,6 +27,7 @@
 from lavendermast.evidencesharing import EvidenceSharing
 from lavendermast.exceptions import SettingsError
 from lavendermast.hostroutes import HostRouter
+from lavendermast.linkcapacity import LinkCapacity
 from lavendermast.listeners import HttpListener
 from lavendermast.logs import EventLog
 from lavendermast.losstracker import LossTracker
@@ -61,8 +63,6 @@
 #: The process exits at the latest this long before the end of the grace period, so that
 #: a VM that runs slowly still exits in time.
 EXIT_MARGIN_S = 0.5
-#: VMs that directories list before those that refuse requests with keys.
-MAX_DIRECTORY_VMS = 4
 #: Time constant of the moving average of the request rate.
 RATE_TIME_CONSTANT_S = 2.0
 #: Not a secret, since the platform provides none: it only serves to detect damaged
@@ -115,6 +115,7 @@
             lambda: self._rate,
             self._regions,
         )
+        self.directory = Directory(self.fleet, self._regions, self.clock)
         self.sync = CatalogSync(
             self.catalog, platform.source, self.fleet, self.network, self.clock, record
         )
@@ -167,6 +168,7 @@
             CONNECT_TIMEOUT_S,
             self.descriptors,
         )
+        self.link = LinkCapacity(settings.link_mbps, record)
         self.upstream.find_scope = lambda server: self.fleet.find_zone_scope(
             server.zone
         )
@@ -410,42 +412,13 @@
 
     def _make_directory_body(self, query):
         region, zone = self.platform.read_query(query)
-        vms = self._list_fenced_last(self._choose_vms(region, zone), region, zone)
+        vms = self.directory.resolve(region, zone)
         if not vms:
             return None
         port = parse_address(self.settings.caller_address)[1]
         addresses = [f"{parse_address(vm.peer_address)[0]}:{port}" for vm in vms]
         return self.platform.make_directory_body(addresses, self.settings.caller_hold_s)
 
-    def _choose_vms(self, region, zone):
-        """
-        Return the active VMs of the zone.
-
-        Without any, return those of all other zones of the region, else of all zones.
-        """
-        vms = self.fleet.get_active(zone)
-        if vms:
-            return vms
-        near = [z for z, r in self._regions.items() if r == region and z != zone]
-        for zones in (near, self._regions):
-            vms = [vm for z in zones for vm in self.fleet.get_active(z)]
-            if vms:
-                return vms
-        return []
-
-    def _list_fenced_last(self, vms, region, zone):
-        """Return VMs with those that refuse keys after others of the region."""
-        fenced = [vm for vm in vms if vm.fenced]
-        if not fenced:
-            return vms
-        others = [vm for vm in vms if not vm.fenced]
-        zones = [zone, *(z for z, r in self._regions.items() if r == region)]
-        for near in zones:
-            if others:
-                break
-            others = [vm for vm in self.fleet.get_ready(near) if not vm.fenced]
-        return others[:MAX_DIRECTORY_VMS] + fenced
-
     def _maintain(self):
         while True:
             self.clock.sleep(MAINTENANCE_INTERVAL_S)
@@ -457,6 +430,12 @@
             rate = (started_requests - self._counted_requests) / MAINTENANCE_INTERVAL_S
             self._rate += (rate - self._rate) * share
             self._counted_requests = started_requests
+            self.link.observe(
+                started_requests,
+                sum(self.upstream.traffic.values()),
+                MAINTENANCE_INTERVAL_S,
+            )
+            self.fleet.set_link_capacity(self.link.compute_capacity())
             self._update_budgets()
             self._rate_share = self._compute_rate_share()
             self._demand_share = self._compute_demand_share()
--- a/src/lavendermast/messages_model.py
+++ b/src/lavendermast/messages_model.py
@@ -469,6 +469,7 @@
     cores: float = 0.0
     interval_ms: int = 0
     fenced: bool = False
+    capacity: float = 0.0
 
     def to_dict(self):
         """Return the fields as pycapnp accepts them."""
@@ -483,6 +484,7 @@
             "cores": self.cores,
             "intervalMs": self.interval_ms,
             "fenced": self.fenced,
+            "capacity": self.capacity,
         }
 
     @classmethod
@@ -499,6 +501,7 @@
             cores=reader.cores,
             interval_ms=reader.intervalMs,
             fenced=reader.fenced,
+            capacity=reader.capacity,
         )
 
 
--- a/src/lavendermast/schema/messages.capnp
+++ b/src/lavendermast/schema/messages.capnp
@@ -151,6 +151,8 @@
   intervalMs @8 :UInt16;
   # Whether the VM refuses requests with keys, because its state is not proven.
   fenced @9 :Bool;
+  # Requests per second that the VM carries if its link limits them; 0: see cores.
+  capacity @10 :Float32;
 }
 
 # A heartbeat with the sender's view of other VMs, its configuration version and store
--- a/src/lavendermast/zonefleet.py
+++ b/src/lavendermast/zonefleet.py
@@ -4,6 +4,8 @@
 Heartbeats go through a few hubs per zone, without a configured list of VMs.
 """
 
+import math
+
 import attrs
 
 from lavendermast.messages_model import Presence, VmPresence
@@ -57,6 +59,9 @@
 #: Requests per second and core above which one more VM becomes active; about a tenth
 #: of what a VM can forward, since load spikes build up within a second.
 TARGET_RATE_PER_CORE = 30.0
+#: Time constant with which the rate of a zone falls: callers that have moved away may
+#: be back soon, and VMs that alternate between active and inactive get them in turns.
+RATE_FALL_TIME_S = 3.5
 #: Minimum number of active VMs of a zone.
 MIN_ACTIVE_VMS = 2
 
@@ -71,6 +76,7 @@
     :param rate: callers' requests per second.
     :param cores: CPU capacity, in cores of standard speed.
     :param fenced: whether it refuses requests with keys.
+    :param capacity: requests per second if the link of the VM limits them, else 0.
     :param last_presence: the latest ``Presence`` received from the VM itself, ``None``
         if only other VMs reported it.
     :param last_presence_at: monotonic time at which ``last_presence`` was received.
@@ -86,6 +92,7 @@
     cores: float = 1.0
     interval_s: float = 0.0
     fenced: bool = False
+    capacity: float = 0.0
     last_presence: Presence | None = None
     last_presence_at: float = 0.0
 
@@ -139,6 +146,7 @@
         self.regions = regions or {}
         self.vms = {}
         self._zones_by_address = {}
+        self._peak_rates = {}
         self.on_presence = []
         self._next_summary = 0.0
         self._next_seed = 0.0
@@ -161,10 +169,27 @@
             )
 
     def set_state(self, state):
-        """Set the state of this VM and send it to the zone immediately."""
+        """
+        Set the state of this VM and send it to the zone immediately.
+
+        Other zones hear of a VM that leaves at once too: their summaries would go on to
+        name it until it times out.
+        """
         self.local_vm = attrs.evolve(self.local_vm, state=state)
-        zone_vms = [vm for vm in self.vms.values() if vm.zone == self.local_vm.zone]
-        self._send([vm.peer_address for vm in zone_vms], ())
+        vms = [
+            vm
+            for vm in self.vms.values()
+            if vm.zone == self.local_vm.zone or state == "leaving"
+        ]
+        self._send([vm.peer_address for vm in vms], ())
+
+    def set_link_capacity(self, capacity):
+        """Set the requests per second that the link of this VM carries."""
+        is_limit = capacity < TARGET_RATE_PER_CORE * self.local_vm.cores
+        capacity = round(capacity, 1) if is_limit else 0.0
+        if capacity != self.local_vm.capacity:
+            self._record_event("capacity", requests_per_s=capacity or None)
+            self.local_vm = attrs.evolve(self.local_vm, capacity=capacity)
 
     def send_heartbeats(self):
         """Run one heartbeat round: expire VMs and send the heartbeats that are due."""
@@ -253,10 +278,15 @@
             ready.append(self.local_vm)
         return sorted(ready, key=_rank_by_capacity)
 
+    def get_starting(self, zone):
+        """Return the VMs of a zone that have no configuration yet."""
+        vms = [*self.vms.values(), self.local_vm]
+        return [vm for vm in vms if vm.zone == zone and vm.state == "starting"]
+
     def get_active(self, zone):
         """Return the VMs of a zone that callers are directed to."""
         ready = self.get_ready(zone)
-        return ready[: self._count_active(ready)]
+        return ready[: self._count_active(zone, ready)]
 
     def count_inactive(self):
         """
@@ -265,7 +295,7 @@
         A VM that is starting or leaving counts as active.
         """
         ready = self.get_ready(self.local_vm.zone)
-        inactive = ready[self._count_active(ready) :]
+        inactive = ready[self._count_active(self.local_vm.zone, ready) :]
         return len(inactive) if self.local_vm in inactive else 0
 
     def get_peer_addresses(self, region_zones):
@@ -277,17 +307,26 @@
             if vm.vm != self.local_vm.vm
         ]
 
-    def _count_active(self, ready):
+    def _count_active(self, zone, ready):
         """Return how many VMs, largest first, the request rate of the zone requires."""
-        rate = sum(vm.rate for vm in ready)
+        rate = self._hold_rate(zone, sum(_get_weighted_rate(vm) for vm in ready))
         count, capacity = 0, 0.0
         for vm in ready:
             if count >= MIN_ACTIVE_VMS and rate <= capacity:
                 break
             count += 1
-            capacity += TARGET_RATE_PER_CORE * vm.cores
+            capacity += get_capacity(vm)
         return max(count, MIN_ACTIVE_VMS)
 
+    def _hold_rate(self, zone, rate):
+        """Return the rate of a zone, which counts at once as it rises, later falls."""
+        now = self._clock.monotonic()
+        peak, moment = self._peak_rates.get(zone, (0.0, now))
+        held = peak * math.exp((moment - now) / RATE_FALL_TIME_S)
+        if rate >= held:
+            self._peak_rates[zone] = (rate, now)
+        return max(rate, held)
+
     def _make_presence(self, reply_wanted=False, others=()):
         self.local_vm = attrs.evolve(
             self.local_vm, rate=self._get_rate(), fenced=self.is_fenced()
@@ -316,7 +355,8 @@
     def _find_prompt_names(self, hubs):
         """Return the names of the zone's VMs on which others need prompt updates."""
         ready = self.get_ready(self.local_vm.zone)
-        prompt = ready[: self._count_active(ready) + STANDBY_VMS]
+        count = self._count_active(self.local_vm.zone, ready) + STANDBY_VMS
+        prompt = ready[:count]
         return {vm.vm for vm in prompt}.union(hubs)
 
     def _list_zone(self, now, hubs):
@@ -364,6 +404,11 @@
             for other in self._get_other_zones():
                 vms = self._choose_remote_vms(other)
                 listed += [_make_vm_presence(vm, now) for vm in vms]
+        listed += [
+            _make_vm_presence(vm, now)
+            for vm in self.vms.values()
+            if vm.zone != self.local_vm.zone and vm.state == "leaving"
+        ]
         return listed
 
     def _get_other_zones(self):
@@ -465,6 +510,7 @@
                 self._zones_by_address[presence.peer_address] = known.zone
             known.peer_address = presence.peer_address
             known.rate, known.cores = presence.rate, presence.cores
+            known.capacity = presence.capacity
             known.interval_s = presence.interval_ms / 1000
             known.fenced = presence.fenced
             return known
@@ -482,6 +528,7 @@
             presence.cores,
             interval_s,
             presence.fenced,
+            presence.capacity,
         )
         self.vms[presence.vm] = known
         self._zones_by_address[presence.peer_address] = presence.zone
@@ -511,7 +558,7 @@
     """Return a sort key: VMs that serve callers first, the largest first."""
     # Peers send 32-bit floats, the settings hold 64-bit ones; rounding makes equal
     # sizes compare equal on all VMs.
-    return vm.state != "alive", -round(vm.cores, 3), vm.vm
+    return vm.state != "alive", -round(get_capacity(vm), 1), vm.vm
 
 
 def _choose_hubs(zone_names):
@@ -524,6 +571,21 @@
     return max(vms / MAX_VMS_PER_IDLE_TURNS, 1.0)
 
 
+def get_capacity(vm):
+    """Return the requests per second that a VM is meant to serve."""
+    return vm.capacity or TARGET_RATE_PER_CORE * vm.cores
+
+
+def _get_weighted_rate(vm):
+    """
+    Return the rate of a VM, in which what its link cannot carry counts twice.
+
+    Callers spread evenly, so a VM with a full link needs others beside it although
+    larger ones have capacity left.
+    """
+    return vm.rate + max(vm.rate - vm.capacity, 0.0) if vm.capacity else vm.rate
+
+
 def _make_vm_presence(vm, now, interval_s=0.0):
     """
     Return what this VM tells others of a VM.
@@ -543,4 +605,5 @@
         vm.cores,
         round(interval_s * 1000),
         vm.fenced,
+        vm.capacity,
     )
--- a/tests/test_accounts.py
+++ b/tests/test_accounts.py
@@ -16,8 +16,8 @@
 )
 from lavendermast.accounts.proofkeeper import NEVER_MS, WAIT_SHARE
 from lavendermast.clock import ManualClock
+from lavendermast.directory import Directory
 from lavendermast.entrymodel import Account
-from lavendermast.entrynode import EntryNode
 from lavendermast.exceptions import HistoryLostError, RequestError
 from lavendermast.messages_model import StateReply
 from tests.test_zonefleet import (
@@ -408,10 +408,20 @@
 
 @pytest.mark.parametrize(
     ("fenced", "listed"),
-    [("", "a1 a2"), ("a1", "a2 a1"), ("a1 a2", "a3 a1 a2"), ("a1 a2 a3", "b1 a1 a2")],
+    [
+        ("", "a1 a2"),
+        ("a1", "a2"),
+        ("a1 a2", "a3"),
+        ("a1 a2 a3", "b1"),
+        ("a1 a2 a3 b1", "a1 a2"),
+    ],
 )
-def test_directory_lists_fenced_vms_after_others_of_the_region(fenced, listed):
-    """Guards against callers that are sent to a VM which refuses all keys."""
+def test_directory_names_fenced_vms_only_without_others_in_the_region(fenced, listed):
+    """
+    Guards against callers that are sent to a VM which refuses all keys.
+
+    Callers choose one of the named VMs at random, so the order is not enough.
+    """
     ready = {
         zone: [
             types.SimpleNamespace(vm=f"{zone}{n}", fenced=f"{zone}{n}" in fenced)
@@ -419,9 +429,11 @@
         ]
         for zone, count in {"a": 3, "b": 1, "c": 2}.items()
     }
-    node = types.SimpleNamespace(
-        _regions={"c": "south", "a": "north", "b": "north"},
-        fleet=types.SimpleNamespace(get_ready=ready.get),
+    fleet = types.SimpleNamespace(
+        get_ready=ready.get,
+        get_active=lambda zone: ready[zone][:2],
+        local_vm=types.SimpleNamespace(state="alive"),
     )
-    vms = EntryNode._list_fenced_last(node, ready["a"][:2], "north", "a")
+    regions = {"c": "south", "a": "north", "b": "north"}
+    vms = Directory(fleet, regions, ManualClock()).resolve("north", "a")
     assert " ".join(vm.vm for vm in vms) == listed
