Let the test of proofs start its clock with the first read

A starting VM now waits for peers before it reads the store, so the time of the first read is not that of the start. What is asserted is unchanged.

--- a/tests/test_accounts.py
+++ b/tests/test_accounts.py
@@ -194,7 +194,13 @@
     """
     source, proven = FakeSource(), []
     vm = make_vm("a1", network, clock, source)
-    watch = source.watch
+    watch, read_all = source.watch, source.read_all
+
+    def read_first():
+        # A VM that starts waits for its peers before it reads the store.
+        if not proven_at:
+            proven_at.append(clock.monotonic())
+        return read_all()
 
     def watch_slowly(revision, wait_s):
         sent_at = clock.monotonic()
@@ -209,8 +215,8 @@
         proven_at.append(sent_at)
         return watch(revision, wait_s)
 
-    proven_at = [clock.monotonic()]
-    source.watch = watch_slowly
+    proven_at = []
+    source.read_all, source.watch = read_first, watch_slowly
     vm.sync.on_read.append(lambda era, revision, at: proven.append((revision, at)))
     with pytest.raises(_StopError):
         vm.sync.run()
