Name the end of a known pause to callers, and bound the cost of reports

Cause: with all servers at a pause, a refused caller was told to return before its end, because larger values are lost. A batch of up to 20 reports looked for slots 20 times, over all servers of a service.

Change: a known pause or rate limit that ends later than that is named as it is. Reports look for slots at most every 10 ms.

--- a/src/lavendermast/admission/entry.py
+++ b/src/lavendermast/admission/entry.py
@@ -10,6 +10,9 @@
 
 #: Interval at which waiting requests look for slots without a report or a response.
 POLL_INTERVAL_S = 0.05
+#: Reports look for slots at most this often: each time visits all servers of a service,
+#: and a batch of reports tells of up to 20 attempts.
+REPORT_WAKE_INTERVAL_S = 0.01
 #: Interval at which a waiting request checks whether its caller has disconnected.
 STOP_CHECK_INTERVAL_S = 0.2
 #: Time for which a server that shed a request counts as full. Its slots are then freed
@@ -53,6 +56,7 @@
 class _Service:
     queue: RankQueue
     capacity: SlotCapacity
+    woken_at: float = 0.0
 
 
 class RankedPass(OpenPass):
@@ -272,7 +276,10 @@
         if was_refused and not sender:
             until = self.clock.monotonic() + FULL_TIME_S
             self._evidence.get(server_name).full_until = until
-        self.wake(service)
+        now = self.clock.monotonic()
+        if not sender or now - service.woken_at >= REPORT_WAKE_INTERVAL_S:
+            service.woken_at = now
+            self.wake(service)
 
     def _find(self, server_name):
         if not self._is_active():
--- a/src/lavendermast/admission/rankqueue.py
+++ b/src/lavendermast/admission/rankqueue.py
@@ -181,6 +181,9 @@
         interval = 1.0 / self._estimate_rank_rate(ticket.rank)
         planned = plan.add(max(expected - useful_wait, 0.0), interval)
         latest = min((ticket.deadline - now) * MAX_RETURN_SHARE, MAX_RETRY_AFTER_S)
+        if self._capacity.delay_s > latest:
+            # No server takes requests before, by its rate limit or pause.
+            return min(planned, MAX_RETRY_AFTER_S)
         if latest <= MIN_RETRY_AFTER_S:
             return MIN_RETRY_AFTER_S
         return max(round(compress(planned, latest), 3), MIN_RETRY_AFTER_S)
--- a/tests/test_rankqueue.py
+++ b/tests/test_rankqueue.py
@@ -103,6 +103,15 @@
     assert clock.monotonic() < low.latest_start
 
 
+def test_callers_return_when_the_pause_of_all_servers_ends(clock):
+    """Guards against callers that return while no server takes requests."""
+    capacity = FixedCapacity()
+    capacity.delay_s = 2.0
+    refused = enter(RankQueue(capacity, clock), clock, wait_s=0.5)
+    assert refused.state is TicketState.REFUSED
+    assert 1.5 <= refused.retry_after <= 3.0
+
+
 def test_request_starts_at_once_although_its_work_takes_longer_than_its_goal(clock):
     """Guards against refusals of slow routes while slots are free."""
     queue = RankQueue(FixedCapacity(free=1), clock)
