Derive requests in flight for the own rate from the queue

Cause: a counter of this VM's attempts missed the ends of attempts at servers that had been removed, so the estimated rate rose for good.

Change: the queue passes its granted requests.

--- a/src/lavendermast/admission/entry.py
+++ b/src/lavendermast/admission/entry.py
@@ -264,12 +264,12 @@
             self._polled.discard(service)
 
     def _add_start(self, server_name, sender):
-        service = self._find(server_name)
-        if service is not None:
-            service.capacity.add_start(sender)
+        name = self._find_service(server_name)
+        if name is not None and self._is_active():
+            self.get_service(name).capacity.add_start(sender)
 
     def _add_end(self, server_name, sender, seconds, was_refused):
-        service = self._find(server_name)
+        service = self._services.get(self._find_service(server_name))
         if service is None:
             return
         service.capacity.add_end(sender, seconds, was_refused)
@@ -280,9 +280,3 @@
         if not sender or now - service.woken_at >= REPORT_WAKE_INTERVAL_S:
             service.woken_at = now
             self.wake(service)
-
-    def _find(self, server_name):
-        if not self._is_active():
-            return None
-        name = self._find_service(server_name)
-        return self.get_service(name) if name is not None else None
--- a/src/lavendermast/admission/rankqueue.py
+++ b/src/lavendermast/admission/rankqueue.py
@@ -63,8 +63,12 @@
         """Set whether requests wait."""
 
     @abc.abstractmethod
-    def estimate_rate(self):
-        """Return how many requests per second may start."""
+    def estimate_rate(self, own_in_flight):
+        """
+        Return how many requests per second may start.
+
+        :param own_in_flight: requests of this VM that have been granted a slot.
+        """
 
 
 @attrs.define(eq=False)
@@ -302,7 +306,7 @@
     def _estimate_rank_rate(self, rank):
         """Return the slots per second that higher ranks leave to a rank."""
         now = self._clock.monotonic()
-        rate = self._capacity.estimate_rate()
+        rate = self._capacity.estimate_rate(self._in_flight.total())
         higher = sum(
             count.get_rate(now) for other, count in self._grants.items() if other < rank
         )
@@ -314,7 +318,11 @@
         if higher:
             # Higher ranks do not delay the grants that a rank is sure of.
             lower = len({*self._lines, rank}) - 1
-            rate = self._capacity.estimate_rate() / LOWER_RANK_INTERVAL / lower
+            rate = (
+                self._capacity.estimate_rate(self._in_flight.total())
+                / LOWER_RANK_INTERVAL
+                / lower
+            )
             wait = min(wait, (own + 0.5) / rate)
         return self._capacity.delay_s + wait
 
--- a/src/lavendermast/admission/slots.py
+++ b/src/lavendermast/admission/slots.py
@@ -53,7 +53,6 @@
         self._share = AttemptShare()
         self._region_rate = CompletionRate()
         self._own_rate = CompletionRate()
-        self._own_in_flight = 0
         self._credit = 1.0
         self._refilled_at = clock.monotonic()
         self._slots = None
@@ -61,14 +60,11 @@
     def add_start(self, sender):
         """Count an attempt; ``sender`` is empty for one of this VM."""
         self._share.add(sender, self._clock.monotonic())
-        if not sender:
-            self._own_in_flight += 1
 
     def add_end(self, sender, seconds, was_refused):
         """Count the end of an attempt that took some seconds."""
         now = self._clock.monotonic()
         if not sender:
-            self._own_in_flight = max(self._own_in_flight - 1, 0)
             self._credit += KEPT_SHARE
         if was_refused:
             return
@@ -126,13 +122,13 @@
         self._region_rate.set_busy(now, busy)
         self._own_rate.set_busy(now, busy)
 
-    def estimate_rate(self):
+    def estimate_rate(self, own_in_flight):
         """Return the requests per second that this VM may expect to start."""
         now = self._clock.monotonic()
         in_flight = self._slots.in_flight if self._slots else 0
         rate = max(
             self._region_rate.estimate(now, in_flight) * self._estimate_share(now),
-            self._own_rate.estimate(now, self._own_in_flight),
+            self._own_rate.estimate(now, own_in_flight),
             self._count_free() * self._get_share(now) / REPORT_DELAY_S,
         )
         limit = self._slots.max_rate if self._slots else rate
--- a/tests/test_rankqueue.py
+++ b/tests/test_rankqueue.py
@@ -29,7 +29,7 @@
     def set_busy(self, busy):
         pass
 
-    def estimate_rate(self):
+    def estimate_rate(self, own_in_flight):
         return self.rate
 
 
