Limit the requests of an account over all VMs

Cause: accounts have a rate and a burst, and nothing held them. A limit that each VM keeps alone admits as many times the burst as there are VMs.

VMs share cumulative counts in AccountUses, which gains the sender's level. EntryApplication._admit_account refuses with 429 before the body is read; it is called without an account until authorization sets one. Further attempts count and are not refused.

--- a/src/lavendermast/attempts.py
+++ b/src/lavendermast/attempts.py
@@ -60,6 +60,8 @@
     :param crashes: ``CrashSharing`` that tells which requests crash servers.
     :param denials: ``DenialRules`` for attempts.
     :param get_budget: function from a service to its ``WindowedRetryBudget``.
+
+    ``count_attempt`` is called with the account of each further attempt.
     """
 
     def __init__(
@@ -84,6 +86,7 @@
         self._clock = clock
         self._record_event = record_event
         self.attempt_counts = {}
+        self.count_attempt = lambda account: None
         self._room_queues = collections.defaultdict(lambda: RoomQueue(clock))
 
     def run(self, request, route, service, caller_cancellation):
@@ -225,6 +228,8 @@
         is_repeat = state.has_arrived or bool(state.running)
         if is_repeat and not self._spend_budget(state, reason):
             return False
+        if is_repeat:
+            self.count_attempt(state.request.account)
         server = candidate.listed.server
         state.attempts += 1
         state.excluded.add(server.name)
--- a/src/lavendermast/entry.py
+++ b/src/lavendermast/entry.py
@@ -61,7 +61,8 @@
     :param memory: a :class:`~lavendermast.memory.MemoryBudget` for bodies.
 
     ``in_flight`` counts the requests whose response is not written yet; beyond
-    ``max_in_flight`` requests are refused.
+    ``max_in_flight`` requests are refused. ``allowances`` limits the requests of
+    accounts, ``None`` sets no limit.
     """
 
     def __init__(self, header_names, node, runner, memory, clock, record_event):
@@ -76,6 +77,7 @@
         self.started_requests = 0
         self.outcomes = {}
         self.latencies = None
+        self.allowances = None
 
     def __call__(self, environ, start_response):
         arrived_at = self._clock.monotonic()
@@ -100,6 +102,7 @@
         route = None
         try:
             route = self._find_route(environ)
+            self._admit_account(None)
             request = self._read_request(environ, route, arrived_at, reservation)
             service = self._node.router.choose_service(route)
             caller_cancellation = Cancellation()
@@ -130,6 +133,19 @@
             raise RequestError(404, "no-route", "no route matches")
         return route
 
+    def _admit_account(self, account):
+        """Refuse a request beyond the allowance of its account."""
+        if self.allowances is None or account is None:
+            return
+        retry_after = self.allowances.admit(account)
+        if retry_after:
+            raise RequestError(
+                429,
+                "over-allowance",
+                "the account is over its allowance",
+                retry_after=retry_after,
+            )
+
     def _read_request(self, environ, route, arrived_at, reservation):
         limits = self._node.config.limits
         check_header_size(environ, limits.max_header_bytes)
--- a/src/lavendermast/entrymetrics.py
+++ b/src/lavendermast/entrymetrics.py
@@ -109,6 +109,21 @@
         "Servers that name a rate limit.",
         lambda: [({}, node.rate_limits.count_limited())],
     )
+    registry.add_counter(
+        "lavendermast_entry_allowance_refusals_total",
+        "Requests that were refused because their account is over its allowance.",
+        lambda: [({}, node.allowances.refusals)],
+    )
+    registry.add_gauge(
+        "lavendermast_entry_accounts_over_allowance",
+        "Accounts that are over their allowance at this VM.",
+        lambda: [({}, node.allowances.count_exceeded())],
+    )
+    registry.add_gauge(
+        "lavendermast_entry_allowance_states",
+        "Accounts with a limit that were in use lately.",
+        lambda: [({}, node.allowances.count_states())],
+    )
     registry.add_gauge(
         "lavendermast_entry_leaving_servers",
         "Listed servers that said in a response that they are leaving.",
--- a/src/lavendermast/entrynode.py
+++ b/src/lavendermast/entrynode.py
@@ -1,10 +1,12 @@
 """Composes an entry VM from its components and runs it."""
 
+import collections
 import os
 import random
 
 import eventlet
 
+from lavendermast.allowances import Allowances, AllowanceSharing
 from lavendermast.attempts import AttemptRunner
 from lavendermast.catalog import Catalog
 from lavendermast.catalogsync import CatalogSync
@@ -178,6 +180,24 @@
         self.application = EntryApplication(
             platform.header_names, self, self.runner, self.memory, self.clock, record
         )
+        self.allowances = Allowances(
+            settings,
+            self.clock,
+            record,
+            random.Random(),
+            self._count_region_vms,
+            lambda: self.fleet.count_inactive() * len(self._regions),
+        )
+        self.allowance_sharing = AllowanceSharing(
+            settings,
+            self.allowances,
+            self.sharing,
+            self._list_idle_vms,
+            self.network,
+            self.clock,
+        )
+        self.application.allowances = self.allowances
+        self.runner.count_attempt = self.allowances.count_attempt
         self.application.max_in_flight = self.descriptors.requests_in_flight
         self.listeners = {
             "metrics": self._make_listener(
@@ -221,6 +241,7 @@
             self.sharing.run_reports,
             self.sharing.run_summaries,
             self.crashes.run,
+            self.allowance_sharing.run,
             self._maintain,
         ):
             eventlet.spawn(run_until_done, run, self.clock, self.log.record)
@@ -299,6 +320,7 @@
     def _apply_config(self, config):
         self._routes = {route.name: route for route in config.routes}
         self.router = HostRouter(config)
+        self.allowances.apply_config(config)
         self.upstream.set_max_idle_connections(
             dict.fromkeys(config.services, MAX_IDLE_CONNECTIONS)
         )
@@ -336,11 +358,29 @@
             settings.retry_window_s,
         )
 
+    def _count_active_vms(self):
+        return sum(len(self.fleet.get_active(zone)) for zone in self._regions)
+
+    def _count_region_vms(self):
+        """Return the number of active VMs by region."""
+        counts = collections.Counter()
+        for zone, region in self._regions.items():
+            counts[region] += len(self.fleet.get_active(zone))
+        return counts
+
+    def _list_idle_vms(self):
+        """Return the live VMs of this region that callers are not directed to."""
+        vms = [vm for vm in self.fleet.vms.values() if self._is_in_region(vm)]
+        active = set(self.sharing.get_region_addresses())
+        return [(vm.vm, vm.peer_address) for vm in vms if vm.peer_address not in active]
+
+    def _is_in_region(self, vm):
+        return self._regions.get(vm.zone) == self.settings.region
+
     def _compute_slack_share(self):
         """Return this VM's part of ``retry_slack``."""
-        active = sum(len(self.fleet.get_active(zone)) for zone in self._regions)
         # A zone whose VMs are not known yet counts with the minimum of active VMs.
-        active = max(active, len(self._regions) * MIN_ACTIVE_VMS)
+        active = max(self._count_active_vms(), len(self._regions) * MIN_ACTIVE_VMS)
         inactive = self.fleet.count_inactive() * len(self._regions)
         return compute_slack_share(active, inactive)
 
@@ -373,6 +413,7 @@
         while True:
             self.clock.sleep(MAINTENANCE_INTERVAL_S)
             self.evidence.expire()
+            self.allowances.expire()
             self.upstream.close_idle()
             self.listeners["caller"].connections.close_expired()
             started_requests = self.application.started_requests
--- a/src/lavendermast/messages_model.py
+++ b/src/lavendermast/messages_model.py
@@ -888,6 +888,7 @@
     account: int = 0
     admitted: int = 0
     demand: float = 0.0
+    level: float = 0.0
 
     def to_dict(self):
         """Return the fields as pycapnp accepts them."""
@@ -895,6 +896,7 @@
             "account": self.account,
             "admitted": self.admitted,
             "demand": self.demand,
+            "level": self.level,
         }
 
     @classmethod
@@ -904,6 +906,7 @@
             account=reader.account,
             admitted=reader.admitted,
             demand=reader.demand,
+            level=reader.level,
         )
 
 
--- a/src/lavendermast/schema/messages.capnp
+++ b/src/lavendermast/schema/messages.capnp
@@ -275,11 +275,13 @@
 }
 
 # Use of one account, named by a hash, at a VM or in a region: requests that were admitted
-# since counting began, and requests per second that arrive, refused ones included.
+# since counting began, and requests per second that arrive, refused ones included. level is
+# what the sender believes the account may still send at once, NaN if it does not know.
 struct AccountUse {
   account @0 :UInt64;
   admitted @1 :UInt64;
   demand @2 :Float32;
+  level @3 :Float32;
 }
 
 # countingMs is the time since the sender began to count. The receiver passes it on to its
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -135,6 +135,8 @@
         clock,
         lambda event, **fields: events.append((event, fields)),
     )
+    upstream.counted = []
+    runner.count_attempt = upstream.counted.append
     now = clock.monotonic()
     request = CallerRequest(
         "id-1",
@@ -395,3 +397,11 @@
     reply, upstream, *_ = run([], make_route(kind), is_refusing=True)
     assert (reply.status, reply.outcome) == (503, Outcome.NOT_RUN)
     assert (reply.reason, upstream.sent) == ("stopping", [])
+
+
+def test_only_attempts_that_reach_a_further_server_count_for_the_account():
+    """Guards against retries that the allowance of an account misses."""
+    script = [(0.0, CONNECT_FAILED), (0.0, SHED), (0.0, OK)]
+    reply, upstream, _, _ = run(script, make_route())
+    assert (reply.status, reply.attempts) == (200, 3)
+    assert upstream.counted == [None]
--- a/tests/test_entry_application.py
+++ b/tests/test_entry_application.py
@@ -8,8 +8,8 @@
 
 from lavendermast.clock import SystemClock
 from lavendermast.entry import CallerHeaderNames, EntryApplication
-from lavendermast.entrymodel import EntryRoute, RequestKind, SplitPart
-from lavendermast.exceptions import TruncatedResponseError
+from lavendermast.entrymodel import Account, EntryRoute, RequestKind, SplitPart
+from lavendermast.exceptions import RequestError, TruncatedResponseError
 from lavendermast.listeners import HttpListener
 from lavendermast.memory import MemoryBudget
 from lavendermast.models import Outcome, Reply
@@ -130,3 +130,19 @@
     else:
         assert f"Content-Length: {length}".encode() in head
         assert len(body) < length
+
+
+def test_request_over_the_allowance_is_refused_without_an_attempt(serve):
+    """Guards against requests that are sent or read before they are admitted."""
+    application, _ = serve(body=b"x")
+    asked = []
+    application.allowances = types.SimpleNamespace(
+        admit=lambda account: asked.append(account) or 0.5
+    )
+    application._admit_account(None)
+    account = Account("a", (), 0, 1.0, 1.0)
+    with pytest.raises(RequestError) as caught:
+        application._admit_account(account)
+    assert asked == [account]
+    assert (caught.value.status, caught.value.reason) == (429, "over-allowance")
+    assert caught.value.retry_after == 0.5
