--- a/src/lavendermast/attempts.py
+++ b/src/lavendermast/attempts.py
@@ -68,6 +68,8 @@
     :param get_budget: function from a service to its ``WindowedRetryBudget``.
     :param open_pass: function of request, route and service that returns the pass by
         which the request is admitted; see ``Admission.open``.
+
+    ``count_attempt`` is called with the account of each further attempt.
     """
 
     def __init__(
@@ -94,6 +96,7 @@
         self._record_event = record_event
         self._open_pass = open_pass
         self.attempt_counts = {}
+        self.count_attempt = lambda account: None
         self._room_queues = collections.defaultdict(lambda: RoomQueue(clock))
 
     def run(self, request, route, service, caller_cancellation):
@@ -282,6 +285,8 @@
         is_repeat = state.has_arrived or bool(state.running)
         if is_repeat and not self._spend_budget(state, reason):
             return False
+        if is_repeat:
+            self.count_attempt(state.request.account)
         server = candidate.listed.server
         state.attempts += 1
         state.excluded.add(server.name)
--- a/src/lavendermast/messages_model.py
+++ b/src/lavendermast/messages_model.py
@@ -924,6 +924,7 @@
     account: int = 0
     admitted: int = 0
     demand: float = 0.0
+    level: float = 0.0
 
     def to_dict(self):
         """Return the fields as pycapnp accepts them."""
@@ -931,6 +932,7 @@
             "account": self.account,
             "admitted": self.admitted,
             "demand": self.demand,
+            "level": self.level,
         }
 
     @classmethod
@@ -940,6 +942,7 @@
             account=reader.account,
             admitted=reader.admitted,
             demand=reader.demand,
+            level=reader.level,
         )
 
 
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -160,6 +160,8 @@
         record_event,
         admission.open,
     )
+    upstream.counted = []
+    runner.count_attempt = upstream.counted.append
     now = clock.monotonic()
     request = CallerRequest(
         "id-1",
@@ -545,3 +547,11 @@
         is_authorized=lambda request: next(answers, False),
     )
     assert (reply.status, len(upstream.sent)) == (200, 1)
+
+
+def test_only_attempts_that_reach_a_further_server_count_for_the_account():
+    """Guards against retries that the allowance of an account misses."""
+    script = [(0.0, CONNECT_FAILED), (0.0, SHED), (0.0, OK)]
+    reply, upstream, _, _ = run(script, make_route())
+    assert (reply.status, reply.attempts) == (200, 3)
+    assert upstream.counted == [None]
