Let requests start that find a free slot, and refund what did not run

Cause: a request whose latest start lay in the past got the time of its entry as its latest start; the clock had gone on when the queue compared it, so it was refused with a slot free. Requests that servers or admission turned away were charged to the allowance of their account.

Change: a request has 0.05 s for a slot that is free as it enters. A request that did not run is replaced by the next one of the account at the same VM within 1 s.

--- a/src/lavendermast/admission/rankqueue.py
+++ b/src/lavendermast/admission/rankqueue.py
@@ -20,6 +20,8 @@
 #: A waiting request is refused early if it will be late even when its expected wait is
 #: this share of the estimate, which errs by up to 40% while few requests complete.
 CERTAIN_SHARE = 0.6
+#: Time that a request has for a slot that is free when it enters, however late it is.
+ENTRY_TIME_S = 0.05
 #: Time over which the grants of each rank are counted.
 GRANT_TIME_S = 1.0
 #: Bounds of ``Retry-After``, and of the plan that it is derived from.
@@ -127,8 +129,9 @@
             return
         if ticket.is_reserved:
             return
-        # Without a wait it may start in any case.
-        ticket.latest_start = max(ticket.latest_start, self._clock.monotonic())
+        # Without a wait it may start in any case. The clock goes on between the calls.
+        earliest = self._clock.monotonic() + ENTRY_TIME_S
+        ticket.latest_start = max(ticket.latest_start, earliest)
         # A request that had a slot before is the oldest of its line.
         was_granted = ticket.state is TicketState.GRANTED
         self._leave(ticket)
--- a/src/lavendermast/allowances/decision.py
+++ b/src/lavendermast/allowances/decision.py
@@ -31,8 +31,12 @@
 #: Reports that wait for confirmation; of more, the newest and the oldest ones are kept.
 MAX_UNCONFIRMED = 8
 #: Part of the permitted excess by which the level may exceed the burst. The rest covers
-#: further attempts, lost reports and VMs that disagree about their shares.
+#: further attempts, lost reports, refunds and VMs that disagree about their shares.
 EXCESS_SHARE = 0.68
+#: Part of the permitted excess that all VMs together hold as refunds, at least one
+#: each, and for how long: a refund moves a request into a later window.
+REFUND_SHARE = 0.1
+REFUND_TIME_S = 1.0
 #: Part of a limit that is divided equally, so that a VM without demand has a share.
 EQUAL_SHARE = 0.2
 #: The same for the shares of silent VMs, which last for seconds: with 0.2, a burst at
@@ -149,6 +153,8 @@
         time.
     :param share: part of the level that this VM may use before the others know.
     :param waiting: requests that wait until the share is settled.
+    :param refunds: times until which counted requests that did not run may be replaced
+        by others.
     """
 
     key: int
@@ -185,6 +191,7 @@
     refused_at: float = -math.inf
     return_at: float = 0.0
     waiting: int = 0
+    refunds: collections.deque = attrs.Factory(collections.deque)
     exceeded: bool = False
     logged_at: float = -math.inf
     reported: int = 0
@@ -301,6 +308,8 @@
             state.used_at = now
             self._to_report.add(state.key)
             self._to_sum.add(state.key)
+        if self._use_refund(state, now):
+            return _ADMITTED
         unsettled = state.admitted - state.settled[0]
         pool = state.level + unsettled - state.unheard * max(state.past_level, 0.0)
         allowed = state.share * pool
@@ -320,6 +329,20 @@
             return Decision(wait_s=SETTLING_S + self.contact_interval_s + 0.05)
         return Decision(retry_after_s=self._refuse(state, now))
 
+    def refund(self, account):
+        """
+        Return what an admitted request was counted for, as it did not run.
+
+        The counts that other VMs know only grow, so another request of this VM takes
+        its place.
+        """
+        state = self._find_state(account)
+        if state is None:
+            return
+        most = REFUND_SHARE * self._compute_excess(state.key) / self._vms
+        if len(state.refunds) < max(most, 1.0):
+            state.refunds.append(self._clock.monotonic() + REFUND_TIME_S)
+
     def count_attempt(self, account):
         """Count a further attempt of a request, which is never refused."""
         state = self._find_state(account)
@@ -466,13 +489,27 @@
     def _compute_limits(self, key):
         """Return rate and highest level of an account."""
         rate, burst = self._limits[key]
+        excess = self._compute_excess(key)
+        # Without any excess a burst of less than one request would admit none.
+        return rate, max(burst + EXCESS_SHARE * excess, 1.0)
+
+    def _use_refund(self, state, now):
+        """Return whether a request takes the place of one that did not run."""
+        while state.refunds and state.refunds[0] < now:
+            state.refunds.popleft()
+        if not state.refunds:
+            return False
+        state.refunds.popleft()
+        return True
+
+    def _compute_excess(self, key):
+        """Return the requests beyond its limit that an account may send in a window."""
+        rate, burst = self._limits[key]
         settings = self._settings
         excess = settings.allowance_excess * (
             rate * settings.allowance_window_s + burst
         )
-        excess += settings.allowance_slack
-        # Without any excess a burst of less than one request would admit none.
-        return rate, max(burst + EXCESS_SHARE * excess, 1.0)
+        return excess + settings.allowance_slack
 
     def _find_state(self, account):
         if account is None or account.rate_limit <= 0:
--- a/src/lavendermast/entry.py
+++ b/src/lavendermast/entry.py
@@ -111,6 +111,7 @@
                 environ["eventlet.input"].get_socket(), caller_cancellation
             ):
                 reply = self._runner.run(request, route, service, caller_cancellation)
+            self._refund(request.account, reply)
         except RequestError as error:
             reply = make_refusal(error)
         return route, reply
@@ -147,6 +148,12 @@
                 retry_after=retry_after,
             )
 
+    def _refund(self, account, reply):
+        """Charge nothing to the allowance of an account if its request did not run."""
+        has_allowance = self.allowances is not None and account is not None
+        if has_allowance and reply.outcome is Outcome.NOT_RUN:
+            self.allowances.refund(account)
+
     def _read_request(self, environ, route, arrived_at, reservation):
         limits = self._node.config.limits
         check_header_size(environ, limits.max_header_bytes)
