Take keys away from callers in the soak

Cause: no run of real processes under faults showed that removed keys go out of use.

Change: each configuration of a soak replaces the older of two keys; callers send a key in force or, one time in five, a removed one. A request that was sent 5 s after the acknowledged removal and ran is a finding, and so is 401 for a key in force since 3 s.

--- a/bench/simulatedfleet.py
+++ b/bench/simulatedfleet.py
@@ -281,7 +281,7 @@
         )
         settings = types.SimpleNamespace(key_removal_ms=removal_ms, config_lag_ms=3000)
         self.authorizer = Authorizer.from_settings(
-            settings, keeper, proofs, self.sync, self.clock, ignore
+            settings, keeper, proofs, self.sync, ignore
         )
         self.catalog.on_config.insert(0, self.authorizer.apply_config)
         self.spawn(keeper.run)
--- a/bench/soakchecks.py
+++ b/bench/soakchecks.py
@@ -15,6 +15,10 @@
 DRAIN_PROPAGATION_S = 2.5
 #: Time after a configuration change in which requests may follow the previous version.
 CONFIG_PROPAGATION_S = 2.5
+#: Settings of the VMs: a removed key is out of use after this time, and a key that was
+#: added is known after CONFIG_LAG_S.
+KEY_REMOVAL_S = 5.0
+CONFIG_LAG_S = 3.0
 #: A request without a response counts as hanging this long after its deadline.
 HANG_TOLERANCE_S = 1.0
 #: Grace period of a stopping process; at its end, requests may be aborted.
@@ -58,6 +62,7 @@
     status: int | None = None
     detail: str = ""
     server: str = ""
+    key: str = ""
 
 
 @attrs.define
@@ -78,6 +83,8 @@
     :param crashes: times at which the deadly request crashed a server.
     :param drains: time by server at which its entry changed to draining.
     :param moves: pairs of time and service for each change of the movable route.
+    :param keys: time by key at which it was added and, once that was acknowledged,
+        removed.
     :param overdue_stops: processes that did not exit within the grace period.
     :param rate_limits: server, limit and interval of each rate limit that was named.
     """
@@ -92,6 +99,7 @@
     crashes: list = attrs.Factory(list)
     drains: dict = attrs.Factory(dict)
     moves: list = attrs.Factory(list)
+    keys: dict = attrs.Factory(dict)
     overdue_stops: list = attrs.Factory(list)
     rate_limits: list = attrs.Factory(list)
 
@@ -151,6 +159,7 @@
     findings += [f"STOP: {detail}" for detail in account.overdue_stops]
     for call in account.calls.values():
         findings += _check_call(call, runs[call.id], account)
+        findings += _check_key(call, runs[call.id], account)
         for server, moment in runs[call.id]:
             findings += _check_run(call, server, moment, account)
     for server, limit, interval in account.rate_limits:
@@ -180,6 +189,20 @@
         yield f"LOST: {request} ran and ended without a response: {call.detail}"
 
 
+def _check_key(call, runs, account):
+    if not call.key:
+        return
+    added_at, removed_at = account.keys[call.key]
+    if runs and call.started > removed_at + KEY_REMOVAL_S:
+        late_s = call.started - removed_at
+        yield f"KEYS: {call.id} at {call.vm} ran with a key removed {late_s:.2f} s ago"
+    is_known = call.started > added_at + CONFIG_LAG_S and call.ended < removed_at
+    if call.status == 401 and is_known:
+        yield f"KEYS: {call.id} at {call.vm} got 401 with a key in force"
+    if call.status == 401 and runs:
+        yield f"KEYS: {call.id} at {call.vm} got 401 but ran on {runs[0][0].name}"
+
+
 def _is_stopping(call, account):
     return any(
         call.ended >= stop and call.started <= stop + GRACE_S + GRACE_MARGIN_S
--- a/bench/soakworld.py
+++ b/bench/soakworld.py
@@ -6,13 +6,20 @@
 import signal
 import time
 import urllib.parse
+from random import Random
 
 import eventlet
 import urllib3
 from eventlet.green import socket
 from urllib3.connection import HTTPConnection
 
-from bench.soakchecks import GRACE_S, HANG_TOLERANCE_S, Call
+from bench.soakchecks import (
+    CONFIG_LAG_S,
+    GRACE_S,
+    HANG_TOLERANCE_S,
+    KEY_REMOVAL_S,
+    Call,
+)
 from standins.entryworld import (
     HOST,
     make_config,
@@ -38,6 +45,10 @@
 THINK_TIME_S = 0.4
 #: Bounds of the time that a crashed server takes to start again, in seconds.
 RESTART_S = (1.0, 4.0)
+#: Keys in force at a time; each version replaces the oldest one.
+KEYS_IN_FORCE = 2
+#: Share of requests with a key that was removed.
+REMOVED_KEY_SHARE = 0.2
 #: Time for which a draining server still serves before it is removed.
 DRAIN_TIME_S = 3.0
 
@@ -64,6 +75,8 @@
             seeds=seeds,
             store_address=self.store_proxy.address,
             grace_s=GRACE_S,
+            key_removal_ms=round(KEY_REMOVAL_S * 1000),
+            config_lag_ms=round(CONFIG_LAG_S * 1000),
         )
         self._path.write_text(json.dumps(settings))
 
@@ -149,6 +162,8 @@
         self.servers, self.removed_servers = {}, []
         self.stopping = False
         self._version = 0
+        # A generator of its own: other draws of a seed stay those of earlier versions.
+        self._key_random = Random("keys")
         # Counter for server names and request ids.
         self._last_id = 0
         self.vms = []
@@ -289,9 +304,29 @@
         )
         upstream = config["upstreams"][0]
         config["upstreams"] = [{**upstream, "name": name} for name in SERVERS]
+        config["tenants"] = [{"name": "caller", "api_keys": self._renew_keys()}]
         self._config = config
         self.store.put("op/config", config)
         self._account.moves.append((time.monotonic(), service))
+        for key in list(self._account.keys)[:-KEYS_IN_FORCE]:
+            interval = self._account.keys[key]
+            interval[1] = min(interval[1], time.monotonic())
+
+    def _renew_keys(self):
+        """Add a key, and return those of the next version."""
+        keys = self._account.keys
+        for _ in range(1 if keys else KEYS_IN_FORCE):
+            keys[f"key-{len(keys)}"] = [time.monotonic(), float("inf")]
+        return list(keys)[-KEYS_IN_FORCE:]
+
+    def _choose_key(self):
+        """Return a key for a request, sometimes one that was removed."""
+        keys = list(self._account.keys)
+        in_force, removed = keys[-KEYS_IN_FORCE:], keys[:-KEYS_IN_FORCE]
+        if removed and self._key_random.random() < REMOVED_KEY_SHARE:
+            return self._key_random.choice(removed[-3:])
+        # The newest one may not be known everywhere yet.
+        return in_force[0]
 
     def _resolve_vm(self):
         """Return a VM for a caller from the directory's response, or ``None``."""
@@ -333,15 +368,18 @@
         if vm is None:
             return "no directory"
         connection = HTTPConnection("127.0.0.1", vm.ports["caller"])
-        call = self._send(vm, connection, "GET", path)
+        key = list(self._account.keys)[-KEYS_IN_FORCE]
+        call = self._send(vm, connection, "GET", path, key)
         return call.status or call.detail
 
-    def _send(self, vm, connection, method, path):
+    def _send(self, vm, connection, method, path, key=None):
         self._last_id += 1
         call = Call(f"q{self._last_id:07d}", vm.name, path, method, time.monotonic())
+        call.key = key or self._choose_key()
         self._account.calls[call.id] = call
         headers = {"Host": HOST, "Request-Id": call.id}
         headers["Deadline-Ms"] = str(DEADLINE_MS)
+        headers["Credential"] = call.key
         connection.timeout = DEADLINE_MS / 1000 + HANG_TOLERANCE_S
         try:
             connection.request(method, path, headers=headers, preload_content=False)
--- a/src/lavendermast/accounts/authorizer.py
+++ b/src/lavendermast/accounts/authorizer.py
@@ -31,12 +31,11 @@
     """
 
     def __init__(
-        self, keeper, get_confirmed_age_s, proofs, clock, record_event, removal_s, lag_s
+        self, keeper, get_confirmed_age_s, proofs, record_event, removal_s, lag_s
     ):
         self._keeper = keeper
         self._get_confirmed_age_s = get_confirmed_age_s
         self._proofs = proofs
-        self._clock = clock
         self._record_event = record_event
         self._removal_s = removal_s
         self._lag_s = lag_s
@@ -47,13 +46,12 @@
         keeper.on_tick.append(self.update_fence)
 
     @classmethod
-    def from_settings(cls, settings, keeper, proofs, sync, clock, record_event):
+    def from_settings(cls, settings, keeper, proofs, sync, record_event):
         """Return an authorizer with the settings of an entry VM."""
         return cls(
             keeper,
             lambda: (sync.get_confirmed_age_ms() - 1) / 1000,
             proofs,
-            clock,
             record_event,
             settings.key_removal_ms / 1000,
             settings.config_lag_ms / 1000,
--- a/src/lavendermast/entrynode.py
+++ b/src/lavendermast/entrynode.py
@@ -127,7 +127,7 @@
             settings.key_removal_ms / 1000,
         )
         self.authorizer = Authorizer.from_settings(
-            settings, self.proof_keeper, self.proofs, self.sync, self.clock, record
+            settings, self.proof_keeper, self.proofs, self.sync, record
         )
         self.fleet.is_fenced = self.authorizer.is_fenced
         # First, because an error in a handler hides a configuration from later ones.
--- a/tests/test_accounts.py
+++ b/tests/test_accounts.py
@@ -71,7 +71,7 @@
         )
         settings = types.SimpleNamespace(key_removal_ms=REMOVAL_MS, config_lag_ms=3000)
         self.authorizer = Authorizer.from_settings(
-            settings, self.keeper, self.proofs, self.sync, clock, self.record
+            settings, self.keeper, self.proofs, self.sync, self.record
         )
 
     def record(self, event, **fields):
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -2,6 +2,7 @@
 
 import collections
 import contextlib
+import math
 import types
 
 import eventlet
@@ -101,6 +102,24 @@
     assert check(Call(**{**values, **changes}), *servers) == finding
 
 
+@pytest.mark.parametrize(
+    ("interval", "status", "ran", "finding"),
+    [
+        ((0.0, 5.5), 200, True, []),
+        ((0.0, 4.5), 200, True, ["KEYS"]),
+        ((0.0, 4.5), 401, False, []),
+        ((6.5, math.inf), 401, False, ["KEYS"]),
+        ((7.5, math.inf), 401, False, []),
+        ((0.0, 9.0), 401, True, ["KEYS"]),
+    ],
+)
+def test_key_in_use_after_its_removal_is_found(interval, status, ran, finding):
+    """Guards against a check that misses removed keys, or refusals of valid ones."""
+    call = Call("q1", "a1", "/book/1", "POST", 10.0, 10.2, status, key="k")
+    server = make_server("s1", *[RUN] * ran)
+    assert check(call, server, keys={"k": interval}) == finding
+
+
 def test_lost_answer_of_a_killed_process_is_no_finding():
     """
     Guards against a false LOST finding.
