Let the test of restored stores see a proof of the lost era

Cause: both VMs had proofs of the same age, so a reply with a proof of the lost era changed nothing that the test looked at.

Change: the other VM's proof is 1 s younger. The test fails with that fault.

--- a/tests/test_accounts.py
+++ b/tests/test_accounts.py
@@ -220,10 +220,11 @@
 def test_restored_store_proves_nothing_of_other_vms(vm, network, clock):
     """Guards against the proof of a lost era for a VM that never had its changes."""
     other = Vm("a1", network, clock)
+    clock.advance(1.0)
     other.proofs.add(1, 7, clock.elapsed())
     vm.state = other.state = (2, 4)
     assert other.proofs.get_age_s() == 0.0
-    clock.advance(2.0)
+    clock.advance(1.0)
     vm.keeper.tick()
     assert vm.proofs.get_age_s() == 2.0
     other.proofs.add(2, 4, clock.elapsed())
