Read the store at once on fast links, and serve urgent requests of accounts first

Doubtful servers counted no slots, so a third of the capacity was idle while requests were refused. Every VM woke up 20 times a second for reports of uses, also without accounts.

Requests of routes that are not the most urgent leave half of the level of their account to those that are. A doubtful server counts by the probability that it is healthy. VMs without limits or uses seldom wake up.

--- a/src/lavendermast/allowances/decision.py
+++ b/src/lavendermast/allowances/decision.py
@@ -33,6 +33,8 @@
 #: Part of the permitted excess by which the level may exceed the burst. The rest covers
 #: further attempts, lost reports, refunds and VMs that disagree about their shares.
 EXCESS_SHARE = 0.68
+#: Part of the highest level that an account keeps for its most urgent requests.
+URGENT_LEVEL_SHARE = 0.5
 #: Part of the permitted excess that all VMs together hold as refunds, at least one
 #: each, and for how long: a refund moves a request into a later window.
 REFUND_SHARE = 0.1
@@ -248,12 +250,16 @@
         self.contact_interval_s = CONTACT_INTERVAL_S
         self._peers_at = -math.inf
         self.started_at = self._informed_at = clock.monotonic()
+        self._urgent_priority, self._has_ranks = 0, False
         self.refusals = 0
         self.on_urgent = lambda: None
 
     def apply_config(self, config):
         """Take over the limits of a configuration; lower ones apply at once."""
         accounts = config.accounts or ()
+        priorities = {route.priority for route in config.routes if not route.public}
+        self._urgent_priority = min(priorities, default=0)
+        self._has_ranks = len(priorities) > 1
         self._limits = {
             hash_account(item.name): (item.rate_limit, item.burst)
             for item in accounts
@@ -267,35 +273,46 @@
             state.rate, state.cap = self._compute_limits(key)
             state.level = min(state.level, state.cap)
 
+    @property
+    def is_idle(self):
+        """Whether no use of an account waits to be reported."""
+        return not self._to_report
+
     @property
     def has_limits(self):
         """Whether any account has a limit."""
         return bool(self._limits)
 
-    def admit(self, account):
+    def admit(self, account, priority=0):
         """
         Return 0.0 if a request is admitted, else the seconds until it may return.
 
+        An account that sends more than its limit is served its most urgent requests
+        first: those of other routes leave a part of its level.
+
+        :param priority: rank of the request's route; 0 is the highest.
+
         The calling task waits for ``SETTLING_S`` and a report if this VM cannot tell
         a request within the allowance from one of a burst at all VMs.
         """
-        decision, waits = self.decide(account), 0
+        decision, waits = self.decide(account, priority=priority), 0
         while decision.wait_s:
             try:
                 self._clock.sleep(decision.wait_s)
             except BaseException:
                 # The task was killed, and its request no longer waits.
-                self.decide(account, waits=MAX_WAITS)
+                self.decide(account, MAX_WAITS, priority)
                 raise
             waits += 1
-            decision = self.decide(account, waits)
+            decision = self.decide(account, waits, priority)
         return decision.retry_after_s
 
-    def decide(self, account, waits=0):
+    def decide(self, account, waits=0, priority=0):
         """
         Return the :class:`Decision` on a request.
 
         :param waits: number of times that the request has waited as a decision said.
+        :param priority: see :meth:`admit`.
         """
         state = self._find_state(account)
         if state is None:
@@ -311,19 +328,20 @@
         if self._use_refund(state, now):
             return _ADMITTED
         unsettled = state.admitted - state.settled[0]
+        kept = self._compute_kept(state, priority)
         pool = state.level + unsettled - state.unheard * max(state.past_level, 0.0)
-        allowed = state.share * pool
+        allowed = state.share * (pool - kept)
         if unsettled + 1 <= allowed:
             self._count(state)
             if unsettled + 1 > allowed / 2:
                 self._mark_urgent(state)
             self._check_met(state, now)
             return _ADMITTED
-        if state.credit >= 1.0 and state.level >= 1.0:
+        if state.credit >= 1.0 and state.level >= 1.0 + kept:
             state.credit -= 1.0
             self._count(state)
             return _ADMITTED
-        if waits < MAX_WAITS and self._may_wait(state):
+        if waits < MAX_WAITS and self._may_wait(state, kept):
             state.waiting += 1
             self._mark_urgent(state)
             return Decision(wait_s=SETTLING_S + self.contact_interval_s + 0.05)
@@ -722,14 +740,20 @@
             return min(share, UNSURE_SHARE)
         return share
 
-    def _may_wait(self, state):
+    def _compute_kept(self, state, priority):
+        """Return the part of the level that a request leaves to more urgent ones."""
+        if not self._has_ranks or priority <= self._urgent_priority:
+            return 0.0
+        return URGENT_LEVEL_SHARE * state.cap
+
+    def _may_wait(self, state, kept):
         """Return whether a request that is not admitted now may be shortly."""
         if state.exceeded or self._inactive:
             return False
         if not state.sure:
             # Others answer with the level; without any, nothing changes in the wait.
             return state.waiting < state.cap and self._vms > 1
-        return state.waiting + 1 <= state.level
+        return state.waiting + 1 <= state.level - kept
 
     def _mark_urgent(self, state):
         self._urgent.add(state.key)
--- a/src/lavendermast/allowances/sharing.py
+++ b/src/lavendermast/allowances/sharing.py
@@ -9,6 +9,8 @@
 REPORT_INTERVAL_S = 0.25
 SUMMARY_INTERVAL_S = 0.5
 URGENT_INTERVAL_S = 0.05
+#: Interval at which a VM without limits looks for some.
+IDLE_INTERVAL_S = 1.0
 #: Time after its last use for which an inactive VM gets the reports of active ones.
 ASKER_S = 5.0
 #: Uses in one datagram of 1,400 bytes: each takes 24, the rest up to 250.
@@ -44,9 +46,17 @@
     def run(self):
         """Send reports until the task is killed."""
         while True:
-            self._clock.sleep(URGENT_INTERVAL_S)
+            self._clock.sleep(self._choose_interval())
             self.send_due()
 
+    def _choose_interval(self):
+        """Return the seconds until reports may be due; an idle VM seldom wakes up."""
+        if not self._allowances.has_limits:
+            return IDLE_INTERVAL_S
+        if self._allowances.is_idle and not self._regions.is_active():
+            return REPORT_INTERVAL_S
+        return URGENT_INTERVAL_S
+
     def send_due(self):
         """Send the reports and sums that are due."""
         if not self._allowances.has_limits:
--- a/src/lavendermast/catalogsync.py
+++ b/src/lavendermast/catalogsync.py
@@ -31,6 +31,10 @@
 #: Interval at which a VM that is not the reader checks whether it has become it.
 ROLE_CHECK_INTERVAL_S = 0.2
 PEER_REQUEST_TIMEOUT_S = 1.0
+#: A VM whose link is slower than this fetches its first documents from other VMs. A
+#: faster one reads the store at once: callers are directed to it, and it refuses them
+#: until it has the documents.
+SLOW_LINK_BYTES_PER_S = 50 * 125_000
 #: A VM without documents fetches them from its zone at once, and after this time also
 #: from other zones of its region. Seeds answer within two delays between regions.
 ZONE_PREFERENCE_S = 0.15
@@ -248,7 +252,8 @@
     def _is_first_read_due(self):
         """Return whether a VM without documents reads the store now."""
         fleet, age_s = self._fleet, self._get_start_age_s()
-        if age_s >= self._read_delay_s:
+        is_fast = self.link_bytes_per_s >= SLOW_LINK_BYTES_PER_S
+        if is_fast or age_s >= self._read_delay_s:
             return True
         if not fleet.vms:
             return age_s >= ALONE_READ_DELAY_S or not fleet.get_other_seeds()
--- a/src/lavendermast/entry.py
+++ b/src/lavendermast/entry.py
@@ -135,11 +135,11 @@
             raise RequestError(404, "no-route", "no route matches")
         return route
 
-    def _admit_account(self, account):
+    def _admit_account(self, account, route):
         """Refuse a request beyond the allowance of its account."""
         if self.allowances is None or account is None:
             return
-        retry_after = self.allowances.admit(account)
+        retry_after = self.allowances.admit(account, route.priority)
         if retry_after:
             raise RequestError(
                 429,
@@ -158,7 +158,7 @@
         limits = self._node.config.limits
         check_header_size(environ, limits.max_header_bytes)
         account, credential = self._authorize(environ, route)
-        self._admit_account(account)
+        self._admit_account(account, route)
         left_s = route.timeout_s
         text = environ.get(self._header_names.time_left_variable, "")
         if text.isdigit():
--- a/src/lavendermast/selection.py
+++ b/src/lavendermast/selection.py
@@ -161,7 +161,7 @@
 @attrs.frozen
 class FreeSlots:
     """
-    Slots of a service's servers that are likely to be healthy.
+    Slots of a service's servers, by the probability that these are healthy.
 
     :param near: free slots of this region.
     :param far: free slots of the other regions.
@@ -174,8 +174,8 @@
         infinite if a server has none.
     """
 
-    near: int
-    far: int
+    near: float
+    far: float
     servers: int
     in_flight: int
     slots_per_server: float
@@ -330,8 +330,8 @@
         """
         now = self._clock.monotonic()
         live = [s for s in self._catalog.get_servers(service) if self._is_live(s)]
-        healthy = [s for s in live if not self._is_doubtful(s, now)] or live
-        with_room = [s for s in healthy if self._has_room(s)]
+        weights = {s.server.name: self._compute_weight(s, now) for s in live}
+        with_room = [s for s in live if self._has_room(s)]
         delay_s, max_rate = 0.0, math.inf
         forecast = None if with_room else self.forecast_room(service)
         if forecast is not None:
@@ -339,20 +339,28 @@
         free = {True: 0, False: 0}
         for listed in with_room:
             is_near = listed.server.region == self._region
-            free[is_near] += self._count_free(listed, allowance, now)
+            count = self._count_free(listed, allowance, now)
+            free[is_near] += count * weights[listed.server.name]
         in_flight = sum(
             self._get_evidence(s.server.name).count_pending(now)
-            for s in healthy
-            if s.server.region == self._region
+            for s in live
+            if s.server.region == self._region and weights[s.server.name] == 1.0
         )
         slots = sum(s.slots for s in live) / max(len(live), 1)
         return FreeSlots(
             free[True], free[False], len(live), in_flight, slots, delay_s, max_rate
         )
 
-    def _is_doubtful(self, listed, now):
+    def _compute_weight(self, listed, now):
+        """
+        Return the part of a server's slots that counts as capacity.
+
+        A doubtful server counts by the probability that it is healthy: without any part
+        it would get no requests that show its recovery while the others are full.
+        """
         evidence = self._get_evidence(listed.server.name)
-        return is_doubtful(evidence.compute_sick_probability(now))
+        sick_probability = evidence.compute_sick_probability(now)
+        return 1.0 - sick_probability if is_doubtful(sick_probability) else 1.0
 
     def _count_free(self, listed, allowance, now):
         """Return how many requests a server may get now."""
--- a/tests/test_allowances.py
+++ b/tests/test_allowances.py
@@ -84,7 +84,7 @@
     def __init__(self, size, accounts, loss=0.0, active=None, age_s=100.0):
         self.clock, self.random = ManualClock(), random.Random(size)
         self.size, self.active, self.loss = size, active or size, loss
-        self.config = types.SimpleNamespace(accounts=tuple(accounts))
+        self.config = types.SimpleNamespace(accounts=tuple(accounts), routes=())
         self.boots, self.cut, self.measures = [0] * size, set(), False
         self.events, self.queue, self.order = [], [], itertools.count()
         self.admitted, self.refused, self.waited = {}, {}, 0
@@ -326,10 +326,10 @@
     allowances = fleet.vms[0].allowances
     for limits, admitted in [((0.1, 1.0), 14), ((0.0, 0.0), 100), ((0.1, 1.0), 14)]:
         account = Account("a", (), 0, *limits)
-        allowances.apply_config(types.SimpleNamespace(accounts=(account,)))
+        allowances.apply_config(types.SimpleNamespace(accounts=(account,), routes=()))
         decisions = [allowances.decide(account) for _ in range(100)]
         assert sum(not d.retry_after_s for d in decisions) == admitted
-    allowances.apply_config(types.SimpleNamespace(accounts=None))
+    allowances.apply_config(types.SimpleNamespace(accounts=None, routes=()))
     assert not allowances.count_states()
 
 
@@ -399,3 +399,20 @@
         allowances._states[hash_account("a")].level = -50.0
         decision = allowances.decide(account, MAX_WAITS)
         assert (decision.retry_after_s == 0.0) is is_admitted
+
+
+def test_account_over_its_limit_is_served_its_urgent_requests_first():
+    """Guards against payments that are refused because look-ups used the allowance."""
+    account = Account("a", (), 0, 10.0, 10.0)
+    fleet = Fleet(1, [account])
+    routes = [types.SimpleNamespace(priority=n, public=False) for n in (0, 2)]
+    allowances = fleet.vms[0].allowances
+    allowances.apply_config(types.SimpleNamespace(accounts=(account,), routes=routes))
+    admitted = {0: 0, 2: 0}
+    for call in range(800):
+        fleet.clock.advance(0.01)
+        priority = 0 if call % 20 == 0 else 2
+        decision = allowances.decide(account, MAX_WAITS, priority)
+        admitted[priority] += not decision.retry_after_s
+    assert admitted[0] == 40
+    assert 40 <= admitted[2] <= 8 * 10 + 10 + 40
--- a/tests/test_entry_application.py
+++ b/tests/test_entry_application.py
@@ -137,12 +137,12 @@
     application, _ = serve(body=b"x")
     asked = []
     application.allowances = types.SimpleNamespace(
-        admit=lambda account: asked.append(account) or 0.5
+        admit=lambda account, priority: asked.append(account) or 0.5
     )
-    application._admit_account(None)
+    application._admit_account(None, ROUTE)
     account = Account("a", (), 0, 1.0, 1.0)
     with pytest.raises(RequestError) as caught:
-        application._admit_account(account)
+        application._admit_account(account, ROUTE)
     assert asked == [account]
     assert (caught.value.status, caught.value.reason) == (429, "over-allowance")
     assert caught.value.retry_after == 0.5
--- a/tests/test_zonefleet.py
+++ b/tests/test_zonefleet.py
@@ -14,6 +14,7 @@
     MAX_READ_DELAY_S,
     MAX_WATCH_LAG_S,
     READ_DELAY_JITTER,
+    SLOW_LINK_BYTES_PER_S,
     CatalogSync,
     DocumentSource,
 )
@@ -148,6 +149,7 @@
         lambda: vm.rate,
     )
     vm.sync = CatalogSync(vm.catalog, source, vm.fleet, transport, clock, record)
+    vm.sync.link_bytes_per_s = SLOW_LINK_BYTES_PER_S / 2
     vm.fleet.local_vm = attrs.evolve(vm.fleet.local_vm, state="alive")
     return vm
 
@@ -671,6 +673,19 @@
     assert readers == ["a1", "b1"]
 
 
+def test_starting_vm_with_a_fast_link_reads_the_store_at_once(fleet):
+    """
+    Guards against callers that a VM refuses while it waits for its peers.
+
+    The delay cost 0.04 of the worth of days on which all VMs restart.
+    """
+    read_store(fleet)
+    run_rounds(fleet, 8)
+    starting = make_vm("a7", fleet.network, fleet.clock, fleet.source)
+    starting.sync.link_bytes_per_s = SLOW_LINK_BYTES_PER_S
+    assert starting.sync._choose_wait() is not None
+
+
 def test_snapshot_is_encoded_once_for_many_peers(fleet, monkeypatch):
     """Guards against milliseconds of encoding for each VM of a zone that starts."""
     encoded = []
