Separate the state of account uses from the decision on allowances

Change: reports of sources and the state of accounts with their averages are in uses.py. Nothing else changes.

Measured: the tests of allowances pass (without the long cases of the bound).

--- a/src/lavendermast/allowances/decision.py
+++ b/src/lavendermast/allowances/decision.py
@@ -1,20 +1,22 @@
 """Decides which requests of an account are within its allowance."""
 
 import bisect
-import collections
 import math
 import operator
 
 import attrs
 import xxhash
 
+from lavendermast.allowances.uses import (
+    DEMAND_TIME_S,
+    AccountState,
+    SourceUse,
+    average_demand,
+    clamp_number,
+    decay_demand,
+)
 from lavendermast.messages_model import AccountUse
 
-#: Time constant of the moving average of an account's demand.
-DEMAND_TIME_S = 0.5
-#: Time constant of the average that sets the shares of silent VMs. Those of accounts
-#: with few requests at each VM need a long one.
-MEAN_TIME_S = 10.0
 #: Number of times that a request waits until a report is settled; one is lost at times.
 MAX_WAITS = 3
 #: Time after which a report that was sent counts as known to all VMs: two prompt
@@ -99,111 +101,6 @@
 _ADMITTED = Decision()
 
 
-@attrs.define(eq=False)
-class _Entry:
-    """
-    Last report of one source on one account.
-
-    :param origin: VM and process that counts.
-    :param applied: admitted requests of the source that this VM has counted.
-    """
-
-    origin: tuple
-    admitted: int
-    demand: float
-    heard_at: float
-    applied: int = 0
-    mean: float = 0.0
-    since: float = 0.0
-    past_mean: float = 0.0
-    recent_mean: float = 0.0
-
-    def update(self, demand, now):
-        """Apply a reported demand."""
-        self.mean = self.compute_mean(now)
-        self.demand, self.heard_at = demand, now
-
-    def compute_mean(self, now):
-        """Return the average of the demand until a time."""
-        seconds = max(now - self.heard_at, 0.0)
-        return _average(
-            self.mean, _decay(self.demand, seconds), seconds, now - self.since
-        )
-
-
-@attrs.define(eq=False)
-class _AccountState:
-    """
-    Use of one account; times are monotonic.
-
-    :param level: requests that the fleet may admit now, as far as this VM knows.
-    :param credit: requests that this VM may admit by pace, at most one.
-    :param sure: whether the level is that of the fleet, not one from a start.
-    :param admitted: requests of this VM since its start.
-    :param in_region: requests of the region that this VM knows of.
-    :param confirmed: the last report that all other VMs know: time, admitted, demand.
-    :param sent: later reports.
-    :param settled: admitted and demand that the other VMs know, as far as they were
-        heard since.
-    :param unheard: part of the VMs that was not heard since the latest report. They
-        may have used their part of the level.
-    :param silent_share: part of the limit that is kept for silent VMs.
-    :param reserved: requests that were set aside for silent VMs.
-    :param past_level: level before the time in which a VM is found to be silent, as
-        ``past_mean`` is the mean demand then.
-    :param late: sources that were silent, and until when their reports are of that
-        time.
-    :param share: part of the level that this VM may use before the others know.
-    :param waiting: requests that wait until the share is settled.
-    :param refunds: times until which counted requests that did not run may be replaced
-        by others.
-    """
-
-    key: int
-    rate: float
-    cap: float
-    level: float
-    updated_at: float
-    sure: bool
-    admitted: int = 0
-    in_region: int = 0
-    demand: float = 0.0
-    mean: float = 0.0
-    since: float = 0.0
-    credit: float = 0.0
-    confirmed: tuple = (-math.inf, 0, 0.0)
-    settled: tuple = (0.0, 0.0)
-    unheard: float = 0.0
-    sent: collections.deque = attrs.Factory(collections.deque)
-    entries: dict = attrs.Factory(dict)
-    others_demand: float = 0.0
-    silent_share: float = 0.0
-    reserved: float = 0.0
-    past_level: float = 0.0
-    recent_level: float = 0.0
-    past_mean: float = 0.0
-    recent_mean: float = 0.0
-    recent_at: float = -math.inf
-    healed_at: float = -math.inf
-    silent_sources: frozenset = frozenset()
-    late: dict = attrs.Factory(dict)
-    share: float = 0.0
-    shares_at: float = -math.inf
-    used_at: float = 0.0
-    refused_at: float = -math.inf
-    return_at: float = 0.0
-    waiting: int = 0
-    refunds: collections.deque = attrs.Factory(collections.deque)
-    exceeded: bool = False
-    logged_at: float = -math.inf
-    reported: int = 0
-    reported_demand: float = 0.0
-    reported_at: float = -math.inf
-    region_reported: int = 0
-    region_reported_at: float = -math.inf
-    region_reported_demand: float = 0.0
-
-
 class Allowances:
     """
     Admits requests of accounts within their limits, which hold for all VMs together.
@@ -423,7 +320,7 @@
         entry = state.entries.get(source)
         if entry is None:
             delta = self._estimate_first(state, use, counting_s, now)
-            entry = state.entries[source] = _Entry(origin, 0, 0.0, now, since=now)
+            entry = state.entries[source] = SourceUse(origin, 0, 0.0, now, since=now)
         elif entry.origin != origin:
             older = entry.origin[0] == origin[0] and entry.origin[1] > origin[1]
             if older and now - entry.heard_at < RECOUNT_S:
@@ -431,7 +328,7 @@
             delta = use.admitted
             if is_region:
                 gap_s = now - entry.heard_at
-                demand = _sanitize(use.demand, 0.0, MAX_DEMAND)
+                demand = clamp_number(use.demand, 0.0, MAX_DEMAND)
                 delta = min(delta, math.ceil(demand * gap_s))
         elif use.admitted < entry.admitted:
             if now - entry.heard_at < RECOUNT_S:
@@ -440,7 +337,7 @@
         else:
             delta = use.admitted - entry.admitted
         entry.origin, entry.admitted = origin, use.admitted
-        entry.update(_sanitize(use.demand, 0.0, MAX_DEMAND), now)
+        entry.update(clamp_number(use.demand, 0.0, MAX_DEMAND), now)
         entry.applied += delta
         if not is_region:
             state.in_region += delta
@@ -451,7 +348,7 @@
         self._lower(state, delta - covered)
         if not state.sure and not math.isnan(use.level):
             lowest = self._compute_lowest(state)
-            state.level, state.sure = _sanitize(use.level, lowest, state.cap), True
+            state.level, state.sure = clamp_number(use.level, lowest, state.cap), True
         return entry.applied
 
     def answer(self, uses):
@@ -544,7 +441,7 @@
             age_s = now - self._informed_at
             sure = age_s > self._hold_s and not self._inactive
             level = cap if sure else min(cap, rate * min(age_s, self._hold_s))
-            state = self._states[key] = _AccountState(
+            state = self._states[key] = AccountState(
                 key, rate, cap, level, now, sure, used_at=now
             )
             state.credit = self._random.random()
@@ -566,7 +463,9 @@
         if state.silent_share:
             state.reserved += state.rate * seconds * state.silent_share
             state.reserved = min(state.reserved, state.cap)
-        state.mean = _average(state.mean, state.settled[1], seconds, now - state.since)
+        state.mean = average_demand(
+            state.mean, state.settled[1], seconds, now - state.since
+        )
         state.demand *= math.exp(-seconds / DEMAND_TIME_S)
         self._settle(state, now)
         state.share = self._compute_share(state, now)
@@ -604,7 +503,7 @@
         known_admitted += heard * (admitted - known_admitted)
         known_demand += heard * (demand - known_demand)
         state.unheard = 1.0 - heard
-        state.settled = known_admitted, _decay(known_demand, now - sent_at)
+        state.settled = known_admitted, decay_demand(known_demand, now - sent_at)
 
     def _compute_heard(self, since):
         """Return the part of the VMs in contact that was heard since a time."""
@@ -625,7 +524,7 @@
             if heard_at is not None and now - heard_at > self._silent_s:
                 silent += entry.past_mean
             else:
-                known += _decay(entry.demand, now - entry.heard_at)
+                known += decay_demand(entry.demand, now - entry.heard_at)
             means += entry.past_mean
         state.others_demand = known
         self._keep_past(state, now)
@@ -809,7 +708,7 @@
         """Return how many requests of a source's first report the level lacks."""
         if counting_s < now - self.started_at:
             return use.admitted
-        demand = _sanitize(use.demand, 0.0, MAX_DEMAND)
+        demand = clamp_number(use.demand, 0.0, MAX_DEMAND)
         return min(use.admitted, math.ceil(demand * DEMAND_TIME_S))
 
     def _is_due(self, state, now, urgent_only):
@@ -854,27 +753,7 @@
     def _sum_region_demand(self, state, now):
         demand = state.demand * math.exp(-(now - state.updated_at) / DEMAND_TIME_S)
         return demand + sum(
-            _decay(entry.demand, now - entry.heard_at)
+            decay_demand(entry.demand, now - entry.heard_at)
             for (is_region, _), entry in state.entries.items()
             if not is_region
         )
-
-
-def _average(mean, value, seconds, age_s):
-    """
-    Return a moving average after its value was the same for some seconds.
-
-    :param age_s: age of the average, over which it weighs all times equally.
-    """
-    time_s = min(max(age_s, DEMAND_TIME_S), MEAN_TIME_S)
-    return value + (mean - value) * math.exp(-seconds / time_s)
-
-
-def _decay(demand, age_s):
-    """Return what is left of a reported demand; it is repeated after a second."""
-    return demand * math.exp(-max(age_s - 1.0, 0.0) / DEMAND_TIME_S)
-
-
-def _sanitize(value, low, high):
-    """Return a number of a report within bounds; NaN becomes the lower one."""
-    return min(max(value, low), high) if value == value else low
