Give accounts some requests right after a start

Cause: after all VMs of the small twin had restarted, about 130 requests within their limits were refused in 2 s: levels began at 0, and less urgent requests had to leave half of the highest level, which a small account reaches in 8 s.

Change: a level begins at a tenth of the permitted excess, which is not used otherwise, and until it is sure less urgent requests leave half of the level itself. The cases of false refusals are listed one by one: 10 of 18 fail and are KNOWN-RED 25, the other 8 are checked.

--- a/src/lavendermast/allowances/decision.py
+++ b/src/lavendermast/allowances/decision.py
@@ -35,6 +35,9 @@
 #: Part of the permitted excess by which the level may exceed the burst. The rest covers
 #: further attempts, lost reports, refunds and VMs that disagree about their shares.
 EXCESS_SHARE = 0.68
+#: Part of the permitted excess that the level has after a start. It is not used
+#: otherwise, so that all VMs may start while the old window still counts.
+START_SHARE = 0.1
 #: Part of the highest level that an account keeps for its most urgent requests.
 URGENT_LEVEL_SHARE = 0.5
 #: Part of the permitted excess that all VMs together hold as refunds, at least one
@@ -440,7 +443,10 @@
             # After a start, what the fleet admitted before is not known yet.
             age_s = now - self._informed_at
             sure = age_s > self._hold_s and not self._inactive
-            level = cap if sure else min(cap, rate * min(age_s, self._hold_s))
+            level = cap
+            if not sure:
+                gained = rate * min(age_s, self._hold_s)
+                level = min(cap, START_SHARE * self._compute_excess(key) + gained)
             state = self._states[key] = AccountState(
                 key, rate, cap, level, now, sure, used_at=now
             )
@@ -643,7 +649,9 @@
         """Return the part of the level that a request leaves to more urgent ones."""
         if not self._has_ranks or priority <= self._urgent_priority:
             return 0.0
-        return URGENT_LEVEL_SHARE * state.cap
+        # After a start the level is far below the highest one for seconds.
+        level = state.cap if state.sure else max(state.level, 0.0)
+        return URGENT_LEVEL_SHARE * level
 
     def _may_wait(self, state, kept):
         """Return whether a request that is not admitted now may be shortly."""
--- a/tests/test_allowances.py
+++ b/tests/test_allowances.py
@@ -211,6 +211,16 @@
             fleet.at(at, fleet.call, account, choose(at))
 
 
+#: VMs, choice of the VM and share of lost datagrams of the cases of KNOWN-RED 25.
+KNOWN_RED = {
+    (4, "moving", 0.05),
+    (12, "moving", 0.0),
+    (12, "even", 0.05),
+    (12, "moving", 0.05),
+    *itertools.product((40,), ("even", "skewed", "moving"), (0.0, 0.05)),
+}
+
+
 @pytest.mark.parametrize(
     ("size", "choice", "cut_at"),
     [
@@ -232,10 +242,18 @@
     assert max(used) <= 1.0
 
 
-@pytest.mark.xfail(reason="KNOWN-RED 25", strict=False)
-@pytest.mark.parametrize("choice", list(CHOICES))
-@pytest.mark.parametrize("size", [4, 12, 40])
-@pytest.mark.parametrize("loss", [0.0, 0.05])
+def mark_known_red(*case):
+    """Return a case, marked if it is listed in KNOWN-RED.txt."""
+    reds = [pytest.mark.xfail(reason="KNOWN-RED 25")] if case in KNOWN_RED else []
+    return pytest.param(*case, marks=reds)
+
+
+@pytest.mark.parametrize(
+    ("size", "choice", "loss"),
+    itertools.starmap(
+        mark_known_red, itertools.product((4, 12, 40), CHOICES, (0.0, 0.05))
+    ),
+)
 def test_nothing_is_refused_within_the_limit(size, choice, loss):
     """Guards against refusals while use is uneven or moves."""
     accounts = make_accounts()
