Count all slots while every server is doubtful

Cause: servers counted by the probability that they are healthy, so with all of them doubtful a request waited for slots that no server seemed to have.

Change: without any server that is probably healthy all count whole, as before.

Measured: tests of attempts and selection pass.";

--- a/src/lavendermast/selection.py
+++ b/src/lavendermast/selection.py
@@ -331,6 +331,8 @@
         now = self._clock.monotonic()
         live = [s for s in self._catalog.get_servers(service) if self._is_live(s)]
         weights = {s.server.name: self._compute_weight(s, now) for s in live}
+        if all(weight < 1.0 for weight in weights.values()):
+            weights = dict.fromkeys(weights, 1.0)
         with_room = [s for s in live if self._has_room(s)]
         delay_s, max_rate = 0.0, math.inf
         forecast = None if with_room else self.forecast_room(service)
