Let the endless server be one that answers with raw bytes

Cause: both stand-ins accepted, read and answered with the same code.

Change: EndlessStandIn extends RawStandIn.

--- a/standins/endless.py
+++ b/standins/endless.py
@@ -2,8 +2,7 @@
 
 import eventlet
 
-from standins.instance import InstanceStandIn
-from standins.rawbytes import find_request_id
+from standins.rawbytes import RawStandIn
 
 BLOCK_BYTES = 65536
 _OWN = "HTTP/1.1 200 -\r\nRequest-Id: {id}\r\nServer-Signature: s\r\n"
@@ -30,7 +29,7 @@
 }
 
 
-class EndlessStandIn(InstanceStandIn):
+class EndlessStandIn(RawStandIn):
     """
     A server that sends bytes until the caller closes the connection.
 
@@ -38,34 +37,11 @@
     """
 
     def __init__(self, name, service, zone, kind):
-        super().__init__(name, service, zone)
-        self._first, unit = ANSWERS[kind]
+        first, unit = ANSWERS[kind]
+        super().__init__(name, service, zone, first)
         self._block = unit * (BLOCK_BYTES // len(unit))
-        self.answered = 0
 
-    def start(self):
-        """Serve until the process ends."""
-        eventlet.spawn(self._accept)
-
-    def _accept(self):
+    def _send_rest(self, sock):
         while True:
-            sock, _ = self._socket.accept()
-            eventlet.spawn(self._serve, sock)
-
-    def _serve(self, sock):
-        head = b""
-        try:
-            while b"\r\n\r\n" not in head:
-                data = sock.recv(BLOCK_BYTES)
-                if not data:
-                    return
-                head += data
-            self.answered += 1
-            sock.sendall(self._first.format(id=find_request_id(head)).encode())
-            while True:
-                sock.sendall(self._block)
-                eventlet.sleep(0)
-        except OSError:
-            pass
-        finally:
-            sock.close()
+            sock.sendall(self._block)
+            eventlet.sleep(0)
--- a/standins/rawbytes.py
+++ b/standins/rawbytes.py
@@ -38,11 +38,15 @@
                 head += data
             self.answered += 1
             sock.sendall(self._answer.format(id=find_request_id(head)).encode())
+            self._send_rest(sock)
         except OSError:
             pass
         finally:
             sock.close()
 
+    def _send_rest(self, sock):
+        """Send what follows the answer: nothing."""
+
 
 def find_request_id(head):
     """Return the request identifier of the platform in the head of a request."""
