Give denied attempts an outcome in the retry policy

Change: such an attempt is final and answered 503, and the table of the test has a row for it. Measured: tests of retries and attempts pass.

--- a/src/lavendermast/retries.py
+++ b/src/lavendermast/retries.py
@@ -33,6 +33,7 @@
     AttemptStatus.CANCELLED: 499,
     AttemptStatus.MISDIRECTED: 503,
     AttemptStatus.SHORTAGE: 503,
+    AttemptStatus.DENIED: 503,
 }
 
 #: Statuses after which no attempt at any server can succeed.
@@ -40,6 +41,7 @@
     AttemptStatus.CANCELLED,
     AttemptStatus.EXPIRED,
     AttemptStatus.SHORTAGE,
+    AttemptStatus.DENIED,
 }
 
 
--- a/tests/test_retries.py
+++ b/tests/test_retries.py
@@ -29,6 +29,7 @@
 cut             retry         stop          stop          unknown   502
 expired         stop          stop          stop          not-run   503
 shortage        stop          stop          stop          not-run   503
+denied          stop          stop          stop          not-run   503
 cancelled       stop          stop          stop          unknown   499
 """
 ROWS = [line.split() for line in TABLE.split("\n")[2:-1]]
