Name the slow link once, and count pending attempts once a survey

The survey of free slots, on the path of each request with accounts, counted the pending attempts of a server of the region twice, and the choice of a server counted again what its candidates hold.

Change: linkcapacity has threshold and factor, _count_active_vms sums _count_region_vms, and pending attempts are passed on. Behaviour is unchanged; no test changes.

--- a/src/lavendermast/catalogsync.py
+++ b/src/lavendermast/catalogsync.py
@@ -15,6 +15,7 @@
     StoreLagError,
     StoreShortageError,
 )
+from lavendermast.linkcapacity import BYTES_PER_S_AND_MBPS
 from lavendermast.messages_model import FetchChanges, StoredChanges
 
 #: Maximum duration of one watch call. Its end confirms that nothing has changed, for
@@ -34,7 +35,7 @@
 #: A VM whose link is slower than this fetches its first documents from other VMs. A
 #: faster one reads the store at once: callers are directed to it, and it refuses them
 #: until it has the documents.
-SLOW_LINK_BYTES_PER_S = 50 * 125_000
+SLOW_LINK_BYTES_PER_S = 50 * BYTES_PER_S_AND_MBPS
 #: A VM without documents fetches them from its zone at once, and after this time also
 #: from other zones of its region. Seeds answer within two delays between regions.
 ZONE_PREFERENCE_S = 0.15
--- a/src/lavendermast/entrynode.py
+++ b/src/lavendermast/entrynode.py
@@ -29,7 +29,7 @@
 from lavendermast.evidencesharing import EvidenceSharing
 from lavendermast.exceptions import SettingsError
 from lavendermast.hostroutes import HostRouter
-from lavendermast.linkcapacity import LinkCapacity
+from lavendermast.linkcapacity import BYTES_PER_S_AND_MBPS, LinkCapacity
 from lavendermast.listeners import HttpListener
 from lavendermast.logs import EventLog
 from lavendermast.losstracker import LossTracker
@@ -123,7 +123,7 @@
         )
         self.sync.make_room = self.descriptors.make_room
         if settings.link_mbps:
-            self.sync.link_bytes_per_s = settings.link_mbps * 125_000
+            self.sync.link_bytes_per_s = settings.link_mbps * BYTES_PER_S_AND_MBPS
         self.proofs = StateProofs(self._get_state, self.clock)
         self.proof_keeper = ProofKeeper(
             self.proofs,
@@ -425,7 +425,7 @@
         )
 
     def _count_active_vms(self):
-        return sum(len(self.fleet.get_active(zone)) for zone in self._regions)
+        return sum(self._count_region_vms().values())
 
     def _count_region_vms(self):
         """Return the number of active VMs by region."""
--- a/src/lavendermast/linkcapacity.py
+++ b/src/lavendermast/linkcapacity.py
@@ -5,7 +5,8 @@
 #: Part of the link that requests may use on average; peaks of load within a second and
 #: the messages between VMs need the rest.
 LINK_SHARE = 0.5
-#: Links of at least this bandwidth carry more than the cores of a VM can forward.
+#: Links of at least this bandwidth carry more than the cores of a VM can forward. On
+#: slower ones bytes count: a response of 540 KB takes 0.4 s of a link of 11 Mbit/s.
 MAX_LINK_MBPS = 1_000
 BYTES_PER_S_AND_MBPS = 125_000
 #: Time constant of the mean size of a request, which single downloads must not change
--- a/src/lavendermast/regions.py
+++ b/src/lavendermast/regions.py
@@ -2,9 +2,7 @@
 
 import abc
 
-#: A VM whose link is slower than this counts the bytes of requests and responses: one
-#: response of 540 KB takes 0.4 s of a link of 11 Mbit/s.
-FAST_LINK_MBPS = 1000.0
+from lavendermast.linkcapacity import MAX_LINK_MBPS
 
 
 class RegionPolicy(abc.ABC):
@@ -13,7 +11,7 @@
     @classmethod
     def from_settings(cls, settings):
         """Return the policy for the link that the settings name."""
-        if 0 < settings.link_mbps < FAST_LINK_MBPS:
+        if 0 < settings.link_mbps < MAX_LINK_MBPS:
             return NearestFirst()
         return CheapestFirst()
 
--- a/src/lavendermast/selection.py
+++ b/src/lavendermast/selection.py
@@ -315,7 +315,9 @@
     def _choose_by_cost(self, usable, allowance, now):
         if allowance is None:
             return min(usable, key=get_cost, default=None)
-        usable = [c for c in usable if self._count_free(c.listed, allowance, now)]
+        usable = [
+            c for c in usable if self._count_free(c.listed, c.pending, allowance, now)
+        ]
         if not usable:
             return None
         limit = min(map(get_cost, usable)) + SPREAD_COST
@@ -338,13 +340,17 @@
         forecast = None if with_room else self.forecast_room(service)
         if forecast is not None:
             delay_s, max_rate = forecast.delay_s, 1.0 / forecast.interval_s
+        pending = {
+            s.server.name: self._get_evidence(s.server.name).count_pending(now)
+            for s in live
+        }
         free = {True: 0, False: 0}
         for listed in with_room:
-            is_near = listed.server.region == self._region
-            count = self._count_free(listed, allowance, now)
-            free[is_near] += count * weights[listed.server.name]
+            name, is_near = listed.server.name, listed.server.region == self._region
+            count = self._count_free(listed, pending[name], allowance, now)
+            free[is_near] += count * weights[name]
         in_flight = sum(
-            self._get_evidence(s.server.name).count_pending(now)
+            pending[s.server.name]
             for s in live
             if s.server.region == self._region and weights[s.server.name] == 1.0
         )
@@ -364,13 +370,12 @@
         sick_probability = evidence.compute_sick_probability(now)
         return 1.0 - sick_probability if is_doubtful(sick_probability) else 1.0
 
-    def _count_free(self, listed, allowance, now):
-        """Return how many requests a server may get now."""
+    def _count_free(self, listed, pending, allowance, now):
+        """Return how many requests a server with some in flight may get now."""
         name = listed.server.name
-        evidence = self._get_evidence(name)
-        if now < evidence.full_until:
+        if now < self._get_evidence(name).full_until:
             return 0
-        free = max(listed.slots + allowance - evidence.count_pending(now), 0)
+        free = max(listed.slots + allowance - pending, 0)
         is_limited = not math.isinf(self._rate_limits.get_rate(name))
         return min(free, 1) if is_limited else free
 
