Review case 8: raise the limit of descriptors for the case

Cause: with a soft limit of 1,024 descriptors, the default of many shells, the stand-ins of the clients and the entry processes opened too few connections and the case said that the rule held. run_case now raises the soft limit of its process, inside the hard one, to what a machine of the site has and the stand-ins need besides; if that is not allowed the case exits with 2. The check is unchanged.

--- a/review/common-2/world.py
+++ b/review/common-2/world.py
@@ -7,6 +7,7 @@
 import os
 import pathlib
 import random
+import resource
 import signal
 import socket
 import sys
@@ -18,6 +19,8 @@
 HOST = "jepu9.example"
 ZONES = {"mahebourg": "grand-port"}
 START_TIMEOUT_S = 25.0
+#: Descriptors of a machine of the site, and those that the stand-ins need besides.
+MAX_FDS, SPARE_FDS = 4100, 2000
 #: Bounds and limits of the site cercle-gate.
 LIMITS = {
     "max_header_bytes": 16384,
@@ -372,17 +375,38 @@
     return await asyncio.wait_for(exchange(), timeout_s)
 
 
-def run_case(case):
+def allow_descriptors(count):
+    """
+    Let this process and those that it starts open that many descriptors.
+
+    Shells often allow 1,024, with which an entry process accepts fewer connections
+    than on a machine of the site.
+
+    :raises RuntimeError: when the limit of the machine is lower.
+    """
+    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    wanted = MAX_FDS + SPARE_FDS
+    if hard != resource.RLIM_INFINITY:
+        wanted = min(wanted, hard)
+    if wanted < count:
+        raise RuntimeError(f"{count} descriptors needed, {hard} allowed")
+    if soft != resource.RLIM_INFINITY and soft < wanted:
+        resource.setrlimit(resource.RLIMIT_NOFILE, (wanted, hard))
+
+
+def run_case(case, descriptors=1000):
     """
     Run a case and exit with its result.
 
     :param case: coroutine function of the record, a temporary folder and whether the
         disruption is on; returns whether the rule held.
+    :param descriptors: number that a process of the case needs.
     """
     record = Record(pathlib.Path(sys.argv[1]) / "record.txt")
     trouble = os.environ.get("TROUBLE", "1") != "0"
     with tempfile.TemporaryDirectory() as folder:
         try:
+            allow_descriptors(descriptors)
             held = asyncio.run(
                 asyncio.wait_for(case(record, pathlib.Path(folder), trouble), 110)
             )
